--- /dev/null
+++ b/standins/load.h
@@ -0,0 +1,131 @@
+#pragma once
+
+/// Open-loop client load for the demo and the process tests, and the checks of
+/// what came back against the run logs of the target stand-ins.
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "common/boot_clock.h"
+#include "net/http.h"
+#include "net/loop.h"
+
+namespace bulrushgw::standin {
+
+/// One kind of request in the mix.
+struct load_kind {
+    std::string method;
+    std::string path_before_key;
+    std::string path_after_key; ///< without a key when both parts are one path
+    bool has_key = true;
+    bool idempotent = true;
+    unsigned share = 1;
+};
+
+struct load_options {
+    std::vector<net::endpoint> nodes;
+    milliseconds duration{10000};
+    double requests_per_second = 200;
+    std::uint64_t seed = 1;
+    unsigned keys = 32;
+    milliseconds deadline{2500};
+    std::vector<load_kind> kinds;
+};
+
+/// The mix of Ladderdesk or of Hima Kalapu, as in the demo's rules files.
+/// Throws `error` for another name.
+std::vector<load_kind> load_kinds_of(const std::string& deployment);
+
+/// One request as the client saw it. Times are milliseconds of the boot clock.
+struct load_record {
+    std::string request_id;
+    std::string path;
+    bool idempotent = true;
+    std::int64_t sent_ms = 0;
+    std::int64_t done_ms = 0;
+    std::string outcome; ///< value of Bulrush-Outcome; "no-answer" without one
+    std::string reason;
+    int status = 0;
+    bool own_answer = true; ///< the body names this request's id
+};
+
+/// Sends requests at a fixed rate, whether or not earlier ones were answered.
+/// Not thread-safe; runs on the loop.
+class load_generator {
+public:
+    load_generator(net::loop& loop, load_options options, std::function<void()> on_done);
+
+    void start();
+    [[nodiscard]] const std::vector<load_record>& records() const { return records_; }
+
+private:
+    void send_due();
+    void send_one();
+    void finish(std::size_t index, const net::http_result& result);
+    const load_kind& choose_kind();
+
+    net::loop& loop_;
+    load_options options_;
+    std::function<void()> on_done_;
+    net::http_client client_;
+    std::mt19937_64 random_;
+    time_point started_;
+    std::vector<load_record> records_;
+    std::size_t sent_ = 0;
+    std::size_t finished_ = 0;
+};
+
+/// One line of a target's run log.
+struct run_record {
+    std::string target;
+    std::string request_id;
+    std::string service;
+    std::uint32_t range = 0;
+    std::uint64_t fence = 0;
+    bool keyed = false;
+    bool idempotent = true;
+    std::int64_t started_ms = 0;
+};
+
+struct load_report {
+    std::size_t sent = 0;
+    std::size_t answered = 0;
+    std::size_t not_run = 0;
+    std::size_t unknown = 0;
+    std::size_t no_answer = 0;
+    std::size_t run_twice = 0;       ///< non-idempotent request ids with two runs
+    std::size_t untrue_not_run = 0;  ///< refused as not run, but in a run log
+    std::size_t crossed = 0;         ///< answers that name another request
+    std::size_t non_owner = 0;       ///< runs under a fence below an earlier one
+    /// Longest time without an answered request for one path, by mark name,
+    /// counted within `mark_window` after the mark.
+    std::map<std::string, milliseconds> unavailable;
+
+    [[nodiscard]] bool promises_kept() const
+    {
+        return run_twice == 0 && untrue_not_run == 0 && crossed == 0 && non_owner == 0;
+    }
+};
+
+inline constexpr milliseconds mark_window{4000};
+
+load_report make_report(const std::vector<load_record>& records,
+                        const std::vector<run_record>& runs,
+                        const std::map<std::string, std::int64_t>& marks);
+
+void write_records(std::ostream& out, const std::vector<load_record>& records);
+/// Throw `parse_error` for a line that is not one record.
+std::vector<load_record> read_records(std::istream& in);
+std::vector<run_record> read_runs(std::istream& in);
+
+std::string to_text(const load_report& report);
+std::string to_json(const load_report& report);
+
+} // namespace bulrushgw::standin
