--- a/src/request/route_table.h
+++ b/src/request/route_table.h
@@ -37,7 +37,7 @@
     std::string service;
     rules::service_kind kind = rules::service_kind::keyed;
     std::string route; ///< "METHOD PATTERN", for metrics
-    std::string key;   ///< percent-decoded; the request id or empty on routes without "{key}"
+    std::string key;   ///< percent-decoded; empty on routes without "{key}"
     range_id range;    ///< 0 for a balanced service
     rules::repeat_kind repeat = rules::repeat_kind::once;
     std::uint32_t worth = 1;
@@ -52,13 +52,10 @@
     std::string detail; ///< one sentence for the client's programmer
 };
 
-/// Decodes %XX. None for a broken escape, a NUL byte, or an empty result.
-std::optional<std::string> percent_decode(std::string_view text);
-
 /// Lookup structure of one accepted rule set. Const members are thread-safe.
 class route_table {
 public:
-    /// Precondition: the rule set passed `rules::check`.
+    /// Precondition: the rule set passed `rules::parse_and_check`.
     explicit route_table(const rules::rule_set& rules);
 
     [[nodiscard]] std::variant<routed_request, refusal> find(const request_head& head) const;
