--- /dev/null
+++ b/src/node/event_log.h
@@ -0,0 +1,178 @@
+#pragma once
+
+/// Log lines of a node: one JSON object a line on standard error for each change
+/// of state, written by log4cxx.
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "common/boot_clock.h"
+#include "common/ids.h"
+#include "node/settings.h"
+
+namespace bulrushgw::node {
+
+/// Index into `event_table`, in the same order.
+enum class event_kind : std::uint8_t {
+    started,
+    stopping,
+    stopped,
+    joined,
+    left,
+    incarnation_ended,
+    lease_lost,
+    lease_running,
+    pause_detected,
+    ranges_changed,
+    member_ended,
+    witness_replaced,
+    too_few_witnesses,
+    target_announced,
+    target_silent,
+    target_restarted,
+    target_draining,
+    store_down,
+    store_up,
+    rules_applied,
+    rules_refused,
+    rules_stale,
+    rules_fresh,
+    end_asserted,
+    drain_requested,
+    peer_failure,
+    internal_failure,
+};
+
+struct event_info {
+    event_kind kind = event_kind::started;
+    std::string_view name; ///< value of the field "event"
+    log_level level = log_level::info;
+    std::string_view meaning;
+};
+
+// clang-format off
+inline constexpr std::array event_table{
+    event_info{event_kind::started, "started", log_level::info,
+        "the process listens on all its addresses"},
+    event_info{event_kind::stopping, "stopping", log_level::info,
+        "a planned stop began: the node hands its ranges over"},
+    event_info{event_kind::stopped, "stopped", log_level::info,
+        "the process exits; the cause tells whether the hand-over was complete"},
+    event_info{event_kind::joined, "joined", log_level::info,
+        "this incarnation is a member of its service's placement"},
+    event_info{event_kind::left, "left", log_level::info,
+        "this incarnation is no longer a member and serves nothing"},
+    event_info{event_kind::incarnation_ended, "incarnation-ended", log_level::warn,
+        "this incarnation ended; the node rejoins as a new one"},
+    event_info{event_kind::lease_lost, "lease-lost", log_level::warn,
+        "the lease ran out without a renewal; the node refuses requests"},
+    event_info{event_kind::lease_running, "lease-running", log_level::info,
+        "a witness renewed the lease after it had not run"},
+    event_info{event_kind::pause_detected, "pause-detected", log_level::warn,
+        "the process did not run for longer than lease.pause_threshold"},
+    event_info{event_kind::ranges_changed, "ranges-changed", log_level::info,
+        "the node began or ceased to serve ranges of its service"},
+    event_info{event_kind::member_ended, "member-ended", log_level::info,
+        "a certificate proves that another member's lease ended"},
+    event_info{event_kind::witness_replaced, "witness-replaced", log_level::info,
+        "a lost witness of this node was replaced through the store"},
+    event_info{event_kind::too_few_witnesses, "too-few-witnesses", log_level::error,
+        "fewer than two other hosts can hold this node's lease; it refuses to serve"},
+    event_info{event_kind::target_announced, "target-announced", log_level::info,
+        "a target announced itself on this host"},
+    event_info{event_kind::target_silent, "target-silent", log_level::warn,
+        "the target did not answer for 1 s; this incarnation ends"},
+    event_info{event_kind::target_restarted, "target-restarted", log_level::warn,
+        "the target restarted empty and receives its grants again"},
+    event_info{event_kind::target_draining, "target-draining", log_level::info,
+        "the target reports that it drains and receives no new work"},
+    event_info{event_kind::store_down, "store-down", log_level::warn,
+        "the platform store does not answer; takeover goes on, joins, moves and new rules wait"},
+    event_info{event_kind::store_up, "store-up", log_level::info,
+        "the platform store answers again"},
+    event_info{event_kind::rules_applied, "rules-applied", log_level::info,
+        "a higher rules version is in force on this node"},
+    event_info{event_kind::rules_refused, "rules-refused", log_level::warn,
+        "a submitted rules file was refused, or a received one did not match its digest"},
+    event_info{event_kind::rules_stale, "rules-possibly-stale", log_level::warn,
+        "neither the store nor an informed peer was heard for 30 s"},
+    event_info{event_kind::rules_fresh, "rules-fresh", log_level::info,
+        "the store or an informed peer was heard again"},
+    event_info{event_kind::end_asserted, "end-asserted", log_level::warn,
+        "an operator asserted that an incarnation is switched off"},
+    event_info{event_kind::drain_requested, "drain-requested", log_level::info,
+        "an operator asked this node to drain"},
+    event_info{event_kind::peer_failure, "peer-failure", log_level::warn,
+        "a peer sent a frame that does not follow the protocol"},
+    event_info{event_kind::internal_failure, "internal-failure", log_level::error,
+        "an operation failed in a way that the node did not expect"},
+};
+// clang-format on
+
+/// One change of state. Members without a value are left out of the line.
+struct log_event {
+    event_kind kind = event_kind::started;
+    std::string service;
+    std::optional<range_id> range;
+    incarnation_id subject; ///< whom the event is about, if not this node
+    std::optional<std::uint64_t> version;
+    std::optional<std::uint64_t> count;
+    std::string cause;
+};
+
+struct event_log_limits {
+    /// Lines of one kind in one window; further ones are counted, and one line
+    /// with "suppressed" reports them when the next window begins.
+    std::uint32_t lines_per_kind = 20;
+    std::uint32_t lines = 200; ///< of all kinds in one window
+    milliseconds window{10000};
+};
+
+/// Writes events. Not thread-safe.
+class event_log {
+public:
+    using sink = std::function<void(log_level, const std::string& line)>;
+
+    /// Writes through log4cxx to standard error. Configures log4cxx for the
+    /// process.
+    event_log(log_level least, const std::string& host);
+    /// Writes to `write` instead.
+    event_log(log_level least, const std::string& host, sink write, event_log_limits limits = {});
+
+    /// Incarnation shown in the lines that follow.
+    void set_incarnation(incarnation_id self);
+    void write(time_point now, const log_event& event);
+    /// Reports suppressed lines when their window is over.
+    void on_tick(time_point now);
+    [[nodiscard]] std::uint64_t suppressed() const { return suppressed_; }
+
+private:
+    struct window_count {
+        std::uint32_t written = 0;
+        std::uint32_t withheld = 0;
+    };
+
+    void begin_window(time_point now);
+    void emit(const log_event& event, const event_info& info, std::uint32_t withheld);
+
+    log_level least_;
+    std::string host_;
+    incarnation_id self_;
+    sink write_;
+    event_log_limits limits_;
+    time_point window_start_{};
+    std::uint32_t written_ = 0;
+    std::map<event_kind, window_count> counts_;
+    std::uint64_t suppressed_ = 0;
+};
+
+/// Rows of the Markdown table of docs/operators.md, one line for each event.
+std::string events_markdown();
+
+} // namespace bulrushgw::node
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,230 @@
+#pragma once
+
+/// Counters, gauges and quantiles of a node, in the Prometheus text format.
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "common/errors.h"
+
+namespace bulrushgw::node {
+
+/// A metric used with labels or values that its table entry does not allow.
+struct metric_error : error {
+    using error::error;
+};
+
+enum class metric_kind { counter, gauge, summary };
+
+/// Index into `metric_table`, in the same order.
+enum class metric : std::uint8_t {
+    requests,
+    refusals,
+    request_seconds,
+    forward_seconds,
+    target_seconds,
+    forwards,
+    retries,
+    duplicates,
+    stray_answers,
+    in_flight,
+    queued,
+    client_connections,
+    ranges_served,
+    range_moves,
+    lease_seconds,
+    lease_lost,
+    takeovers,
+    seals,
+    witness_replacements,
+    incarnations,
+    members,
+    placement_version_known,
+    target_ready,
+    target_silences,
+    pauses,
+    rules_version,
+    rules_stale,
+    store_up,
+    store_calls,
+    store_failures,
+    store_pending,
+    peer_frames,
+    peer_bytes,
+    peer_refused,
+    peer_broken,
+    audit_events,
+    audit_dropped,
+    log_suppressed,
+    loop_delay_seconds,
+    series_dropped,
+};
+
+struct metric_info {
+    metric id = metric::requests;
+    std::string_view name;
+    metric_kind kind = metric_kind::counter;
+    std::array<std::string_view, 2> labels{}; ///< unused places are empty
+    std::string_view help;
+};
+
+// clang-format off
+inline constexpr std::array metric_table{
+    metric_info{metric::requests, "bulrushgw_requests_total", metric_kind::counter, {"service", "outcome"},
+        "client requests by outcome: answered, not-run or unknown"},
+    metric_info{metric::refusals, "bulrushgw_refusals_total", metric_kind::counter, {"service", "reason"},
+        "client requests that were not answered in full, by typed reason"},
+    metric_info{metric::request_seconds, "bulrushgw_request_seconds", metric_kind::summary, {"service"},
+        "time from a client's request to its answer at the entry node"},
+    metric_info{metric::forward_seconds, "bulrushgw_forward_seconds", metric_kind::summary, {},
+        "time from a forward to another node to its reply"},
+    metric_info{metric::target_seconds, "bulrushgw_target_seconds", metric_kind::summary, {},
+        "time from a request to the target to its answer"},
+    metric_info{metric::forwards, "bulrushgw_forwards_total", metric_kind::counter, {"result"},
+        "requests forwarded to another node by result, including not-owner"},
+    metric_info{metric::retries, "bulrushgw_retries_total", metric_kind::counter, {"service"},
+        "idempotent requests that were sent again"},
+    metric_info{metric::duplicates, "bulrushgw_duplicates_total", metric_kind::counter, {"result"},
+        "repeats of a request id by result: record, in-progress or history-lost"},
+    metric_info{metric::stray_answers, "bulrushgw_stray_answers_total", metric_kind::counter, {},
+        "late, duplicate or crossed answers that were dropped"},
+    metric_info{metric::in_flight, "bulrushgw_in_flight", metric_kind::gauge, {},
+        "requests that the target works on"},
+    metric_info{metric::queued, "bulrushgw_queued", metric_kind::gauge, {},
+        "requests that wait for the target"},
+    metric_info{metric::client_connections, "bulrushgw_client_connections", metric_kind::gauge, {},
+        "open connections of clients"},
+    metric_info{metric::ranges_served, "bulrushgw_ranges_served", metric_kind::gauge, {"service"},
+        "ranges that this node serves"},
+    metric_info{metric::range_moves, "bulrushgw_range_moves_total", metric_kind::counter, {"service", "direction"},
+        "ranges that this node began or ceased to serve"},
+    metric_info{metric::lease_seconds, "bulrushgw_lease_remaining_seconds", metric_kind::gauge, {},
+        "time left of the lease; 0 while it does not run"},
+    metric_info{metric::lease_lost, "bulrushgw_lease_lost_total", metric_kind::counter, {},
+        "times at which the lease ended without a renewal"},
+    metric_info{metric::takeovers, "bulrushgw_takeovers_total", metric_kind::counter, {"service"},
+        "ranges taken over from a member that ended"},
+    metric_info{metric::seals, "bulrushgw_seals_total", metric_kind::counter, {},
+        "incarnations that this node sealed as a witness"},
+    metric_info{metric::witness_replacements, "bulrushgw_witness_replacements_total", metric_kind::counter, {},
+        "witnesses that this node replaced"},
+    metric_info{metric::incarnations, "bulrushgw_incarnations_total", metric_kind::counter, {"cause"},
+        "incarnations that this process began, by cause"},
+    metric_info{metric::members, "bulrushgw_members", metric_kind::gauge, {"state"},
+        "members known to this node by state"},
+    metric_info{metric::placement_version_known, "bulrushgw_placement_version", metric_kind::gauge, {"service"},
+        "newest placement version known to this node"},
+    metric_info{metric::target_ready, "bulrushgw_target_ready", metric_kind::gauge, {},
+        "1 while the target beside this node is ready"},
+    metric_info{metric::target_silences, "bulrushgw_target_silences_total", metric_kind::counter, {},
+        "times at which the target did not answer for 1 s"},
+    metric_info{metric::pauses, "bulrushgw_pauses_total", metric_kind::counter, {},
+        "pauses of this process above lease.pause_threshold"},
+    metric_info{metric::rules_version, "bulrushgw_rules_version", metric_kind::gauge, {},
+        "version of the rules in force"},
+    metric_info{metric::rules_stale, "bulrushgw_rules_possibly_stale", metric_kind::gauge, {},
+        "1 when this node has heard from neither the store nor an informed peer for 30 s"},
+    metric_info{metric::store_up, "bulrushgw_store_up", metric_kind::gauge, {},
+        "1 after an answer of the store and until the next failure"},
+    metric_info{metric::store_calls, "bulrushgw_store_calls_total", metric_kind::counter, {"kind"},
+        "HTTP messages sent to the store by kind: read or write"},
+    metric_info{metric::store_failures, "bulrushgw_store_failures_total", metric_kind::counter, {"kind"},
+        "failed store messages by kind: lost, not-sent, server-error, malformed or unresolved"},
+    metric_info{metric::store_pending, "bulrushgw_store_pending", metric_kind::gauge, {},
+        "store requests that wait or run"},
+    metric_info{metric::peer_frames, "bulrushgw_peer_frames_total", metric_kind::counter, {"direction"},
+        "frames of the protocol between nodes"},
+    metric_info{metric::peer_bytes, "bulrushgw_peer_bytes_total", metric_kind::counter, {"direction"},
+        "bytes of the protocol between nodes"},
+    metric_info{metric::peer_refused, "bulrushgw_peer_refused_total", metric_kind::counter, {},
+        "frames that were not sent because the queue was full or there was no connection"},
+    metric_info{metric::peer_broken, "bulrushgw_peer_broken_total", metric_kind::counter, {},
+        "frames with a bad length, version or body"},
+    metric_info{metric::audit_events, "bulrushgw_audit_events_total", metric_kind::counter, {"kind"},
+        "audit events recorded"},
+    metric_info{metric::audit_dropped, "bulrushgw_audit_dropped_total", metric_kind::counter, {},
+        "audit events that left the ring before they reached the store"},
+    metric_info{metric::log_suppressed, "bulrushgw_log_suppressed_total", metric_kind::counter, {},
+        "log lines withheld by the rate bound"},
+    metric_info{metric::loop_delay_seconds, "bulrushgw_loop_delay_seconds", metric_kind::summary, {},
+        "delay of the lease timer, which shows a busy or paused process"},
+    metric_info{metric::series_dropped, "bulrushgw_series_dropped_total", metric_kind::counter, {},
+        "label values merged into \"other\" because a metric had too many series"},
+};
+// clang-format on
+
+/// Quantiles that a summary reports.
+inline constexpr std::array summary_quantiles{0.5, 0.9, 0.99, 0.999};
+
+/// Series of one metric; further label values count as "other", so that labels
+/// taken from requests can't use up the memory.
+inline constexpr std::size_t max_series = 500;
+
+/// One counter or gauge. References stay valid as long as the `metrics`.
+class metric_value {
+public:
+    void add(double amount = 1) { value_ += amount; }
+    void set(double value) { value_ = value; }
+    [[nodiscard]] double value() const { return value_; }
+
+private:
+    double value_ = 0;
+};
+
+/// Quantiles by the extended P-square algorithm: constant memory, no buckets.
+/// They cover the life of the process.
+class metric_summary {
+public:
+    metric_summary();
+    ~metric_summary();
+    metric_summary(const metric_summary&) = delete;
+    metric_summary& operator=(const metric_summary&) = delete;
+
+    void observe(double value);
+    [[nodiscard]] std::uint64_t count() const;
+    [[nodiscard]] double sum() const;
+    /// Precondition: index < summary_quantiles.size(). NaN before the first value.
+    [[nodiscard]] double quantile(std::size_t index) const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// All metrics of a process. Not thread-safe.
+class metrics {
+public:
+    using labels = std::initializer_list<std::string_view>;
+
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    /// The counter or gauge with these label values, made when first named. Keep
+    /// the reference on hot paths. Throws `metric_error` for a summary and for a
+    /// wrong number of label values.
+    metric_value& value(metric id, labels values = {});
+    /// As `value`, for a summary.
+    metric_summary& summary(metric id, labels values = {});
+
+    /// Prometheus text format, version 0.0.4. Metrics without series are left out.
+    [[nodiscard]] std::string text() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+/// Content type of `metrics::text`.
+inline constexpr std::string_view metrics_content_type = "text/plain; version=0.0.4";
+
+/// Rows of the Markdown table of docs/operators.md, one line for each metric.
+std::string metrics_markdown();
+
+} // namespace bulrushgw::node
--- /dev/null
+++ b/src/node/operator_api.h
@@ -0,0 +1,218 @@
+#pragma once
+
+/// The operator interface over HTTP under /operator/v1/, and /metrics, as a
+/// function of a request and the hooks that the node connects.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "common/boot_clock.h"
+#include "common/ids.h"
+#include "net/http.h"
+#include "node/audit_trail.h"
+#include "rules/types.h"
+
+namespace bulrushgw::node {
+
+/// Typed reasons of an operator request that was not carried out, with the
+/// status of the HTTP answer.
+enum class operator_failure {
+    bad_request,        ///< 400
+    not_found,          ///< 404
+    method_not_allowed, ///< 405
+    lost_race,          ///< 409
+    rules_invalid,      ///< 422
+    refused,            ///< 409: the state does not allow it
+    store_unavailable,  ///< 503: certainly not done
+    outcome_unknown,    ///< 502: may have been done; safe to repeat
+};
+
+struct operator_error {
+    operator_failure failure = operator_failure::bad_request;
+    std::string message;
+};
+
+/// One accepted version of the rules.
+struct rules_version_info {
+    std::uint64_t version = 0;
+    std::string digest;
+    std::string who;
+    std::string at; ///< wall-clock time of the acceptance, RFC 3339 in UTC
+    std::string submission_id;
+};
+
+struct rules_document {
+    rules_version_info info;
+    std::string text;
+    bool possibly_stale = false;
+};
+
+/// `kind` is '+' for a line only in the newer version, '-' only in the older.
+struct diff_line {
+    char kind = '+';
+    std::size_t line = 0; ///< in its own version, from 1
+    std::string text;
+};
+
+struct rules_submission {
+    std::uint64_t base_version = 0;
+    std::string who;
+    std::string submission_id;
+    std::string text;
+};
+
+struct submission_accepted {
+    rules_version_info info;
+    bool repeated = false; ///< this submission id was accepted before
+};
+
+struct submission_lost {
+    rules_version_info winner;
+    std::vector<diff_line> lines; ///< from the edited version to the winner's
+};
+
+struct submission_invalid {
+    std::vector<rules::rule_problem> problems;
+};
+
+using submission_result =
+    std::variant<submission_accepted, submission_lost, submission_invalid, operator_error>;
+
+struct key_owner {
+    std::string service;
+    std::string key;
+    range_id range;
+    placement_version version;
+    incarnation_id owner; ///< none: no live candidate is known
+    std::string host;
+    std::string zone;
+    std::string address;
+    fence token;
+    std::string reason;
+    std::vector<incarnation_id> candidates; ///< in order
+};
+
+struct host_info {
+    incarnation_id incarnation;
+    std::string host;
+    std::string zone;
+    std::string region;
+    std::string address;
+    std::string service;
+    std::string state;
+    std::uint32_t slots = 0;
+    bool checks_fences = false;
+    std::uint64_t adopted = 0;
+    std::vector<incarnation_id> witnesses;
+    std::string ended_by;
+};
+
+/// The target beside the node that answers.
+struct target_info_row {
+    std::string host;
+    std::string service;
+    std::string address;
+    std::uint32_t slots = 0;
+    std::uint32_t connections = 0;
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued = 0;
+    bool ready = false;
+    bool draining = false;
+    bool checks_fences = false;
+    std::string run_id;
+};
+
+struct node_status {
+    incarnation_id incarnation;
+    std::string host;
+    std::string zone;
+    std::string region;
+    std::string service;
+    std::string state;  ///< "joining", "serving", "leaving", "not-serving"
+    std::string reason; ///< why it does not serve
+    bool lease_running = false;
+    milliseconds lease_left{0};
+    bool store_up = false;
+    std::uint64_t rules_version = 0;
+    bool rules_possibly_stale = false;
+    std::size_t ranges_served = 0;
+    std::size_t in_flight = 0;
+    std::size_t queued = 0;
+    std::size_t members_alive = 0;
+    std::size_t members_ended = 0;
+    milliseconds uptime{0};
+    std::string build_version;
+};
+
+struct drain_request {
+    std::optional<incarnation_id> incarnation; ///< none: the node that answers
+    std::string who;
+};
+
+struct end_request {
+    incarnation_id incarnation;
+    std::string who;
+    bool switched_off = false; ///< the operator confirms that the host is off
+};
+
+struct done_message {
+    std::string message;
+};
+
+template <typename Value>
+using answer = std::variant<Value, operator_error>;
+
+template <typename Value>
+using completion = std::function<void(answer<Value>)>;
+
+/// Behaviour of the node behind the interface. Hooks with a completion may call
+/// it at once or later, exactly once. A hook that is not set answers 404.
+struct operator_hooks {
+    std::function<answer<rules_document>()> rules;
+    /// Newest first, at most `most`.
+    std::function<void(std::size_t most, completion<std::vector<rules_version_info>>)> history;
+    /// The text of an accepted version.
+    std::function<void(std::uint64_t version, completion<rules_document>)> rules_at;
+    std::function<std::vector<diff_line>(const std::string& older, const std::string& newer)> diff;
+    std::function<std::vector<rules::rule_problem>(const std::string& text)> check;
+    std::function<void(rules_submission, std::function<void(submission_result)>)> submit;
+    std::function<answer<key_owner>(const std::string& service, const std::string& key)> owner;
+    std::function<std::vector<host_info>()> hosts;
+    std::function<void(drain_request, completion<done_message>)> drain;
+    std::function<void(end_request, completion<done_message>)> assert_ended;
+    std::function<std::vector<target_info_row>()> targets;
+    std::function<std::vector<audit_record>(const audit_query&)> audit;
+    std::function<node_status()> status;
+    std::function<std::string()> metrics;
+};
+
+/// Limits of the values that operators send.
+inline constexpr std::size_t max_operator_name_bytes = 128;
+inline constexpr std::size_t max_submission_id_bytes = 64;
+inline constexpr std::size_t max_audit_answer = 4096;
+inline constexpr std::size_t max_history_answer = 1000;
+
+/// Answers one operator request through `respond`, exactly once, at once or when
+/// a hook completes. Throws nothing that depends on the request.
+void handle_operator_request(const net::http_request& request, const operator_hooks& hooks,
+                             const std::function<void(net::http_response)>& respond);
+
+/// Decoded path and query of a request target. Undecodable escapes are kept.
+struct request_target {
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> query;
+};
+
+request_target parse_request_target(const std::string& target);
+
+/// Percent-encodes a query value.
+std::string encode_query(const std::string& value);
+
+} // namespace bulrushgw::node
