Add the event loop and the HTTP server and client

The node, the stand-ins and the operator commands need one loop that carries sockets and timers. h2o serves HTTP/1.1; the client is h2o_http1client with one socket pool per address. h2o does not read while a handler works, so the server watches the socket itself to see that a client closed. All refusals and failure kinds are covered by tests on loopback.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -72,6 +72,7 @@
 
 struct http_server_limits {
     std::size_t max_body_bytes = 1024 * 1024; ///< 413 above
+    std::size_t max_header_bytes = 16 * 1024; ///< 431 above, for all names and values
     std::size_t max_connections = 1000;       ///< further connections are closed
     milliseconds request_timeout{10000};      ///< slow senders are closed
 };
@@ -91,10 +92,12 @@
     /// Accepts no more connections; requests in progress go on.
     void stop_accepting();
     [[nodiscard]] std::size_t connections() const;
+    /// The bound address; its port is known also after binding port 0.
+    [[nodiscard]] const endpoint& address() const;
 
 private:
     struct state;
-    std::unique_ptr<state> state_;
+    std::shared_ptr<state> state_;
 };
 
 enum class http_failure {
--- /dev/null
+++ b/src/net/http_text.cpp
@@ -0,0 +1,85 @@
+#include "net/http_text.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "net/sockets.h"
+
+namespace bulrushgw::net::detail {
+
+namespace {
+
+constexpr std::string_view token_marks = "!#$%&'*+-.^_`|~";
+
+constexpr std::array<std::string_view, 10> connection_headers = {
+    "connection", "content-length",   "transfer-encoding", "keep-alive", "te",
+    "upgrade",    "proxy-connection", "trailer",           "expect",     "http2-settings",
+};
+
+constexpr std::array<std::pair<int, const char*>, 17> phrases = {{
+    {200, "OK"},
+    {201, "Created"},
+    {202, "Accepted"},
+    {204, "No Content"},
+    {304, "Not Modified"},
+    {400, "Bad Request"},
+    {403, "Forbidden"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {409, "Conflict"},
+    {413, "Payload Too Large"},
+    {429, "Too Many Requests"},
+    {431, "Request Header Fields Too Large"},
+    {500, "Internal Server Error"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+}};
+
+bool is_token_character(char c)
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           token_marks.find(c) != std::string_view::npos;
+}
+
+bool is_value_character(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+}
+
+} // namespace
+
+bool is_token(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
+}
+
+bool is_request_target(std::string_view text)
+{
+    return text == "*" ||
+           (!text.empty() && text.front() == '/' &&
+            std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; }));
+}
+
+bool is_valid_header(const header& entry)
+{
+    return is_token(entry.name) &&
+           std::all_of(entry.value.begin(), entry.value.end(), is_value_character);
+}
+
+bool is_connection_header(std::string_view name)
+{
+    return std::any_of(connection_headers.begin(), connection_headers.end(),
+                       [&](std::string_view entry) { return same_name(entry, name); });
+}
+
+const char* reason_phrase(int status)
+{
+    const auto* found = std::find_if(phrases.begin(), phrases.end(),
+                                     [&](const auto& entry) { return entry.first == status; });
+    return found == phrases.end() ? "Status" : found->second;
+}
+
+} // namespace bulrushgw::net::detail
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -14,8 +14,8 @@
 
 namespace bulrushgw::net {
 
-/// Runs all sockets and timers of the process on one thread. Not thread-safe,
-/// except `stop_from_signal`.
+/// Runs all sockets and timers of the process on one thread. Not thread-safe.
+/// An exception that leaves an action ends `run` or `run_until` with it.
 class loop {
 public:
     using timer_id = std::uint64_t;
@@ -32,10 +32,18 @@
     /// Does nothing for a timer that already fired or was cancelled.
     void cancel(timer_id timer);
 
+    /// Calls `action` once at the end of the current turn, after the sockets that
+    /// are ready now. Actions run in the order in which they were added.
+    void defer(std::function<void()> action);
+
     /// Runs until `stop`.
     void run();
+    /// Runs until `done` holds after a turn, or `limit` has passed. Returns whether
+    /// `done` holds. For tests and for bounded waits before an exit.
+    bool run_until(const std::function<bool()>& done, milliseconds limit);
     void stop();
-    /// Calls `action` on the loop when SIGTERM or SIGINT arrives.
+    /// Calls `action` on the loop each time SIGTERM or SIGINT arrives. Only one
+    /// loop of a process can watch signals at a time; throws `error` otherwise.
     void on_signal(std::function<void()> action);
 
     /// Current time, read anew on each call.
--- /dev/null
+++ b/src/net/sockets.cpp
@@ -0,0 +1,76 @@
+#include "net/sockets.h"
+
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <string>
+#include <unistd.h>
+#include <utility>
+
+namespace bulrushgw::net::detail {
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+/// Connections accepted in one turn, so that a flood does not starve the rest.
+constexpr int accepts_per_turn = 64;
+
+int open_listening(const endpoint& address)
+{
+    const auto target = to_socket_address(address);
+    const auto* name = reinterpret_cast<const sockaddr*>(&target.bytes);
+    const int fd = socket(name->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    if (fd == -1 || setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+        bind(fd, name, target.size) != 0 || listen(fd, listen_backlog) != 0) {
+        const std::string why = std::strerror(errno);
+        if (fd != -1) {
+            close(fd);
+        }
+        throw listen_error("cannot listen on " + to_string(address) + ": " + why);
+    }
+    return fd;
+}
+
+std::uint16_t bound_port(int fd)
+{
+    sockaddr_storage bytes{};
+    socklen_t size = sizeof(bytes);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&bytes), &size);
+    // The port is at the same place for IPv4 and IPv6.
+    return ntohs(reinterpret_cast<sockaddr_in*>(&bytes)->sin_port);
+}
+
+} // namespace
+
+listener::listener(loop& loop, const endpoint& address, acceptor on_accept)
+    : address_(address), on_accept_(std::move(on_accept))
+{
+    const int fd = open_listening(address);
+    address_.port = bound_port(fd);
+    socket_ = h2o_evloop_socket_create(loop.evloop(), fd, H2O_SOCKET_FLAG_DONT_READ);
+    socket_->data = this;
+    h2o_socket_read_start(socket_, on_readable);
+}
+
+listener::~listener()
+{
+    h2o_socket_close(socket_);
+}
+
+void listener::on_readable(h2o_socket_t* socket, const char* failure)
+{
+    if (failure != nullptr) {
+        return;
+    }
+    auto* self = static_cast<listener*>(socket->data);
+    for (int i = 0; i < accepts_per_turn; ++i) {
+        h2o_socket_t* accepted = h2o_evloop_socket_accept(socket);
+        if (accepted == nullptr) {
+            return;
+        }
+        self->on_accept_(accepted);
+    }
+}
+
+} // namespace bulrushgw::net::detail
--- /dev/null
+++ b/src/net/sockets.h
@@ -0,0 +1,49 @@
+#pragma once
+
+/// Listening sockets and socket addresses, shared by the HTTP server and the
+/// peer transport. Not thread-safe.
+
+#include <functional>
+#include <string_view>
+#include <sys/socket.h>
+
+#include "net/h2o_library.h"
+#include "net/http.h"
+#include "net/loop.h"
+
+namespace bulrushgw::net::detail {
+
+/// Compares header names without regard to the case of ASCII letters.
+bool same_name(std::string_view left, std::string_view right);
+
+struct socket_address {
+    sockaddr_storage bytes{};
+    socklen_t size = 0;
+};
+
+/// Throws `address_error` when `address.ip` is not an IP number.
+socket_address to_socket_address(const endpoint& address);
+
+/// Accepts connections and hands each socket over to a callback.
+class listener {
+public:
+    using acceptor = std::function<void(h2o_socket_t*)>;
+
+    /// Throws `listen_error` when the address cannot be bound.
+    listener(loop& loop, const endpoint& address, acceptor on_accept);
+    ~listener();
+    listener(const listener&) = delete;
+    listener& operator=(const listener&) = delete;
+
+    /// The bound address; its port is known also after binding port 0.
+    [[nodiscard]] const endpoint& address() const { return address_; }
+
+private:
+    static void on_readable(h2o_socket_t* socket, const char* failure);
+
+    endpoint address_;
+    acceptor on_accept_;
+    h2o_socket_t* socket_ = nullptr;
+};
+
+} // namespace bulrushgw::net::detail
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,289 @@
+#include <optional>
+#include <vector>
+
+#include "net/http.h"
+#include "net/loop.h"
+#include "net/sockets.h"
+#include "tests/net/raw_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::net;
+
+namespace {
+
+constexpr milliseconds wait_limit{3000};
+constexpr milliseconds call_timeout{2000};
+const endpoint any_port{"127.0.0.1", 0};
+
+struct result_box {
+    std::optional<http_result> result;
+    int calls = 0;
+    http_client::callback into()
+    {
+        return [this](http_result got) {
+            result = std::move(got);
+            ++calls;
+        };
+    }
+};
+
+http_request get(const std::string& path)
+{
+    return {"GET", path, {}, ""};
+}
+
+} // namespace
+
+TEST_GROUP(http)
+{
+    net::loop loop;
+    std::vector<http_exchange> kept;
+    std::optional<http_server> server;
+    std::optional<http_client> client;
+
+    void setup() override
+    {
+        client.emplace(loop, 2, 100000);
+    }
+    void teardown() override
+    {
+        kept.clear();
+        client.reset();
+        server.reset();
+    }
+
+    void serve_echo(http_server_limits limits = {})
+    {
+        server.emplace(
+            loop, any_port,
+            [](const http_exchange& exchange) {
+                const auto& request = exchange.request;
+                exchange.respond(
+                    {201, {{"X-Method", request.method}, {"x-path", request.path}}, request.body});
+            },
+            limits);
+    }
+
+    void serve_never(http_server_limits limits = {})
+    {
+        server.emplace(
+            loop, any_port, [this](http_exchange exchange) { kept.push_back(std::move(exchange)); },
+            limits);
+    }
+
+    http_result call(http_request request, milliseconds timeout = call_timeout)
+    {
+        result_box box;
+        client->send(server->address(), std::move(request), timeout, box.into());
+        CHECK(loop.run_until([&] { return box.calls > 0; }, wait_limit));
+        return *box.result;
+    }
+
+    /// Sends raw bytes and returns all that came until the server closed, or
+    /// until `enough` was seen.
+    std::string exchange_raw(const std::string& bytes, const std::string& enough)
+    {
+        test::raw_client raw(server->address());
+        raw.send(bytes);
+        std::string got;
+        loop.run_until(
+            [&] {
+                got += raw.received();
+                return raw.closed || got.find(enough) != std::string::npos;
+            },
+            wait_limit);
+        return got;
+    }
+};
+
+// Guards against requests or answers that lose a part on the way.
+TEST(http, request_and_answer_arrive_whole)
+{
+    serve_echo();
+    const std::string body(50000, 'b');
+    const auto result = call({"POST", "/a/b?c=d", {{"Bulrush-Request-Id", "r1"}}, body});
+    CHECK(result.response.has_value());
+    LONGS_EQUAL(201, result.response->status);
+    CHECK(result.response->body == body);
+    CHECK(*find_header(result.response->headers, "x-method") == "POST");
+    CHECK(*find_header(result.response->headers, "X-Path") == "/a/b?c=d");
+}
+
+// Guards against a new connection for each call, which costs 1 ms, and against
+// more connections to one address than allowed.
+TEST(http, connections_are_reused_and_bounded)
+{
+    serve_echo();
+    std::vector<result_box> boxes(20);
+    int done = 0;
+    for (auto& box : boxes) {
+        client->send(server->address(), get("/"), call_timeout, [&](http_result got) {
+            box.result = std::move(got);
+            ++done;
+        });
+    }
+    CHECK(loop.run_until([&] { return done == 20; }, wait_limit));
+    for (const auto& box : boxes) {
+        CHECK(box.result->response.has_value());
+    }
+    CHECK(server->connections() <= 2);
+    const auto before = server->connections();
+    call(get("/again"));
+    LONGS_EQUAL(before, server->connections());
+}
+
+// Guards against a refusal that claims more than "no byte was sent".
+TEST(http, refused_connection_is_reported_as_connect)
+{
+    serve_echo();
+    const auto address = server->address();
+    server.reset();
+    result_box box;
+    client->send(address, get("/"), call_timeout, box.into());
+    CHECK(loop.run_until([&] { return box.calls > 0; }, wait_limit));
+    CHECK(!box.result->response);
+    CHECK(box.result->failure == http_failure::connect);
+}
+
+// Guards against a request that is written although the lease ended meanwhile.
+TEST(http, before_write_can_stop_the_request)
+{
+    serve_never();
+    result_box box;
+    client->send(server->address(), get("/"), call_timeout, box.into(), [] { return false; });
+    CHECK(loop.run_until([&] { return box.calls > 0; }, wait_limit));
+    CHECK(box.result->failure == http_failure::not_sent);
+    LONGS_EQUAL(0, kept.size());
+}
+
+// Guards against a hanging call, and against a timeout that is taken for not run.
+TEST(http, silent_server_ends_in_timeout)
+{
+    serve_never();
+    const auto result = call(get("/"), milliseconds{50});
+    CHECK(!result.response);
+    CHECK(result.failure == http_failure::timeout);
+    LONGS_EQUAL(1, kept.size());
+}
+
+// Guards against a target that goes on working for a client that is gone.
+TEST(http, cancel_reaches_the_handler)
+{
+    serve_never();
+    result_box box;
+    const auto id = client->send(server->address(), get("/"), call_timeout, box.into());
+    CHECK(loop.run_until([&] { return kept.size() == 1; }, wait_limit));
+    bool cancelled = false;
+    *kept[0].on_cancel = [&] { cancelled = true; };
+    client->cancel(id);
+    CHECK(loop.run_until([&] { return cancelled && box.calls == 1; }, wait_limit));
+    CHECK(box.result->failure == http_failure::closed);
+    kept[0].respond({200, {}, "late"});
+    CHECK(loop.run_until([&] { return server->connections() == 0; }, wait_limit));
+}
+
+// Guards against a reused connection that the server closed: the call must run
+// on a new connection or be reported as closed, never as not sent after a write.
+TEST(http, connection_closed_while_idle_is_replaced)
+{
+    serve_echo();
+    const auto address = server->address();
+    CHECK(call(get("/")).response.has_value());
+    server.reset();
+    loop.run_until([] { return false; }, milliseconds{20});
+    server.emplace(loop, address, [](const http_exchange& exchange) {
+        exchange.respond({200, {}, "second"});
+    });
+    const auto result = call(get("/"));
+    CHECK(result.response.has_value());
+    CHECK(result.response->body == "second");
+}
+
+// Guards against an answer that is cut off and taken for whole.
+TEST(http, cut_off_answer_is_closed)
+{
+    static std::string part = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this";
+    static h2o_iovec_t buffer = {part.data(), part.size()};
+    std::optional<detail::listener> cutting;
+    cutting.emplace(loop, any_port, [](h2o_socket_t* socket) {
+        h2o_socket_write(socket, &buffer, 1,
+                         [](h2o_socket_t* written, const char*) { h2o_socket_close(written); });
+    });
+    result_box box;
+    client->send(cutting->address(), get("/"), call_timeout, box.into());
+    CHECK(loop.run_until([&] { return box.calls > 0; }, wait_limit));
+    CHECK(!box.result->response);
+    CHECK(box.result->failure == http_failure::closed);
+}
+
+// Guards against hostile sizes: a typed refusal, and the server goes on.
+TEST(http, oversized_requests_are_refused)
+{
+    http_server_limits limits;
+    limits.max_body_bytes = 1000;
+    limits.max_header_bytes = 500;
+    serve_echo(limits);
+    STRCMP_CONTAINS("413",
+                    exchange_raw("POST / HTTP/1.1\r\ncontent-length: 2000\r\n\r\n", "413").c_str());
+    const std::string header(600, 'h');
+    STRCMP_CONTAINS("431",
+                    exchange_raw("GET / HTTP/1.1\r\nx: " + header + "\r\n\r\n", "431").c_str());
+    exchange_raw("\x01\x02 garbage\r\n\r\n", "400");
+    CHECK(call(get("/")).response.has_value());
+}
+
+// Guards against an answer that a relayed header splits in two.
+TEST(http, header_injection_is_refused)
+{
+    serve_echo();
+    const auto result = call({"GET", "/", {{"x", "a\r\ny: b"}}, ""});
+    CHECK(!result.response);
+    CHECK(result.failure == http_failure::not_sent);
+    CHECK(call(get("/a b")).failure == http_failure::not_sent);
+}
+
+// Guards against connections without bound.
+TEST(http, connections_above_the_limit_are_closed)
+{
+    http_server_limits limits;
+    limits.max_connections = 1;
+    serve_echo(limits);
+    test::raw_client first(server->address());
+    CHECK(loop.run_until([&] { return server->connections() == 1; }, wait_limit));
+    test::raw_client second(server->address());
+    CHECK(loop.run_until(
+        [&] {
+            second.received();
+            return second.closed;
+        },
+        wait_limit));
+    LONGS_EQUAL(1, server->connections());
+}
+
+// Guards against lost work in a planned stop.
+TEST(http, stop_accepting_lets_requests_finish)
+{
+    serve_never();
+    result_box box;
+    client->send(server->address(), get("/"), call_timeout, box.into());
+    CHECK(loop.run_until([&] { return kept.size() == 1; }, wait_limit));
+    server->stop_accepting();
+    kept[0].respond({200, {}, "done"});
+    CHECK(loop.run_until([&] { return box.calls == 1; }, wait_limit));
+    CHECK(box.result->response->body == "done");
+}
+
+TEST_GROUP(endpoints){};
+
+// Guards against settings that are half understood.
+TEST(endpoints, only_numbers_with_a_port_are_accepted)
+{
+    CHECK(parse_endpoint("127.0.0.1:80") == (endpoint{"127.0.0.1", 80}));
+    CHECK(to_string(parse_endpoint("[::1]:80")) == "[::1]:80");
+    for (const char* bad : {"localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999", "::1:80",
+                            "127.0.0.1:8x", ""}) {
+        CHECK_THROWS(address_error, parse_endpoint(bad));
+    }
+}
