--- a/src/node/ownership_host.cpp
+++ b/src/node/ownership_host.cpp
@@ -111,14 +111,13 @@
 {
     // A reply that comes after the engine was replaced belongs to the old one.
     const incarnation_id caller = engine_.self();
-    hooks_.call_store(effect.request,
-                      [this, caller, id = effect.id](const store::reply& reply) {
-                          if (engine_.self() != caller) {
-                              return;
-                          }
-                          engine_.on_store_reply(hooks_.now(), id, reply);
-                          run_effects();
-                      });
+    hooks_.call_store(effect.request, [this, caller, id = effect.id](const store::reply& reply) {
+        if (engine_.self() != caller) {
+            return;
+        }
+        engine_.on_store_reply(hooks_.now(), id, reply);
+        run_effects();
+    });
 }
 
 void ownership_host::run(const ownership::serving_changed& effect)
--- /dev/null
+++ b/src/node/store_access.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// Sends the messages of the store client over HTTP.
+
+#include <cstdint>
+#include <functional>
+
+#include "net/http.h"
+#include "net/loop.h"
+#include "store/client.h"
+
+namespace bulrushgw::node {
+
+/// Not thread-safe: runs on the node's loop.
+class store_access {
+public:
+    using completion = std::function<void(const store::reply&)>;
+
+    store_access(net::loop& loop, net::endpoint address, store::client_settings settings,
+                 std::uint64_t seed);
+
+    /// Calls back exactly once. A request that finds the queue full gets
+    /// `unavailable` in a later turn of the loop.
+    void call(store::request work, store::priority order, completion on_reply);
+    void set_nodes(std::size_t nodes);
+    void on_tick();
+
+    [[nodiscard]] const store::client& client() const { return client_; }
+
+private:
+    void send_due();
+    void on_result(std::uint64_t id, const net::http_result& result);
+
+    net::loop& loop_;
+    net::endpoint address_;
+    net::http_client http_;
+    store::client client_;
+};
+
+} // namespace bulrushgw::node
--- /dev/null
+++ b/src/node/target_link.cpp
@@ -0,0 +1,266 @@
+#include "node/target_link.h"
+
+#include <charconv>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace bulrushgw::node {
+
+namespace {
+
+using nlohmann::json;
+
+// Grants are renewed as often as the lease, so that the target's expiry follows
+// the node's lease end.
+constexpr milliseconds probe_interval{200};
+// A probe that waits longer is repeated, so that a target that returns is
+// noticed at once. Admission counts its silence from the first one.
+constexpr milliseconds probe_timeout{1000};
+constexpr std::uint32_t max_slots = 100000;
+constexpr std::int64_t permille = 1000;
+
+template <typename Value>
+Value required(const json& object, const char* name, const char* expected)
+{
+    const auto found = object.find(name);
+    if (found == object.end()) {
+        throw announcement_error(std::string("field \"") + name + "\" is missing, expected " +
+                                 expected);
+    }
+    try {
+        return found->get<Value>();
+    }
+    catch (const json::exception&) {
+        throw announcement_error(std::string("field \"") + name + "\" is " + found->dump() +
+                                 ", expected " + expected);
+    }
+}
+
+std::uint32_t required_count(const json& object, const char* name)
+{
+    const auto value = required<std::int64_t>(object, name, "an integer from 1");
+    if (value < 1 || value > max_slots) {
+        throw announcement_error(std::string("field \"") + name + "\" is " + std::to_string(value) +
+                                 ", expected an integer from 1 to " + std::to_string(max_slots));
+    }
+    return static_cast<std::uint32_t>(value);
+}
+
+std::optional<std::int64_t> parse_ms(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [stop, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc{} || stop != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace
+
+announcement parse_announcement(const std::string& body)
+{
+    const json object = json::parse(body, nullptr, false);
+    if (!object.is_object()) {
+        throw announcement_error("the body is not a JSON object");
+    }
+    announcement news;
+    news.service = required<std::string>(object, "service", "a service name");
+    news.address = net::parse_endpoint(required<std::string>(object, "address", "\"IP:port\""));
+    news.slots = required_count(object, "slots");
+    news.connections = required_count(object, "connections");
+    news.checks_fences = required<bool>(object, "checks_fences", "true or false");
+    news.run_id = required<std::string>(object, "run_id", "a string");
+    news.load.in_flight = object.value("in_flight", 0U);
+    news.load.ready = object.value("ready", true);
+    news.load.draining = object.value("draining", false);
+    if (news.service.empty() || news.run_id.empty()) {
+        throw announcement_error("\"service\" and \"run_id\" must not be empty");
+    }
+    return news;
+}
+
+target_link::target_link(net::loop& loop, net::http_client& http, unsigned drift_permille,
+                         hooks hooks)
+    : loop_(loop), http_(http), drift_permille_(drift_permille), hooks_(std::move(hooks)),
+      next_probe_(loop.now())
+{
+}
+
+bool target_link::on_announcement(const announcement& news)
+{
+    const bool other_run = !target_ || target_->run_id != news.run_id;
+    const bool restarted = target_ && other_run;
+    target_ = news;
+    if (other_run) {
+        ++generation_;
+        clock_.reset();
+        confirmed_.clear();
+        changed_ = true;
+    }
+    if (restarted) {
+        hooks_.on_restarted();
+    }
+    return other_run;
+}
+
+void target_link::on_serving_changed(const ownership::serving_changed& change)
+{
+    for (const auto& grant : change.grants) {
+        wanted_[grant.range] = grant.token;
+        std::erase(releases_, grant.range);
+    }
+    for (const range_id range : change.releases) {
+        wanted_.erase(range);
+        confirmed_.erase(range);
+        releases_.push_back(range);
+    }
+    changed_ = true;
+    if (target_) {
+        send_grants();
+    }
+}
+
+void target_link::on_incarnation_ended()
+{
+    for (const auto& [range, token] : wanted_) {
+        releases_.push_back(range);
+    }
+    wanted_.clear();
+    confirmed_.clear();
+    ++generation_;
+    changed_ = true;
+}
+
+bool target_link::is_granted(range_id range, fence token) const
+{
+    if (!target_) {
+        return false;
+    }
+    if (!target_->checks_fences) {
+        return true;
+    }
+    const auto found = confirmed_.find(range);
+    return found != confirmed_.end() && found->second == token;
+}
+
+void target_link::on_tick()
+{
+    if (target_ && (changed_ || loop_.now() >= next_probe_)) {
+        send_grants();
+    }
+}
+
+/// The target's clock at the end of the lease. The reading was taken by the
+/// target before the node received it, so that the result is not after the
+/// node's lease end; the drift bound is subtracted for the time in between.
+std::int64_t target_link::expiry_ms() const
+{
+    const auto end = hooks_.lease_end();
+    if (!clock_ || !end || *end <= clock_->received) {
+        return 0;
+    }
+    const auto span = std::chrono::duration_cast<milliseconds>(*end - clock_->received).count();
+    return clock_->target_ms + span * (permille - drift_permille_) / permille;
+}
+
+std::string target_link::grant_body() const
+{
+    json grants = json::array();
+    for (const auto& [range, token] : wanted_) {
+        const auto found = confirmed_.find(range);
+        if (found == confirmed_.end() || found->second != token) {
+            grants.push_back({{"range", range.value}, {"fence", token.value}});
+        }
+    }
+    json releases = json::array();
+    for (const range_id range : releases_) {
+        releases.push_back(range.value);
+    }
+    return json{{"incarnation", to_string(hooks_.incarnation())},
+                {"grants", std::move(grants)},
+                {"releases", std::move(releases)},
+                {"expires_at_ms", expiry_ms()}}
+        .dump();
+}
+
+void target_link::send_grants()
+{
+    if (probing_) {
+        return;
+    }
+    probing_ = true;
+    next_probe_ = loop_.now() + probe_interval;
+    // Without a reading of the target's clock no grant can have an expiry: the
+    // first probe fetches the reading, the next one grants.
+    const bool grants_valid = clock_ && expiry_ms() > 0;
+    changed_ = changed_ && !grants_valid;
+    net::http_request request;
+    request.method = "POST";
+    request.path = "/bulrush/v1/grants";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = grant_body();
+    const auto sent = grants_valid ? wanted_ : std::map<range_id, fence>{};
+    releases_sent_ = std::exchange(releases_, {});
+    hooks_.on_probe_sent();
+    http_.send(target_->address, std::move(request), probe_timeout,
+               [this, sent, generation = generation_](const net::http_result& result) {
+                   on_grant_result(sent, generation, result);
+               });
+}
+
+void target_link::on_grant_result(const std::map<range_id, fence>& sent, std::uint64_t generation,
+                                  const net::http_result& result)
+{
+    probing_ = false;
+    const bool accepted = result.response && result.response->status == 200;
+    if (result.response) {
+        on_answer(*result.response);
+    }
+    if (!accepted || generation != generation_) {
+        changed_ = true;
+        releases_.insert(releases_.end(), releases_sent_.begin(), releases_sent_.end());
+        return;
+    }
+    for (const auto& [range, token] : sent) {
+        const auto found = wanted_.find(range);
+        if (found != wanted_.end() && found->second == token) {
+            confirmed_[range] = token;
+        }
+    }
+    if (changed_) {
+        send_grants();
+    }
+}
+
+void target_link::on_answer(const net::http_response& response)
+{
+    hooks_.on_sign_of_life();
+    const auto run = net::find_header(response.headers, target_run_header);
+    if (target_ && run && *run != target_->run_id) {
+        // The target restarted and did not announce itself yet. Its clock and
+        // grants are void until it does.
+        clock_.reset();
+        confirmed_.clear();
+        return;
+    }
+    const auto clock = net::find_header(response.headers, target_clock_header);
+    const auto reading = clock ? parse_ms(*clock) : std::nullopt;
+    if (reading) {
+        clock_ = clock_reading{*reading, loop_.now()};
+    }
+}
+
+void target_link::drain()
+{
+    if (!target_) {
+        return;
+    }
+    net::http_request request;
+    request.method = "POST";
+    request.path = "/bulrush/v1/drain";
+    http_.send(target_->address, std::move(request), probe_timeout, [](const net::http_result&) {});
+}
+
+} // namespace bulrushgw::node
--- a/standins/load.h
+++ b/standins/load.h
@@ -100,10 +100,10 @@
     std::size_t not_run = 0;
     std::size_t unknown = 0;
     std::size_t no_answer = 0;
-    std::size_t run_twice = 0;       ///< non-idempotent request ids with two runs
-    std::size_t untrue_not_run = 0;  ///< refused as not run, but in a run log
-    std::size_t crossed = 0;         ///< answers that name another request
-    std::size_t non_owner = 0;       ///< runs under a fence below an earlier one
+    std::size_t run_twice = 0;      ///< non-idempotent request ids with two runs
+    std::size_t untrue_not_run = 0; ///< refused as not run, but in a run log
+    std::size_t crossed = 0;        ///< answers that name another request
+    std::size_t non_owner = 0;      ///< runs under a fence below an earlier one
     /// Longest time without an answered request for one path, by mark name,
     /// counted within `mark_window` after the mark.
     std::map<std::string, milliseconds> unavailable;
