--- /dev/null
+++ b/src/wire/decode.cpp
@@ -0,0 +1,269 @@
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <map>
+#include <type_traits>
+
+#include "wire/fields.h"
+#include "wire/messages.h"
+#include "wire/msgpack_library.h"
+
+namespace bulrushgw::wire {
+
+namespace {
+
+/// Longest deadline that a frame may carry.
+constexpr std::uint64_t max_deadline_ms = 24ULL * 3600 * 1000;
+constexpr std::uint64_t max_status = 999;
+
+/// One msgpack value. An array is followed by its elements.
+struct token {
+    enum class kind : std::uint8_t { array, number, boolean, text };
+    kind what = kind::number;
+    std::uint32_t size = 0; ///< elements or bytes
+    std::uint64_t number = 0;
+    const char* text = nullptr;
+};
+
+/// Collects the values of a frame without building msgpack objects, which msgpack
+/// would allocate by the announced sizes. Refuses all types that no message has.
+struct collector : msgpack::null_visitor {
+    std::vector<token> tokens;
+    std::size_t depth = 0;
+
+    bool add(token value)
+    {
+        if (tokens.size() >= max_frame_values) {
+            return false;
+        }
+        tokens.push_back(value);
+        return true;
+    }
+
+    bool start_array(std::uint32_t size)
+    {
+        return ++depth <= max_frame_depth && add({token::kind::array, size, 0, nullptr});
+    }
+    bool end_array()
+    {
+        --depth;
+        return true;
+    }
+    bool visit_positive_integer(std::uint64_t value)
+    {
+        return add({token::kind::number, 0, value, nullptr});
+    }
+    bool visit_boolean(bool value)
+    {
+        return add({token::kind::boolean, 0, value ? 1U : 0U, nullptr});
+    }
+    bool visit_str(const char* text, std::uint32_t size)
+    {
+        return add({token::kind::text, size, 0, text});
+    }
+    // NOLINTBEGIN(readability-convert-member-functions-to-static)
+    bool visit_nil() { return false; }
+    bool visit_negative_integer(std::int64_t) { return false; }
+    bool visit_float32(float) { return false; }
+    bool visit_float64(double) { return false; }
+    bool visit_bin(const char*, std::uint32_t) { return false; }
+    bool visit_ext(const char*, std::uint32_t) { return false; }
+    bool start_map(std::uint32_t) { return false; }
+    // NOLINTEND(readability-convert-member-functions-to-static)
+};
+
+void check_version(const token& version)
+{
+    if (version.what == token::kind::number && version.number != protocol_version) {
+        throw unknown_version("protocol version " + std::to_string(version.number) + ", expected " +
+                              std::to_string(protocol_version));
+    }
+}
+
+std::vector<token> collect(const char* bytes, std::size_t size)
+{
+    collector into;
+    std::size_t used = 0;
+    bool whole = false;
+    try {
+        whole = msgpack::parse(bytes, size, used, into);
+    }
+    catch (const msgpack::unpack_error&) {
+        whole = false;
+    }
+    if (!whole) {
+        // A later version may use types that this one does not know.
+        if (into.tokens.size() > 1) {
+            check_version(into.tokens[1]);
+        }
+        throw frame_error("the frame is not msgpack of this protocol");
+    }
+    if (used != size) {
+        throw frame_error("bytes follow the message");
+    }
+    return std::move(into.tokens);
+}
+
+/// Reads typed values in their order. Throws `frame_error` for any other type.
+class reader {
+public:
+    explicit reader(const std::vector<token>& tokens) : tokens_(tokens) {}
+
+    std::uint32_t array() { return next(token::kind::array).size; }
+
+    void array_of(std::size_t size)
+    {
+        if (array() != size) {
+            throw frame_error("an array of the wrong size");
+        }
+    }
+
+    std::uint64_t number(std::uint64_t max)
+    {
+        const auto value = next(token::kind::number).number;
+        if (value > max) {
+            throw frame_error("a number above its range");
+        }
+        return value;
+    }
+
+    template <typename T>
+    void value(T& into)
+    {
+        if constexpr (detail::has_fields<T>) {
+            auto members = detail::fields(into);
+            array_of(std::tuple_size_v<decltype(members)>);
+            std::apply([this](auto&... member) { (value(member), ...); }, members);
+        }
+        else if constexpr (detail::is_id<T>) {
+            value(into.value);
+        }
+        else if constexpr (std::is_enum_v<T>) {
+            into = static_cast<T>(number(detail::last_value<T>));
+        }
+        else {
+            static_assert(std::is_unsigned_v<T>);
+            into = static_cast<T>(number(std::numeric_limits<T>::max()));
+        }
+    }
+
+    void value(bool& into) { into = next(token::kind::boolean).number != 0; }
+
+    /// The only signed number is an HTTP status.
+    void value(int& into) { into = static_cast<int>(number(max_status)); }
+
+    void value(milliseconds& into) { into = milliseconds{number(max_deadline_ms)}; }
+
+    void value(std::string& into)
+    {
+        const auto& text = next(token::kind::text);
+        into.assign(text.text, text.size);
+    }
+
+    void value(ownership::gossip_item& into)
+    {
+        array_of(2);
+        const auto type = number(std::variant_size_v<ownership::gossip_item> - 1);
+        select(into, type);
+        std::visit([this](auto& item) { value(item); }, into);
+    }
+
+    template <typename T>
+    void value(std::vector<T>& into)
+    {
+        // No reserve: the announced size may be far above what follows.
+        for (auto left = array(); left > 0; --left) {
+            value(into.emplace_back());
+        }
+    }
+
+    template <typename First, typename Second>
+    void value(std::pair<First, Second>& into)
+    {
+        array_of(2);
+        value(into.first);
+        value(into.second);
+    }
+
+    template <typename Key, typename Value>
+    void value(std::map<Key, Value>& into)
+    {
+        for (auto left = array(); left > 0; --left) {
+            std::pair<Key, Value> item;
+            value(item);
+            if (!into.emplace(std::move(item)).second) {
+                throw frame_error("a key appears twice");
+            }
+        }
+    }
+
+    /// Sets a variant to its alternative of that index.
+    template <typename... Types>
+    static void select(std::variant<Types...>& into, std::uint64_t index)
+    {
+        using setter = void (*)(std::variant<Types...>&);
+        static constexpr std::array<setter, sizeof...(Types)> setters = {
+            [](std::variant<Types...>& target) { target.template emplace<Types>(); }...};
+        setters.at(index)(into);
+    }
+
+private:
+    const token& next(token::kind wanted)
+    {
+        if (position_ == tokens_.size() || tokens_[position_].what != wanted) {
+            throw frame_error("a value of the wrong type");
+        }
+        return tokens_[position_++];
+    }
+
+    const std::vector<token>& tokens_;
+    std::size_t position_ = 0;
+};
+
+void read_content(reader& in, std::uint64_t type, body& into)
+{
+    if (type < detail::first_other_type) {
+        ownership::message message;
+        reader::select(message, type);
+        std::visit([&](auto& content) { in.value(content); }, message);
+        into = std::move(message);
+        return;
+    }
+    reader::select(into, type - detail::first_other_type + 1);
+    std::visit(
+        [&](auto& content) {
+            if constexpr (!std::is_same_v<std::decay_t<decltype(content)>, ownership::message>) {
+                in.value(content);
+            }
+        },
+        into);
+}
+
+} // namespace
+
+frame decode(const char* bytes, std::size_t size)
+{
+    if (size > max_frame_bytes) {
+        throw frame_error("frame of " + std::to_string(size) + " bytes is above the limit");
+    }
+    const auto tokens = collect(bytes, size);
+    reader in(tokens);
+    in.array_of(3);
+    if (tokens.size() > 1) {
+        check_version(tokens[1]);
+    }
+    in.number(protocol_version);
+    const auto type = in.number(std::numeric_limits<std::uint64_t>::max());
+    if (type >= detail::message_types) {
+        throw unknown_type("message type " + std::to_string(type) + " is not defined");
+    }
+    frame result;
+    in.array_of(4);
+    in.value(result.from);
+    in.value(result.to);
+    in.value(result.reply_address);
+    read_content(in, type, result.content);
+    return result;
+}
+
+} // namespace bulrushgw::wire
--- /dev/null
+++ b/src/wire/fields.h
@@ -0,0 +1,79 @@
+#pragma once
+
+/// The order in which the members of each message are written. It is part of the
+/// protocol: a change needs a new protocol version.
+
+#include <cstdint>
+#include <tuple>
+#include <type_traits>
+
+#include "wire/messages.h"
+
+namespace bulrushgw::wire::detail {
+
+/// Types that have a list of members below.
+template <typename T>
+inline constexpr bool has_fields = false;
+
+#define BULRUSHGW_FIELDS(type, ...)                                                                \
+    template <>                                                                                    \
+    inline constexpr bool has_fields<type> = true;                                                 \
+    template <typename Message>                                                                    \
+    requires std::is_same_v<std::remove_const_t<Message>, type>                                    \
+    constexpr auto fields([[maybe_unused]] Message& m)                                             \
+    {                                                                                              \
+        return std::tie(__VA_ARGS__);                                                              \
+    }
+
+BULRUSHGW_FIELDS(ownership::weighted_member, m.incarnation, m.weight)
+BULRUSHGW_FIELDS(ownership::placement_list, m.version, m.members, m.overrides)
+BULRUSHGW_FIELDS(ownership::member_row, m.incarnation, m.host, m.zone, m.region, m.address,
+                 m.client_address, m.service, m.slots, m.checks_fences, m.set_version, m.witnesses,
+                 m.adopted, m.state, m.ended_by)
+BULRUSHGW_FIELDS(ownership::placement, m.service, m.ranges, m.current, m.previous, m.proposer,
+                 m.reason)
+BULRUSHGW_FIELDS(ownership::seal, m.holder, m.witness, m.set_version, m.adopted, m.with_holder)
+BULRUSHGW_FIELDS(ownership::certificate, m.holder, m.adopted, m.cause)
+BULRUSHGW_FIELDS(ownership::adoption, m.member, m.service, m.version, m.draining)
+BULRUSHGW_FIELDS(ownership::rules_stamp, m.version, m.digest)
+BULRUSHGW_FIELDS(ownership::renew, m.set_version, m.sequence, m.adopted)
+BULRUSHGW_FIELDS(ownership::renew_ack, m.set_version, m.sequence, m.adopted)
+BULRUSHGW_FIELDS(ownership::renew_refused, m.evidence)
+BULRUSHGW_FIELDS(ownership::holder_seal, m.set_version, m.adopted)
+BULRUSHGW_FIELDS(ownership::set_change, m.row)
+BULRUSHGW_FIELDS(ownership::set_change_ack, m.set_version)
+BULRUSHGW_FIELDS(ownership::gossip, m.items)
+BULRUSHGW_FIELDS(ownership::digest, m.members, m.placements, m.certificates, m.adoptions, m.rules,
+                 m.reply_wanted)
+BULRUSHGW_FIELDS(forward, m.number, m.service, m.range, m.key, m.request_id, m.attempt,
+                 m.idempotent, m.worth, m.deadline, m.method, m.path, m.headers, m.body)
+BULRUSHGW_FIELDS(forward_reply, m.number, m.request_id, m.outcome, m.reason, m.version, m.status,
+                 m.headers, m.body)
+BULRUSHGW_FIELDS(cancel, m.number)
+BULRUSHGW_FIELDS(rules_pull, m.version)
+BULRUSHGW_FIELDS(rules_text, m.version, m.digest, m.text, m.record)
+BULRUSHGW_FIELDS(protocol_failure, m.reason)
+
+#undef BULRUSHGW_FIELDS
+
+/// Ids are written as their number.
+template <typename T>
+inline constexpr bool is_id = std::is_same_v<T, incarnation_id> || std::is_same_v<T, range_id> ||
+                              std::is_same_v<T, placement_version> || std::is_same_v<T, fence>;
+
+/// The highest value of each enumeration in a message.
+template <typename T>
+inline constexpr std::uint64_t last_value = 0;
+template <>
+inline constexpr std::uint64_t last_value<ownership::member_state> =
+    static_cast<std::uint64_t>(ownership::member_state::ended);
+template <>
+inline constexpr std::uint64_t
+    last_value<forward_outcome> = static_cast<std::uint64_t>(forward_outcome::not_owner);
+
+/// Message types on the wire. The ownership messages have the numbers of their
+/// alternatives; the others follow.
+inline constexpr std::uint64_t first_other_type = std::variant_size_v<ownership::message>;
+inline constexpr std::uint64_t message_types = first_other_type + std::variant_size_v<body> - 1;
+
+} // namespace bulrushgw::wire::detail
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -3,6 +3,7 @@
 /// Frames of the inner protocol between nodes. One frame carries one message.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -20,7 +21,26 @@
     using parse_error::parse_error;
 };
 
+/// A frame of another protocol version.
+struct unknown_version : frame_error {
+    using frame_error::frame_error;
+};
+
+/// A frame of this version with a message type that it does not define.
+struct unknown_type : frame_error {
+    using frame_error::frame_error;
+};
+
 inline constexpr std::uint8_t protocol_version = 1;
+/// Bytes of the length that precedes each frame.
+inline constexpr std::size_t length_bytes = 4;
+/// Upper bound on the bytes after the length.
+inline constexpr std::size_t max_frame_bytes = 1024 * 1024;
+/// Upper bound on the msgpack values of one frame. It bounds the memory that a
+/// hostile frame of one-byte values takes while it is decoded.
+inline constexpr std::size_t max_frame_values = 256 * 1024;
+/// Upper bound on nested arrays; the deepest message needs 7.
+inline constexpr std::size_t max_frame_depth = 10;
 
 using header_pairs = std::vector<std::pair<std::string, std::string>>;
 
@@ -88,11 +108,16 @@
     body content;
 };
 
-/// Bytes of a frame including its 4-byte length.
+/// Bytes of a frame including its 4-byte length. Throws `frame_error` for a frame
+/// above `max_frame_bytes` or `max_frame_values`. Thread-safe.
 std::string encode(const frame& frame);
 
+/// The length in the first `length_bytes` bytes. Thread-safe.
+std::size_t decode_length(const char* bytes);
+
 /// Decodes the bytes after the length. Throws `frame_error` for anything that
-/// is not exactly one frame of this protocol version.
+/// is not exactly one frame of this protocol version. Allocates in proportion to
+/// `size`, whatever lengths the bytes announce. Thread-safe.
 frame decode(const char* bytes, std::size_t size);
 
 } // namespace bulrushgw::wire
--- /dev/null
+++ b/tests/wire/samples.cpp
@@ -0,0 +1,96 @@
+#include "tests/wire/samples.h"
+
+namespace bulrushgw::wire::test {
+
+namespace {
+
+using namespace bulrushgw::ownership;
+
+const incarnation_id first{0xfedcba9876543210};
+const incarnation_id second{42};
+
+member_row row()
+{
+    return {first,
+            "host-1",
+            "nbo-a",
+            "nairobi",
+            "127.0.0.1:7001",
+            "127.0.0.1:8001",
+            "ladder-front",
+            6,
+            true,
+            3,
+            {second, first},
+            placement_version{9},
+            member_state::leaving,
+            "holder"};
+}
+
+placement sample_placement()
+{
+    placement result;
+    result.service = "catalogue";
+    result.ranges = 64;
+    result.current = {placement_version{8}, {{first, 2}, {second, 1}}, {{range_id{5}, second}}};
+    result.previous = {placement_version{7}, {{first, 2}}, {}};
+    result.proposer = first;
+    result.reason = "join";
+    return result;
+}
+
+gossip sample_gossip()
+{
+    return {{row(), sample_placement(), seal{first, second, 3, placement_version{8}, true},
+             certificate{first, placement_version{8}, "witnesses"},
+             adoption{first, "catalogue", placement_version{8}, {range_id{1}, range_id{2}}},
+             rules_stamp{12, "abc"}}};
+}
+
+} // namespace
+
+std::vector<frame> samples()
+{
+    const std::vector<body> contents = {
+        message{renew{1, 2, placement_version{3}}},
+        message{renew_ack{1, 2, placement_version{3}}},
+        message{renew_refused{{first, second, 3, placement_version{8}, false}}},
+        message{holder_seal{4, placement_version{5}}},
+        message{set_change{row()}},
+        message{set_change_ack{6}},
+        message{sample_gossip()},
+        message{digest{1, 2, 3, ~0ULL, {7, "d"}, true}},
+        forward{1,
+                "catalogue",
+                range_id{3},
+                "mould-7",
+                "r-1",
+                2,
+                true,
+                5,
+                milliseconds{800},
+                "POST",
+                "/moulds/7",
+                {{"accept", "*/*"}, {"x", ""}},
+                std::string(300, '\0')},
+        forward_reply{1,
+                      "r-1",
+                      forward_outcome::not_owner,
+                      "moved",
+                      placement_version{4},
+                      503,
+                      {{"a", "b"}},
+                      "body"},
+        cancel{77},
+        rules_pull{5},
+        rules_text{5, "digest", "text", "{}"},
+        protocol_failure{"unknown-version"},
+    };
+    std::vector<frame> result;
+    for (const auto& content : contents) {
+        result.push_back({first, second, "127.0.0.1:7001", content});
+    }
+    return result;
+}
+
+} // namespace bulrushgw::wire::test
