Add the transport for frames between nodes

One connection for each peer address carries the frames of a loop turn in one write. Queues, connections, unfinished frames and stalled writes are bounded, and a frame that cannot be decoded is refused by name. The loop now frees h2o's event loop only when h2o has nothing pending, because h2o crashes otherwise.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -33,6 +33,13 @@
     errno = saved;
 }
 
+/// h2o_evloop_destroy crashes on registered timeouts and on sockets with events.
+bool is_idle(h2o_evloop_t& evloop)
+{
+    return h2o_linklist_is_empty(&evloop._timeouts) != 0 && evloop._pending_as_client == nullptr &&
+           evloop._pending_as_server == nullptr && evloop._statechanged.head == nullptr;
+}
+
 struct timer {
     std::function<void()> action;
     milliseconds period{0}; ///< 0 for a single call
@@ -124,15 +131,16 @@
         h2o_socket_close(state_->signal_socket);
     }
     state_->timers.clear();
-    for (int i = 0; i < closing_turns && !h2o_linklist_is_empty(&state_->evloop->_timeouts); ++i) {
+    auto* evloop = state_->evloop;
+    for (int i = 0; i < closing_turns; ++i) {
         state_->run_deferred();
-        h2o_evloop_run(state_->evloop, 1);
-    }
-    // h2o aborts when a loop with registered timeouts is destroyed. Leaking the
-    // loop is harmless, since the process ends or a test ends.
-    if (h2o_linklist_is_empty(&state_->evloop->_timeouts)) {
-        h2o_evloop_destroy(state_->evloop);
+        h2o_evloop_run(evloop, i == 0 ? 0 : 1);
+        if (is_idle(*evloop)) {
+            h2o_evloop_destroy(evloop);
+            return;
+        }
     }
+    // Leaking a busy loop is harmless, since the process or a test ends here.
 }
 
 loop::timer_id loop::after(milliseconds delay, std::function<void()> action)
--- /dev/null
+++ b/src/net/peer_incoming.cpp
@@ -0,0 +1,174 @@
+#include "net/peer_incoming.h"
+
+#include <algorithm>
+#include <exception>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace bulrushgw::net::detail {
+
+namespace {
+
+constexpr milliseconds max_sweep_interval{500};
+constexpr milliseconds min_sweep_interval{10};
+/// Keep-alive probes: first after 10 s of silence, then every 5 s, 3 in all.
+constexpr int probe_after_s = 10;
+constexpr int probe_interval_s = 5;
+constexpr int probe_count = 3;
+
+std::string reason_of(const wire::frame_error& failure)
+{
+    const char* kind = "malformed";
+    if (dynamic_cast<const wire::unknown_version*>(&failure) != nullptr) {
+        kind = "unknown-version";
+    }
+    else if (dynamic_cast<const wire::unknown_type*>(&failure) != nullptr) {
+        kind = "unknown-type";
+    }
+    return std::string(kind) + ": " + failure.what();
+}
+
+} // namespace
+
+void watch_for_lost_peer(h2o_socket_t* socket, milliseconds limit)
+{
+    const int fd = h2o_socket_get_fd(socket);
+    const int on = 1;
+    const auto unacknowledged = static_cast<unsigned>(limit.count());
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_after_s, sizeof(probe_after_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s, sizeof(probe_interval_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probe_count, sizeof(probe_count));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof(unacknowledged));
+}
+
+peer_incoming::peer_incoming(loop& loop, const endpoint& address, const peer_limits& limits,
+                             peer_counters& counters, receiver on_frame)
+    : loop_(loop), limits_(limits), counters_(counters), on_frame_(std::move(on_frame)),
+      listener_(loop, address, [this](h2o_socket_t* socket) { open(socket); })
+{
+    const auto interval =
+        std::clamp(limits_.stall_timeout / 2, min_sweep_interval, max_sweep_interval);
+    sweep_ = loop_.every(interval, [this] { close_stalled(); });
+}
+
+peer_incoming::~peer_incoming()
+{
+    loop_.cancel(sweep_);
+    while (!connections_.empty()) {
+        close(**connections_.begin());
+    }
+}
+
+void peer_incoming::open(h2o_socket_t* socket)
+{
+    if (connections_.size() >= limits_.max_connections) {
+        ++counters_.connections_refused;
+        h2o_socket_close(socket);
+        return;
+    }
+    watch_for_lost_peer(socket, limits_.stall_timeout);
+    auto* peer = new connection{};
+    peer->owner = this;
+    peer->socket = socket;
+    connections_.insert(peer);
+    socket->data = peer;
+    h2o_socket_read_start(socket, on_readable);
+}
+
+void peer_incoming::close(connection& peer)
+{
+    connections_.erase(&peer);
+    h2o_socket_close(peer.socket);
+    delete &peer;
+}
+
+void peer_incoming::on_readable(h2o_socket_t* socket, const char* failure)
+{
+    auto& peer = *static_cast<connection*>(socket->data);
+    if (peer.failing) {
+        h2o_buffer_consume(&socket->input, socket->input->size);
+    }
+    else {
+        peer.owner->read_frames(peer);
+    }
+    if (failure != nullptr) {
+        peer.owner->close(peer);
+    }
+}
+
+void peer_incoming::read_frames(connection& peer)
+{
+    auto* socket = peer.socket;
+    const bool was_unfinished = std::exchange(peer.unfinished, false);
+    bool any = false;
+    while (socket->input->size >= wire::length_bytes) {
+        const auto size = wire::decode_length(socket->input->bytes);
+        if (size > std::min(limits_.max_frame_bytes, wire::max_frame_bytes)) {
+            fail(peer, "frame-too-long: " + std::to_string(size) + " bytes");
+            return;
+        }
+        if (socket->input->size < wire::length_bytes + size) {
+            break;
+        }
+        wire::frame frame;
+        try {
+            frame = wire::decode(socket->input->bytes + wire::length_bytes, size);
+        }
+        catch (const wire::frame_error& failure) {
+            fail(peer, reason_of(failure));
+            return;
+        }
+        h2o_buffer_consume(&socket->input, wire::length_bytes + size);
+        ++counters_.frames_received;
+        counters_.bytes_received += wire::length_bytes + size;
+        any = true;
+        try {
+            on_frame_(frame);
+        }
+        catch (...) {
+            // An exception must not cross h2o's C frames; it ends the loop's run instead.
+            loop_.defer([failure = std::current_exception()] { std::rethrow_exception(failure); });
+        }
+    }
+    if (socket->input->size > 0) {
+        peer.unfinished = true;
+        if (any || !was_unfinished) {
+            peer.waiting_since = loop_.now();
+        }
+    }
+}
+
+// The connection is closed only after the peer did, or after a delay: closing it
+// with unread input would reset it, and the peer could lose the failure frame.
+void peer_incoming::fail(connection& peer, const std::string& reason)
+{
+    ++counters_.frames_broken;
+    peer.failing = true;
+    peer.waiting_since = loop_.now();
+    peer.failure = wire::encode({{}, {}, to_string(address()), wire::protocol_failure{reason}});
+    h2o_buffer_consume(&peer.socket->input, peer.socket->input->size);
+    h2o_iovec_t bytes = h2o_iovec_init(peer.failure.data(), peer.failure.size());
+    h2o_socket_write(peer.socket, &bytes, 1, [](h2o_socket_t* socket, const char*) {
+        shutdown(h2o_socket_get_fd(socket), SHUT_WR);
+    });
+}
+
+void peer_incoming::close_stalled()
+{
+    const auto now = loop_.now();
+    const auto all = connections_;
+    for (auto* peer : all) {
+        const auto waited = now - peer->waiting_since;
+        if (peer->failing && waited > limits_.connect_timeout) {
+            close(*peer);
+        }
+        else if (peer->unfinished && !peer->failing && waited > limits_.stall_timeout) {
+            fail(*peer, "frame-unfinished");
+        }
+    }
+}
+
+} // namespace bulrushgw::net::detail
--- /dev/null
+++ b/src/net/peer_transport.cpp
@@ -0,0 +1,260 @@
+#include "net/peer_transport.h"
+
+#include <exception>
+#include <map>
+#include <utility>
+
+#include "net/peer_incoming.h"
+#include "net/sockets.h"
+
+namespace bulrushgw::net {
+
+struct peer_transport::state {
+    enum class phase {
+        connecting,
+        open,
+        broken, ///< waits for the reconnect delay; frames are refused
+    };
+
+    /// The outgoing connection to one address.
+    struct peer {
+        state* owner = nullptr;
+        std::string address;
+        phase now = phase::connecting;
+        h2o_socket_t* socket = nullptr;
+        std::string pending; ///< frames that wait for the current write
+        std::uint64_t pending_frames = 0;
+        std::string writing; ///< h2o refers to it until the write ends
+        std::uint64_t writing_frames = 0;
+        bool flush_deferred = false;
+        loop::timer_id timer = 0; ///< connect, stall or reconnect, by the phase
+    };
+
+    net::loop& owner;
+    receiver on_frame;
+    disconnect_hook on_disconnect;
+    peer_limits limits;
+    peer_counters counters;
+    std::function<bool(const std::string&, bool)> drop;
+    std::map<std::string, std::unique_ptr<peer>, std::less<>> peers;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    detail::peer_incoming incoming;
+
+    state(net::loop& on_loop, const endpoint& address, receiver frame_hook,
+          disconnect_hook break_hook, peer_limits with)
+        : owner(on_loop), on_frame(std::move(frame_hook)), on_disconnect(std::move(break_hook)),
+          limits(with), incoming(on_loop, address, limits, counters,
+                                 [this](const wire::frame& frame) { receive(frame); })
+    {
+    }
+
+    void receive(const wire::frame& frame);
+    peer* find_or_connect(const std::string& address);
+    bool queue(peer& to, std::string bytes);
+    void defer_flush(peer& to);
+    void flush(peer& to);
+    void disconnect(peer& to);
+
+    static void on_connected(h2o_socket_t* socket, const char* failure);
+    static void on_written(h2o_socket_t* socket, const char* failure);
+    static void on_readable(h2o_socket_t* socket, const char* failure);
+};
+
+void peer_transport::state::receive(const wire::frame& frame)
+{
+    if (drop && drop(frame.reply_address, false)) {
+        ++counters.frames_filtered;
+        return;
+    }
+    on_frame(frame);
+}
+
+peer_transport::state::peer* peer_transport::state::find_or_connect(const std::string& address)
+{
+    const auto found = peers.find(address);
+    if (found != peers.end()) {
+        return found->second->now == phase::broken ? nullptr : found->second.get();
+    }
+    auto target = detail::to_socket_address(parse_endpoint(address));
+    if (peers.size() >= limits.max_connections) {
+        return nullptr;
+    }
+    auto& to = *peers.emplace(address, std::make_unique<peer>()).first->second;
+    to.owner = this;
+    to.address = address;
+    ++counters.connects;
+    to.socket = h2o_socket_connect(owner.evloop(), reinterpret_cast<sockaddr*>(&target.bytes),
+                                   target.size, on_connected);
+    if (to.socket == nullptr) {
+        disconnect(to);
+        return nullptr;
+    }
+    to.socket->data = &to;
+    to.timer = owner.after(limits.connect_timeout, [this, &to] { disconnect(to); });
+    return &to;
+}
+
+bool peer_transport::state::queue(peer& to, std::string bytes)
+{
+    if (to.pending.size() + to.writing.size() + bytes.size() > limits.max_queued_bytes) {
+        return false;
+    }
+    to.pending += bytes;
+    ++to.pending_frames;
+    if (to.now == phase::open && to.writing.empty()) {
+        defer_flush(to);
+    }
+    return true;
+}
+
+void peer_transport::state::defer_flush(peer& to)
+{
+    if (std::exchange(to.flush_deferred, true)) {
+        return;
+    }
+    // Found by address again, because the connection may break before the turn ends.
+    owner.defer([this, is_alive = alive, address = to.address] {
+        if (!*is_alive) {
+            return;
+        }
+        const auto found = peers.find(address);
+        if (found != peers.end()) {
+            found->second->flush_deferred = false;
+            flush(*found->second);
+        }
+    });
+}
+
+void peer_transport::state::flush(peer& to)
+{
+    if (to.now != phase::open || !to.writing.empty() || to.pending.empty()) {
+        return;
+    }
+    to.writing.swap(to.pending);
+    to.writing_frames = std::exchange(to.pending_frames, 0);
+    ++counters.writes;
+    to.timer = owner.after(limits.stall_timeout, [this, &to] { disconnect(to); });
+    h2o_iovec_t bytes = h2o_iovec_init(to.writing.data(), to.writing.size());
+    h2o_socket_write(to.socket, &bytes, 1, on_written);
+}
+
+// The entry stays until the reconnect delay has passed, so that a dead address
+// is not tried for each frame.
+void peer_transport::state::disconnect(peer& to)
+{
+    owner.cancel(to.timer);
+    if (to.socket != nullptr) {
+        h2o_socket_close(std::exchange(to.socket, nullptr));
+    }
+    counters.frames_lost += std::exchange(to.pending_frames, 0);
+    counters.frames_lost += std::exchange(to.writing_frames, 0);
+    to.pending = {};
+    to.writing = {};
+    to.now = phase::broken;
+    to.timer =
+        owner.after(limits.reconnect_delay, [this, address = to.address] { peers.erase(address); });
+    owner.defer([this, is_alive = alive, address = to.address] {
+        if (*is_alive && on_disconnect) {
+            on_disconnect(address);
+        }
+    });
+}
+
+void peer_transport::state::on_connected(h2o_socket_t* socket, const char* failure)
+{
+    auto& to = *static_cast<peer*>(socket->data);
+    auto& self = *to.owner;
+    if (failure != nullptr) {
+        self.disconnect(to);
+        return;
+    }
+    self.owner.cancel(to.timer);
+    to.now = phase::open;
+    detail::watch_for_lost_peer(socket, self.limits.stall_timeout);
+    h2o_socket_read_start(socket, on_readable);
+    self.flush(to);
+}
+
+void peer_transport::state::on_written(h2o_socket_t* socket, const char* failure)
+{
+    auto& to = *static_cast<peer*>(socket->data);
+    auto& self = *to.owner;
+    if (failure != nullptr) {
+        self.disconnect(to);
+        return;
+    }
+    self.owner.cancel(to.timer);
+    self.counters.bytes_sent += to.writing.size();
+    self.counters.frames_sent += std::exchange(to.writing_frames, 0);
+    to.writing.clear();
+    self.flush(to);
+}
+
+// A peer writes nothing on this connection but the refusal of a frame, after
+// which it closes. Either way the connection is of no more use.
+void peer_transport::state::on_readable(h2o_socket_t* socket, const char*)
+{
+    auto& to = *static_cast<peer*>(socket->data);
+    if (socket->input->size > 0) {
+        ++to.owner->counters.failures_received;
+    }
+    to.owner->disconnect(to);
+}
+
+peer_transport::peer_transport(loop& loop, const endpoint& address, receiver on_frame,
+                               disconnect_hook on_disconnect, peer_limits limits)
+    : state_(std::make_unique<state>(loop, address, std::move(on_frame), std::move(on_disconnect),
+                                     limits))
+{
+}
+
+peer_transport::~peer_transport()
+{
+    *state_->alive = false;
+    for (auto& [address, to] : state_->peers) {
+        state_->owner.cancel(to->timer);
+        if (to->socket != nullptr) {
+            h2o_socket_close(to->socket);
+        }
+    }
+}
+
+bool peer_transport::send(const std::string& address, const wire::frame& frame)
+{
+    auto& self = *state_;
+    if (self.drop && self.drop(address, true)) {
+        ++self.counters.frames_filtered;
+        return true;
+    }
+    std::string bytes;
+    try {
+        bytes = wire::encode(frame);
+    }
+    catch (const wire::frame_error&) {
+        ++self.counters.frames_refused;
+        return false;
+    }
+    auto* to = self.find_or_connect(address);
+    if (to == nullptr || !self.queue(*to, std::move(bytes))) {
+        ++self.counters.frames_refused;
+        return false;
+    }
+    return true;
+}
+
+const peer_counters& peer_transport::counters() const
+{
+    return state_->counters;
+}
+
+void peer_transport::set_filter(std::function<bool(const std::string&, bool)> drop)
+{
+    state_->drop = std::move(drop);
+}
+
+const endpoint& peer_transport::address() const
+{
+    return state_->incoming.address();
+}
+
+} // namespace bulrushgw::net
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -16,12 +16,15 @@
 namespace bulrushgw::net {
 
 struct peer_limits {
-    std::size_t max_frame_bytes = 1024 * 1024;
+    std::size_t max_frame_bytes = wire::max_frame_bytes;
     /// Unsent bytes kept for one peer; frames above are refused to the sender.
     std::size_t max_queued_bytes = 4 * 1024 * 1024;
-    std::size_t max_connections = 2000;
+    std::size_t max_connections = 2000; ///< for each direction
     milliseconds connect_timeout{500};
     milliseconds reconnect_delay{100};
+    /// A peer that takes no byte for this time is disconnected, as is a sender
+    /// that leaves a frame unfinished for this time.
+    milliseconds stall_timeout{5000};
 };
 
 struct peer_counters {
@@ -29,13 +32,21 @@
     std::uint64_t frames_received = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
-    std::uint64_t frames_refused = 0; ///< queue full or no connection
-    std::uint64_t frames_broken = 0;  ///< bad length, version or body
+    std::uint64_t frames_refused = 0;      ///< queue full or no connection
+    std::uint64_t frames_broken = 0;       ///< bad length, version or body
+    std::uint64_t frames_lost = 0;         ///< queued or being written when a connection broke
+    std::uint64_t frames_filtered = 0;     ///< dropped by the test hook
+    std::uint64_t writes = 0;              ///< system calls may be more when a peer is slow
+    std::uint64_t connects = 0;            ///< outgoing connections that were tried
+    std::uint64_t connections_refused = 0; ///< incoming, above the limit
+    std::uint64_t failures_received = 0;   ///< a peer refused a frame of ours
 };
 
 /// Sends and receives frames. One outgoing connection for each peer address;
-/// the answers of a peer come over that peer's own outgoing connection. Not
-/// thread-safe.
+/// the answers of a peer come over that peer's own outgoing connection. A frame
+/// that cannot be decoded is answered with a `protocol_failure` on the connection
+/// that it came by, which is then closed. The hooks run on the loop and must not
+/// destroy the transport. Not thread-safe.
 class peer_transport {
 public:
     using receiver = std::function<void(const wire::frame&)>;
@@ -50,12 +61,16 @@
     peer_transport(const peer_transport&) = delete;
     peer_transport& operator=(const peer_transport&) = delete;
 
-    /// Queues a frame; false when it was certainly not sent and will not be.
+    /// Queues a frame; false when it was certainly not sent and will not be. The
+    /// frames of one turn of the loop go out in one write. Must not be called with
+    /// an address that is not "IP:port": throws `address_error`.
     bool send(const std::string& address, const wire::frame& frame);
     [[nodiscard]] const peer_counters& counters() const;
     /// Test hook: drops every frame to or from addresses for which it returns
     /// true. Direction: true for outgoing.
     void set_filter(std::function<bool(const std::string& address, bool outgoing)> drop);
+    /// The bound address; its port is known also after binding port 0.
+    [[nodiscard]] const endpoint& address() const;
 
 private:
     struct state;
--- /dev/null
+++ b/tests/net/peer_transport_test.cpp
@@ -0,0 +1,243 @@
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/peer_transport.h"
+#include "net/sockets.h"
+#include "tests/net/raw_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::net;
+
+namespace {
+
+constexpr milliseconds wait_limit{3000};
+const endpoint any_port{"127.0.0.1", 0};
+
+/// One node's transport and what it received.
+struct test_peer {
+    std::vector<wire::frame> frames;
+    std::vector<std::string> broken;
+    std::optional<peer_transport> transport;
+
+    void open(net::loop& loop, const endpoint& address = any_port, peer_limits limits = {})
+    {
+        transport.emplace(
+            loop, address, [this](const wire::frame& frame) { frames.push_back(frame); },
+            [this](const std::string& at) { broken.push_back(at); }, limits);
+    }
+    [[nodiscard]] std::string at() const { return to_string(transport->address()); }
+    bool send(const std::string& to, wire::body content)
+    {
+        return transport->send(to, {{1}, {2}, at(), std::move(content)});
+    }
+};
+
+} // namespace
+
+TEST_GROUP(peer_transport)
+{
+    net::loop loop;
+    test_peer a;
+    test_peer b;
+
+    void setup() override
+    {
+        a.open(loop);
+        b.open(loop);
+    }
+    void teardown() override
+    {
+        a.transport.reset();
+        b.transport.reset();
+    }
+    template <typename Done>
+    bool wait(Done done)
+    {
+        return loop.run_until(done, wait_limit);
+    }
+};
+
+// Guards against lost, reordered or duplicated frames on a sound connection, and
+// against one system call for each frame.
+TEST(peer_transport, frames_of_one_turn_arrive_in_order_in_one_write)
+{
+    constexpr std::uint64_t count = 200;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        CHECK(a.send(b.at(), wire::cancel{i}));
+    }
+    CHECK(wait([&] { return b.frames.size() == count; }));
+    for (std::uint64_t i = 0; i < count; ++i) {
+        LONGS_EQUAL(i, std::get<wire::cancel>(b.frames[i].content).number);
+    }
+    LONGS_EQUAL(1, a.transport->counters().writes);
+    LONGS_EQUAL(1, a.transport->counters().connects);
+    LONGS_EQUAL(count, b.transport->counters().frames_received);
+    CHECK(a.transport->counters().bytes_sent == b.transport->counters().bytes_received);
+    STRCMP_EQUAL(a.at().c_str(), b.frames[0].reply_address.c_str());
+}
+
+// Guards against answers that find no way back.
+TEST(peer_transport, both_directions_and_large_frames_work)
+{
+    CHECK(a.send(b.at(), wire::rules_text{1, "d", std::string(900000, 'r'), ""}));
+    CHECK(wait([&] { return b.frames.size() == 1; }));
+    CHECK(std::get<wire::rules_text>(b.frames[0].content).text.size() == 900000);
+    CHECK(b.send(b.frames[0].reply_address, wire::rules_pull{1}));
+    CHECK(wait([&] { return a.frames.size() == 1; }));
+    CHECK(!a.send(b.at(), wire::rules_text{1, "d", std::string(1100000, 'r'), ""}));
+}
+
+// Guards against a sender that believes in a connection that is gone, and
+// against a flood of connection attempts to a dead address.
+TEST(peer_transport, lost_peer_is_reported_and_found_again)
+{
+    CHECK(a.send(b.at(), wire::cancel{1}));
+    CHECK(wait([&] { return b.frames.size() == 1; }));
+    const auto address = b.transport->address();
+    b.transport.reset();
+    CHECK(wait([&] { return a.broken.size() == 1; }));
+    STRCMP_EQUAL(to_string(address).c_str(), a.broken[0].c_str());
+    for (int i = 0; i < 50; ++i) {
+        CHECK(!a.send(to_string(address), wire::cancel{2}));
+    }
+    LONGS_EQUAL(1, a.transport->counters().connects);
+    LONGS_EQUAL(50, a.transport->counters().frames_refused);
+    b.open(loop, address);
+    CHECK(wait([&] {
+        a.send(to_string(address), wire::cancel{3});
+        return b.frames.size() >= 2;
+    }));
+}
+
+// Guards against frames that vanish without a word when nobody listens.
+TEST(peer_transport, refused_connection_calls_the_disconnect_hook)
+{
+    const auto address = b.at();
+    b.transport.reset();
+    CHECK(a.send(address, wire::cancel{1}));
+    CHECK(wait([&] { return a.broken.size() == 1; }));
+    LONGS_EQUAL(1, a.transport->counters().frames_lost);
+}
+
+// Guards against memory that a slow reader makes grow, and against a write to it
+// that never ends.
+TEST(peer_transport, slow_reader_is_bounded_and_disconnected)
+{
+    peer_limits limits;
+    limits.max_queued_bytes = 256 * 1024;
+    limits.stall_timeout = milliseconds{200};
+    a.transport.reset();
+    a.open(loop, any_port, limits);
+    detail::listener silent(loop, any_port, [](h2o_socket_t*) {});
+    const auto address = to_string(silent.address());
+    const wire::rules_text large{1, "", std::string(100000, 'x'), ""};
+    bool refused = false;
+    CHECK(wait([&] {
+        refused = refused || !a.send(address, large);
+        return refused;
+    }));
+    CHECK(wait([&] { return !a.broken.empty(); }));
+    CHECK(a.transport->counters().frames_lost > 0);
+}
+
+// Guards against hostile bytes that take the process or other peers down: each
+// gets a typed refusal and the connection is closed.
+TEST(peer_transport, broken_frames_are_refused_by_name)
+{
+    auto newer = wire::encode({{1}, {2}, "", wire::cancel{1}});
+    newer[wire::length_bytes + 1] = 9;
+    auto unknown = wire::encode({{1}, {2}, "", wire::cancel{1}});
+    unknown[wire::length_bytes + 2] = 99;
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {newer, "unknown-version"},
+        {unknown, "unknown-type"},
+        {std::string("\x00\x00\x00\x02\x91\xc0", 6), "malformed"},
+        {"\xff\xff\xff\xff", "frame-too-long"},
+        {"GET / HTTP/1.1\r\n\r\n", "frame-too-long"},
+    };
+    for (const auto& [bytes, reason] : cases) {
+        test::raw_client raw(b.transport->address());
+        CHECK(raw.send(bytes));
+        std::string got;
+        CHECK(wait([&] {
+            got += raw.received();
+            return raw.closed;
+        }));
+        const auto frame =
+            wire::decode(got.data() + wire::length_bytes, got.size() - wire::length_bytes);
+        STRCMP_CONTAINS(reason.c_str(),
+                        std::get<wire::protocol_failure>(frame.content).reason.c_str());
+    }
+    LONGS_EQUAL(cases.size(), b.transport->counters().frames_broken);
+    CHECK(a.send(b.at(), wire::cancel{1}));
+    CHECK(wait([&] { return b.frames.size() == 1; }));
+}
+
+// Guards against a frame that is split at any place by the network.
+TEST(peer_transport, split_frames_are_joined)
+{
+    const auto bytes = wire::encode({{1}, {2}, "", wire::cancel{5}});
+    test::raw_client raw(b.transport->address());
+    for (const char byte : bytes) {
+        CHECK(raw.send(std::string(1, byte)));
+        loop.run_until([] { return false; }, milliseconds{1});
+    }
+    CHECK(wait([&] { return b.frames.size() == 1; }));
+    LONGS_EQUAL(0, b.transport->counters().frames_broken);
+}
+
+// Guards against senders that hold memory with frames that they never finish.
+TEST(peer_transport, unfinished_frame_is_refused_after_the_stall_timeout)
+{
+    peer_limits limits;
+    limits.stall_timeout = milliseconds{50};
+    b.transport.reset();
+    b.open(loop, any_port, limits);
+    test::raw_client raw(b.transport->address());
+    CHECK(raw.send(std::string("\x00\x00\x10\x00half", 8)));
+    CHECK(wait([&] { return b.transport->counters().frames_broken == 1; }));
+    CHECK(wait([&] {
+        raw.received();
+        return raw.closed;
+    }));
+}
+
+// Guards against a hook that lets frames through, which would make partition
+// tests pass without a partition.
+TEST(peer_transport, filter_cuts_each_direction)
+{
+    a.transport->set_filter([](const std::string&, bool outgoing) { return outgoing; });
+    CHECK(a.send(b.at(), wire::cancel{1}));
+    b.transport->set_filter(
+        [&](const std::string& from, bool outgoing) { return !outgoing && from == a.at(); });
+    a.transport->set_filter({});
+    CHECK(a.send(b.at(), wire::cancel{2}));
+    CHECK(wait([&] { return b.transport->counters().frames_filtered == 1; }));
+    LONGS_EQUAL(0, b.frames.size());
+    LONGS_EQUAL(1, a.transport->counters().frames_filtered);
+    b.transport->set_filter({});
+    CHECK(a.send(b.at(), wire::cancel{3}));
+    CHECK(wait([&] { return b.frames.size() == 1; }));
+    LONGS_EQUAL(3, std::get<wire::cancel>(b.frames[0].content).number);
+}
+
+// Guards against connections without bound.
+TEST(peer_transport, incoming_connections_are_bounded)
+{
+    peer_limits limits;
+    limits.max_connections = 1;
+    b.transport.reset();
+    b.open(loop, any_port, limits);
+    test::raw_client first(b.transport->address());
+    test::raw_client second(b.transport->address());
+    CHECK(wait([&] { return b.transport->counters().connections_refused == 1; }));
+    second.received();
+    CHECK(wait([&] {
+        second.received();
+        return second.closed;
+    }));
+    CHECK(!first.closed);
+}
