--- a/src/store/client.h
+++ b/src/store/client.h
@@ -16,6 +16,7 @@
 
 #include "common/boot_clock.h"
 #include "common/errors.h"
+#include "store/protocol.h"
 #include "store/rate_limit.h"
 #include "store/types.h"
 
@@ -30,9 +31,11 @@
     milliseconds backoff_least{100};
     milliseconds backoff_most{10000};
     milliseconds answer_timeout{2000}; ///< for one HTTP message
-    milliseconds patience{15000};      ///< for one request with all its attempts
-    std::size_t queue = 256;           ///< requests that wait or run
-    std::size_t concurrent = 8;        ///< HTTP messages in flight
+    /// For one request with all its attempts, beyond the time that it waits for
+    /// its send slots.
+    milliseconds patience{5000};
+    std::size_t queue = 256;    ///< requests that wait or run
+    std::size_t concurrent = 8; ///< HTTP messages in flight
 };
 
 /// Order of sending. Requests of one priority are sent in order of arrival.
@@ -48,12 +51,6 @@
     queue_full, ///< nothing was sent; the callback will not be called
 };
 
-struct http_message {
-    std::string method;
-    std::string path;
-    std::string body;
-};
-
 /// A message to send to the store. Pass its answer to `on_answer`, `on_not_sent`
 /// or `on_lost` with the same id.
 struct outgoing {
@@ -95,6 +92,9 @@
     /// Nodes that share the budget. Precondition: nodes > 0.
     void set_nodes(time_point now, std::size_t nodes);
 
+    /// An equal read that waits for its turn is joined; one that is under way is
+    /// not, because its answer may be older than this call. Each priority below
+    /// `urgent` may fill only a part of the queue.
     /// A written value must be JSON text. It is stored with a writer token, which
     /// reads remove again. A transaction whose answer was lost is read back
     /// before it is repeated; `status::unknown` is reported only when the rows
--- a/src/store/rate_limit.h
+++ b/src/store/rate_limit.h
@@ -45,6 +45,8 @@
     bool take(time_point now);
     /// Takes a token of the reserve if there is one.
     bool take_reserve(time_point now);
+    /// Time between two tokens.
+    [[nodiscard]] boot_clock::duration period() const { return period_; }
 
 private:
     void refill(time_point now);
