Add the first engine of the lease quorums

The interfaces had no implementation. The engine now joins, renews, takes over without the store and hands over; each concern is a file of its own.

--- /dev/null
+++ b/src/ownership/candidates.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// Candidate lists of the ranges of a placement, computed on first use.
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "ownership/types.h"
+
+namespace bulrushgw::ownership {
+
+/// Candidate lists of one placement list. A list holds 16-bit positions of
+/// members, so that 4096 ranges of 128 members take 1 MiB. Not thread-safe: a
+/// list is computed on first use, also by const calls.
+class candidate_table {
+public:
+    candidate_table(placement_list list, std::string service);
+
+    [[nodiscard]] const placement_list& list() const { return list_; }
+    [[nodiscard]] std::size_t member_count() const { return list_.members.size(); }
+    /// Positions of members in `list().members`, in the order of the candidates.
+    [[nodiscard]] std::span<const std::uint16_t> of(range_id range) const;
+    [[nodiscard]] incarnation_id member(std::uint16_t position) const
+    {
+        return list_.members[position].incarnation;
+    }
+    [[nodiscard]] bool contains(incarnation_id id) const;
+
+private:
+    placement_list list_;
+    std::string service_;
+    mutable std::vector<std::vector<std::uint16_t>> lists_;
+};
+
+/// A placement record with the candidate lists of both of its versions.
+struct placement_view {
+    explicit placement_view(placement record_in);
+
+    placement record;
+    candidate_table current;
+    candidate_table previous;
+
+    /// True when the incarnation is a member of either version.
+    [[nodiscard]] bool is_open_for(incarnation_id id) const
+    {
+        return current.contains(id) || previous.contains(id);
+    }
+};
+
+} // namespace bulrushgw::ownership
--- /dev/null
+++ b/src/ownership/engine.cpp
@@ -0,0 +1,351 @@
+#include "ownership/engine.h"
+
+#include <algorithm>
+
+#include "common/hash.h"
+#include "ownership/engine_state.h"
+
+namespace bulrushgw::ownership {
+
+namespace {
+
+constexpr std::chrono::seconds informed_limit{30};
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+incarnation_id make_incarnation(random_source& random)
+{
+    incarnation_id id;
+    while (!id) {
+        id.value = random.next();
+    }
+    return id;
+}
+
+engine_settings validated(engine_settings settings)
+{
+    validate(settings.times);
+    return settings;
+}
+
+} // namespace
+
+engine::state::state(engine_settings settings_in, std::uint64_t seed, time_point now)
+    : settings{validated(std::move(settings_in))}, random{seed}, self{make_incarnation(random)},
+      witness{self, settings.times, settings.unsafe.skip_seal_permanence}, lease{settings.times}
+{
+    own.incarnation = self;
+    own.host = settings.host;
+    own.zone = settings.zone;
+    own.region = settings.region;
+    own.address = settings.address;
+    own.client_address = settings.client_address;
+    shared.merge(now, own);
+}
+
+void engine::state::audit(audit_kind kind, incarnation_id subject, std::string cause)
+{
+    audit_event event;
+    event.kind = kind;
+    event.service = own.service;
+    event.subject = subject;
+    event.cause = std::move(cause);
+    effects.emplace_back(std::move(event));
+}
+
+void engine::state::on_renew(time_point now, incarnation_id from, const renew& body)
+{
+    const certificate* ended = shared.certificate_of(from);
+    if (ended != nullptr && !settings.unsafe.skip_seal_permanence) {
+        witness.on_certificate(from);
+        if (const seal* evidence = witness.seal_of(from)) {
+            send_to(from, renew_refused{*evidence});
+        }
+        send_items(from, {*ended});
+        return;
+    }
+    const member_row* row = shared.find(from);
+    const auto view = row == nullptr ? nullptr : shared.placement_of(row->service);
+    const std::uint64_t newest = view ? view->record.current.version.value : 0;
+    if (body.adopted.value != 0 && body.adopted.value + 1 < newest &&
+        !settings.unsafe.skip_seal_permanence) {
+        // A version that old is closed, so the holder must have ended; its
+        // certificate was forgotten here.
+        send_items(from, {view->record});
+        return;
+    }
+    if (auto answer = witness.on_renew(now, from, body)) {
+        send_to(from, std::move(*answer));
+    }
+}
+
+void engine::state::on_set_change(time_point now, incarnation_id from, const set_change& body)
+{
+    if (body.row.incarnation != from) {
+        return;
+    }
+    accept_member(now, body.row);
+    witness.learn(now, body.row);
+    if (const seal* evidence = witness.seal_of(from)) {
+        send_to(from, renew_refused{*evidence});
+        return;
+    }
+    send_to(from, set_change_ack{witness.set_version_of(from)});
+}
+
+void engine::state::on_message(time_point now, incarnation_id from, const message& body)
+{
+    if (from == self || over) {
+        return;
+    }
+    last_heard = now;
+    shared.on_heard(now, from);
+    fresh_from = from;
+    std::visit(overloaded{
+                   [&](const renew& item) { on_renew(now, from, item); },
+                   [&](const renew_ack& item) {
+                       if (!ending && lease.on_ack(now, from, item)) {
+                           complete_adoption(now);
+                       }
+                   },
+                   [&](const renew_refused& item) {
+                       if (item.evidence.holder == self && item.evidence.witness == from) {
+                           lease.on_refused(from);
+                           accept_seal(now, item.evidence);
+                       }
+                   },
+                   [&](const holder_seal& item) {
+                       if (const auto made = witness.on_holder_seal(from, item)) {
+                           accept_seal(now, *made);
+                           send_items(from, {*made});
+                       }
+                   },
+                   [&](const set_change& item) { on_set_change(now, from, item); },
+                   [&](const set_change_ack& item) { on_set_change_ack(now, from, item); },
+                   [&](const gossip& item) {
+                       for (const gossip_item& each : item.items) {
+                           accept(now, each);
+                       }
+                   },
+                   [&](const digest& item) { on_digest(from, item); },
+               },
+               body);
+    after_event(now);
+}
+
+void engine::state::after_event(time_point now)
+{
+    if (!over) {
+        consider_adoption(now);
+        update_serving(now);
+    }
+    flush_gossip();
+}
+
+void engine::state::on_tick(time_point now)
+{
+    if (over) {
+        return;
+    }
+    for (const seal& made : witness.on_tick(now)) {
+        audit(audit_kind::seal, made.holder, "its promise expired");
+        accept_seal(now, made);
+    }
+    expire_calls(now);
+    schedule.set_node_count(shared.members().size());
+    tend_reading(now);
+    if (!ending) {
+        tend_join(now);
+        tend_witnesses(now);
+        renew_lease(now);
+        consider_proposal(now);
+        tend_leave(now);
+    }
+    if (ending) {
+        tend_end(now);
+    }
+    if (store_end && !store_end->busy && now >= store_end->next) {
+        start_store_end(now, store_end->target, store_end->by);
+    }
+    exchange_digests(now);
+    after_event(now);
+}
+
+engine::engine(engine_settings settings, std::uint64_t seed, time_point now)
+    : state_{std::make_unique<state>(std::move(settings), seed, now)}
+{
+}
+
+engine::~engine() = default;
+engine::engine(engine&&) noexcept = default;
+engine& engine::operator=(engine&&) noexcept = default;
+
+void engine::set_services(time_point now, std::vector<keyed_service> services)
+{
+    state_->services.clear();
+    for (keyed_service& service : services) {
+        std::string name = service.name;
+        state_->services.insert_or_assign(std::move(name), std::move(service));
+    }
+    state_->after_event(now);
+}
+
+void engine::set_rules(time_point now, rules_stamp stamp)
+{
+    state_->accept(now, stamp);
+    state_->after_event(now);
+}
+
+void engine::on_target(time_point now, const target_info& target)
+{
+    state_->on_target(now, target);
+    state_->after_event(now);
+}
+
+void engine::end(time_point now, const std::string& cause)
+{
+    state_->end(now, cause);
+    state_->after_event(now);
+}
+
+void engine::leave(time_point now)
+{
+    state_->leave(now);
+    state_->after_event(now);
+}
+
+void engine::assert_ended(time_point now, incarnation_id id, const std::string& operator_name)
+{
+    state_->start_store_end(now, id, operator_name);
+    state_->after_event(now);
+}
+
+void engine::on_message(time_point now, incarnation_id from, const message& body)
+{
+    state_->on_message(now, from, body);
+}
+
+void engine::on_store_reply(time_point now, std::uint64_t id, const store::reply& reply)
+{
+    state_->on_store_reply(now, id, reply);
+    state_->after_event(now);
+}
+
+void engine::on_tick(time_point now)
+{
+    state_->on_tick(now);
+}
+
+void engine::on_in_flight(time_point now, const std::string& service, range_id range,
+                          std::size_t count)
+{
+    state_->on_in_flight(now, service, range, count);
+    state_->after_event(now);
+}
+
+void engine::on_load(time_point, const std::string&, std::vector<range_load>) {}
+
+std::vector<effect> engine::take_effects()
+{
+    return std::exchange(state_->effects, {});
+}
+
+serve_decision engine::may_serve(time_point now, const std::string& service, range_id range) const
+{
+    return state_->may_serve(now, service, range);
+}
+
+owner_view engine::owner_of(const std::string& service, range_id range) const
+{
+    const auto view = state_->shared.placement_of(service);
+    if (!view) {
+        owner_view none;
+        none.reason = "no placement is known";
+        return none;
+    }
+    return find_owner(*view, state_->shared, range);
+}
+
+incarnation_id engine::self() const
+{
+    return state_->self;
+}
+
+std::optional<time_point> engine::lease_end(time_point now) const
+{
+    if (!state_->holds_lease(now)) {
+        return std::nullopt;
+    }
+    return state_->lease.end();
+}
+
+std::vector<member_row> engine::members() const
+{
+    std::vector<member_row> rows;
+    for (const auto& [id, member] : state_->shared.members()) {
+        rows.push_back(member.row);
+        if (state_->shared.certificate_of(id) != nullptr) {
+            rows.back().state = member_state::ended;
+        }
+    }
+    return rows;
+}
+
+const member_row* engine::find_member(incarnation_id id) const
+{
+    return state_->shared.find(id);
+}
+
+std::vector<incarnation_id> engine::live_members(const std::string& service) const
+{
+    std::vector<incarnation_id> live;
+    const auto view = state_->shared.placement_of(service);
+    if (!view) {
+        return live;
+    }
+    for (const weighted_member& member : view->record.current.members) {
+        const member_row* row = state_->shared.find(member.incarnation);
+        if (state_->shared.certificate_of(member.incarnation) == nullptr &&
+            (row == nullptr || row->state != member_state::leaving)) {
+            live.push_back(member.incarnation);
+        }
+    }
+    return live;
+}
+
+std::optional<placement> engine::placement_of(const std::string& service) const
+{
+    const auto view = state_->shared.placement_of(service);
+    if (!view) {
+        return std::nullopt;
+    }
+    return view->record;
+}
+
+std::vector<certificate> engine::certificates() const
+{
+    std::vector<certificate> result;
+    for (const auto& [id, item] : state_->shared.certificates()) {
+        result.push_back(item);
+    }
+    return result;
+}
+
+rules_stamp engine::newest_rules() const
+{
+    return state_->rules;
+}
+
+bool engine::is_informed(time_point now) const
+{
+    const auto recent = [&](time_point at) { return now - at <= informed_limit; };
+    return (state_->last_heard && recent(*state_->last_heard)) ||
+           (state_->schedule.ever_answered() && recent(state_->schedule.last_answer()));
+}
+
+} // namespace bulrushgw::ownership
--- a/src/ownership/engine.h
+++ b/src/ownership/engine.h
@@ -132,6 +132,7 @@
     not_adopted,    ///< no witness acknowledged the adopted version
     unknown_service,
     leaving,
+    too_few_witnesses, ///< fewer than two other hosts are known
 };
 
 /// Whether this node may run a request now, and until when at most.
@@ -170,6 +171,10 @@
     void end(time_point now, const std::string& cause);
     /// Planned stop or drain: hand all ranges over, then emit `left`.
     void leave(time_point now);
+    /// Records the end of a switched-off host through the store, on behalf of the
+    /// named operator. The outcome is an `end` or `refusal` audit event.
+    /// Precondition: the host is switched off, and its lost witness too.
+    void assert_ended(time_point now, incarnation_id id, const std::string& operator_name);
     void on_message(time_point now, incarnation_id from, const message& body);
     void on_store_reply(time_point now, std::uint64_t id, const store::reply& reply);
     /// Call at least every `times.tick`.
--- /dev/null
+++ b/src/ownership/engine_proposals.cpp
@@ -0,0 +1,177 @@
+#include <algorithm>
+
+#include "ownership/engine_state.h"
+#include "ownership/rows.h"
+
+namespace bulrushgw::ownership {
+
+namespace {
+
+constexpr milliseconds consideration_interval{100};
+/// Pause between proposals that add members.
+constexpr std::chrono::seconds addition_pause{3};
+/// A member's own joining waits this long, so that hosts which start together
+/// go into one proposal.
+constexpr milliseconds join_delay_low{150};
+constexpr milliseconds join_delay_high{350};
+constexpr milliseconds leave_delay_high{40};
+/// Changes that concern others wait longer, spread over the number of members,
+/// so that few members propose the same change.
+constexpr milliseconds other_delay_low{400};
+constexpr milliseconds other_delay_share{60};
+constexpr std::size_t other_delay_members = 50;
+
+} // namespace
+
+plan_inputs engine::state::inputs_for_plan(time_point now) const
+{
+    plan_inputs inputs;
+    inputs.service = own.service;
+    if (const auto service = services.find(own.service); service != services.end()) {
+        inputs.ranges = service->second.ranges;
+    }
+    inputs.proposer = self;
+    inputs.shared = &shared;
+    inputs.newest = nullptr;
+    if (const auto view = shared.placement_of(own.service)) {
+        inputs.newest = view.get();
+    }
+    inputs.may_add = !last_addition || now - *last_addition >= addition_pause;
+    if (inputs.newest != nullptr && !inputs.may_add) {
+        const auto& members = inputs.newest->record.current.members;
+        inputs.may_add = members.size() < unbounded_join_members;
+    }
+    return inputs;
+}
+
+void engine::state::consider_proposal(time_point now)
+{
+    if (now < next_consideration || proposal || !placements_known || schedule.is_failing() ||
+        !services.contains(own.service) || !lease.is_running(now) ||
+        own.state == member_state::joining) {
+        return;
+    }
+    next_consideration = now + (leaving ? settings.times.tick : consideration_interval);
+    const plan_inputs inputs = inputs_for_plan(now);
+    if (!plan(inputs)) {
+        propose_at.reset();
+        return;
+    }
+    if (!propose_at) {
+        const std::vector<incarnation_id> waiting = waiting_members(inputs);
+        const std::size_t members =
+            inputs.newest == nullptr ? 0 : inputs.newest->record.current.members.size();
+        const auto spread = static_cast<std::int64_t>(std::min(members, other_delay_members));
+        if (leaving) {
+            propose_at = now + random.between(milliseconds{0}, leave_delay_high);
+        }
+        else if (std::binary_search(waiting.begin(), waiting.end(), self)) {
+            propose_at = now + random.between(join_delay_low, join_delay_high);
+        }
+        else {
+            propose_at =
+                now + random.between(other_delay_low, other_delay_low + other_delay_share * spread);
+        }
+    }
+    if (now < *propose_at) {
+        return;
+    }
+    if (inputs.newest != nullptr && !may_propose(*inputs.newest, shared)) {
+        // Not all members propose in the moment in which the condition holds.
+        propose_at = now + random.between(milliseconds{0},
+                                          leaving ? leave_delay_high : consideration_interval);
+        return;
+    }
+    start_proposal(now);
+}
+
+void engine::state::start_proposal(time_point now)
+{
+    if (call(now, store::read_row{placement_key(own.service)},
+             [this](time_point at, const store::reply& reply) { on_placement_read(at, reply); })) {
+        proposal = proposal_state{};
+    }
+}
+
+void engine::state::on_placement_read(time_point now, const store::reply& reply)
+{
+    if (!proposal) {
+        return;
+    }
+    std::uint64_t row_version = 0;
+    placement_version read_version;
+    if (reply.result == store::status::ok && !reply.rows.empty()) {
+        const store::row& row = reply.rows.front();
+        const auto record = read_placement(row);
+        if (!record) {
+            finish_proposal(now); // an unreadable row is not overwritten
+            return;
+        }
+        if (proposal->written && writer_of(row.value) == proposal->writer) {
+            audit(audit_kind::proposal, self, record->reason);
+        }
+        accept_placement(now, *record);
+        row_version = row.version;
+    }
+    else if (reply.result != store::status::not_found) {
+        finish_proposal(now);
+        return;
+    }
+    const auto newest = shared.placement_of(own.service);
+    const bool lost_row = row_version == 0 && newest;
+    const bool older_row =
+        row_version != 0 && newest && read_version != newest->record.current.version;
+    if (lost_row || older_row || ending || over || !lease.is_running(now) ||
+        (newest && !may_propose(*newest, shared))) {
+        finish_proposal(now);
+        return;
+    }
+    write_proposal(now, row_version);
+}
+
+void engine::state::write_proposal(time_point now, std::uint64_t row_version)
+{
+    const auto next = plan(inputs_for_plan(now));
+    if (!next) {
+        finish_proposal(now);
+        return;
+    }
+    proposal->writer = next_writer();
+    proposal->written = true;
+    const std::string key = placement_key(own.service);
+    store::transact change;
+    change.conditions.push_back({key, row_version});
+    change.writes.push_back({key, encode_placement(*next, proposal->writer), false});
+    const bool sent = call(
+        now, std::move(change), [this, record = *next](time_point at, const store::reply& reply) {
+            if (!proposal) {
+                return;
+            }
+            if (reply.result == store::status::ok) {
+                audit(audit_kind::proposal, self, record.reason);
+                accept_placement(at, record);
+            }
+            if (reply.result == store::status::conflict || reply.result == store::status::unknown) {
+                // Read back: either another member won, or the answer was lost.
+                if (call(at, store::read_row{placement_key(own.service)},
+                         [this](time_point when, const store::reply& row) {
+                             on_placement_read(when, row);
+                         })) {
+                    return;
+                }
+            }
+            finish_proposal(at);
+        });
+    if (!sent) {
+        finish_proposal(now);
+    }
+}
+
+void engine::state::finish_proposal(time_point now)
+{
+    proposal.reset();
+    propose_at.reset();
+    next_consideration = now + consideration_interval;
+}
+
+} // namespace bulrushgw::ownership
--- /dev/null
+++ b/src/ownership/engine_serving.cpp
@@ -0,0 +1,232 @@
+#include <algorithm>
+
+#include "ownership/engine_state.h"
+
+namespace bulrushgw::ownership {
+
+namespace {
+
+/// A member that loses ranges adopts the new version after their next owners
+/// did, so that the ranges wait for one message only. The wait is bounded,
+/// because the next owner may be lost.
+constexpr milliseconds gainer_wait{300};
+
+incarnation_id first_live(const candidate_table& table, const directory& shared, range_id range)
+{
+    for (const std::uint16_t index : table.of(range)) {
+        if (shared.certificate_of(table.member(index)) == nullptr) {
+            return table.member(index);
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+bool engine::state::holds_lease(time_point now) const
+{
+    return !ending && !over && lease.is_running(now);
+}
+
+std::size_t engine::state::total_in_flight() const
+{
+    std::size_t total = 0;
+    for (const auto& [range, count] : in_flight) {
+        total += count;
+    }
+    return total;
+}
+
+bool engine::state::should_wait_for_gainers(time_point now, const placement_view& next) const
+{
+    if (now - waiting_since >= gainer_wait) {
+        return false;
+    }
+    return std::any_of(serving.begin(), serving.end(), [&](const auto& entry) {
+        const incarnation_id gainer = first_live(next.current, shared, entry.first);
+        if (gainer == self || !gainer) {
+            return false;
+        }
+        const adoption* adopted = shared.adoption_of(gainer);
+        return adopted == nullptr || adopted->version < next.record.current.version;
+    });
+}
+
+void engine::state::consider_adoption(time_point now)
+{
+    if (ending || own.service.empty()) {
+        return;
+    }
+    const auto newest = shared.placement_of(own.service);
+    if (!newest || newest->record.current.version <= lease.offered()) {
+        return;
+    }
+    const placement_version version = newest->record.current.version;
+    const std::uint64_t adopted = lease.offered().value;
+    const bool skipped = adopted != 0 && version.value != adopted + 1;
+    const bool removed_unseen =
+        adopted == 0 && !newest->current.contains(self) && newest->previous.contains(self);
+    if (skipped || removed_unseen || (adopted != 0 && !newest->is_open_for(self))) {
+        const bool had_left = adopted != 0 && adopted_view && !adopted_view->current.contains(self);
+        if (!had_left) {
+            // The proposer had proof that this incarnation ended.
+            end(now,
+                "placement " + std::to_string(version.value) + " was made without this member");
+        }
+        return;
+    }
+    if (!newest->is_open_for(self) || !lease.started()) {
+        return;
+    }
+    if (waiting_view != newest) {
+        waiting_view = newest;
+        waiting_since = now;
+    }
+    if (!should_wait_for_gainers(now, *newest)) {
+        offered_view = newest;
+        waiting_view.reset();
+        lease.adopt(version);
+        renew_lease(now);
+    }
+}
+
+void engine::state::complete_adoption(time_point now)
+{
+    if (!offered_view || lease.adopted() < offered_view->record.current.version) {
+        return;
+    }
+    const bool joined = !adopted_view;
+    adopted_view = std::exchange(offered_view, nullptr);
+    draining.clear();
+    for (const auto& [range, count] : in_flight) {
+        if (count > 0 && adopted_view->record.ranges > 0 &&
+            !is_first_live(*adopted_view, self, shared, range, settings.unsafe)) {
+            draining.push_back(range);
+        }
+    }
+    if (joined) {
+        audit(audit_kind::join, self, "adopted placement " + std::to_string(lease.adopted().value));
+    }
+    publish_adoption();
+    serving_dirty = true;
+    static_cast<void>(now);
+}
+
+void engine::state::publish_adoption()
+{
+    const adoption item{self, own.service, adopted_view->record.current.version, draining};
+    shared.merge(item);
+    publish(item);
+}
+
+void engine::state::on_in_flight(time_point, const std::string& service, range_id range,
+                                 std::size_t count)
+{
+    if (service != own.service) {
+        return;
+    }
+    if (count > 0) {
+        in_flight[range] = count;
+        return;
+    }
+    in_flight.erase(range);
+    const auto found = std::lower_bound(draining.begin(), draining.end(), range);
+    if (found != draining.end() && *found == range) {
+        draining.erase(found);
+        publish_adoption();
+    }
+}
+
+void engine::state::update_serving(time_point now)
+{
+    const bool running =
+        (holds_lease(now) || (settings.unsafe.skip_lease_check && !ending && !over)) &&
+        !(leaving && leaving->without_store);
+    if (!serving_dirty && running == lease_was_running) {
+        return;
+    }
+    serving_dirty = false;
+    lease_was_running = running;
+    std::map<range_id, fence> next;
+    std::map<range_id, std::size_t> positions;
+    const std::uint32_t ranges = adopted_view ? adopted_view->record.ranges : 0;
+    for (std::uint32_t i = 0; running && i < ranges; ++i) {
+        const range_id range{i};
+        const range_verdict verdict = judge(*adopted_view, self, shared, range, settings.unsafe);
+        if (verdict.owner) {
+            next[range] = verdict.token;
+            positions[range] = verdict.position;
+        }
+    }
+    serving_changed change;
+    change.service = own.service;
+    for (const auto& [range, token] : serving) {
+        if (!next.contains(range)) {
+            change.releases.push_back(range);
+            audit(audit_kind::release, self, running ? "another member owns it" : "lease over");
+            std::get<audit_event>(effects.back()).range = range;
+        }
+    }
+    for (const auto& [range, token] : next) {
+        const auto known = serving.find(range);
+        if (known != serving.end() && known->second == token) {
+            continue;
+        }
+        change.grants.push_back({range, token});
+        const bool took_over = positions[range] > 0;
+        audit(took_over ? audit_kind::takeover : audit_kind::grant, self,
+              took_over ? std::to_string(positions[range]) + " earlier candidates ended"
+                        : "first candidate");
+        auto& event = std::get<audit_event>(effects.back());
+        event.range = range;
+        event.token = token;
+    }
+    const std::size_t drained_before = draining.size();
+    std::erase_if(draining, [&](range_id range) { return next.contains(range); });
+    if (draining.size() != drained_before) {
+        publish_adoption(); // this member owns the range again
+    }
+    serving = std::move(next);
+    if (!change.grants.empty() || !change.releases.empty()) {
+        effects.emplace_back(std::move(change));
+    }
+}
+
+serve_decision engine::state::may_serve(time_point now, const std::string& service,
+                                        range_id range) const
+{
+    serve_decision decision;
+    if (!services.contains(service) && service != own.service) {
+        return decision;
+    }
+    const auto refuse = [&](serve_refusal refusal) {
+        decision.refusal = refusal;
+        return decision;
+    };
+    if (service != own.service) {
+        return refuse(serve_refusal::not_owner);
+    }
+    if (too_few_witnesses) {
+        return refuse(serve_refusal::too_few_witnesses);
+    }
+    if (ending || over || (!holds_lease(now) && !settings.unsafe.skip_lease_check)) {
+        return refuse(serve_refusal::lease_over);
+    }
+    if (!adopted_view) {
+        return refuse(serve_refusal::not_adopted);
+    }
+    const bool balanced = adopted_view->record.ranges == 0;
+    if (leaving && (balanced || leaving->without_store)) {
+        return refuse(serve_refusal::leaving);
+    }
+    const range_verdict verdict = judge(*adopted_view, self, shared, range, settings.unsafe);
+    if (!verdict.owner) {
+        return refuse(verdict.refusal);
+    }
+    decision.allowed = true;
+    decision.token = verdict.token;
+    decision.lease_end = lease.end();
+    return decision;
+}
+
+} // namespace bulrushgw::ownership
--- /dev/null
+++ b/src/ownership/engine_state.h
@@ -0,0 +1,216 @@
+#pragma once
+
+/// State of the engine. Internal to the files engine*.cpp, each of which
+/// implements the members of one concern.
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ownership/directory.h"
+#include "ownership/engine.h"
+#include "ownership/holder_lease.h"
+#include "ownership/planner.h"
+#include "ownership/random_source.h"
+#include "ownership/serve_rule.h"
+#include "ownership/store_schedule.h"
+#include "ownership/witness.h"
+
+namespace bulrushgw::ownership {
+
+struct engine::state {
+    state(engine_settings settings_in, std::uint64_t seed, time_point now);
+
+    // Shared state and dissemination (engine_gossip.cpp).
+    void accept(time_point now, const gossip_item& item);
+    void accept_member(time_point now, const member_row& row);
+    void accept_placement(time_point now, const placement& record);
+    void accept_adoption(const adoption& item);
+    void accept_seal(time_point now, const seal& item);
+    void accept_certificate(time_point now, const certificate& item);
+    void publish(gossip_item item) { fresh.push_back(std::move(item)); }
+    void flush_gossip();
+    void send_items(incarnation_id to, const std::vector<gossip_item>& items);
+    void on_digest(incarnation_id from, const digest& theirs);
+    void exchange_digests(time_point now);
+    [[nodiscard]] digest own_digest(bool reply_wanted) const;
+    [[nodiscard]] std::vector<incarnation_id> random_peers(std::size_t count);
+    void send_to(incarnation_id to, message body);
+
+    // Messages of the lease protocol (engine.cpp).
+    void on_message(time_point now, incarnation_id from, const message& body);
+    void on_renew(time_point now, incarnation_id from, const renew& body);
+    void on_set_change(time_point now, incarnation_id from, const set_change& body);
+    void on_tick(time_point now);
+    void after_event(time_point now);
+    void audit(audit_kind kind, incarnation_id subject, std::string cause);
+
+    // Own row, witnesses and renewal (engine_join.cpp).
+    void on_target(time_point now, const target_info& info);
+    void tend_join(time_point now);
+    void tend_witnesses(time_point now);
+    void begin_witness_change(time_point now, incarnation_id lost, const member_row& added);
+    void send_set_change(time_point now);
+    void on_set_change_ack(time_point now, incarnation_id from, const set_change_ack& ack);
+    void write_own_row(time_point now);
+    void on_own_row_written(time_point now, const store::reply& reply);
+    void on_own_row_read(time_point now, const store::reply& reply);
+    void own_row_stored(time_point now, std::uint64_t version);
+    void renew_lease(time_point now);
+    [[nodiscard]] std::vector<const member_row*> witness_candidates(time_point now) const;
+    [[nodiscard]] bool is_lost_witness(time_point now, incarnation_id id) const;
+
+    // Adoption and serving (engine_serving.cpp).
+    void consider_adoption(time_point now);
+    [[nodiscard]] bool should_wait_for_gainers(time_point now, const placement_view& next) const;
+    void complete_adoption(time_point now);
+    void publish_adoption();
+    void update_serving(time_point now);
+    void on_in_flight(time_point now, const std::string& service, range_id range,
+                      std::size_t count);
+    [[nodiscard]] serve_decision may_serve(time_point now, const std::string& service,
+                                           range_id range) const;
+    [[nodiscard]] bool holds_lease(time_point now) const;
+    [[nodiscard]] std::size_t total_in_flight() const;
+
+    // Placement proposals (engine_proposals.cpp).
+    void consider_proposal(time_point now);
+    [[nodiscard]] plan_inputs inputs_for_plan(time_point now) const;
+    void start_proposal(time_point now);
+    void on_placement_read(time_point now, const store::reply& reply);
+    void write_proposal(time_point now, std::uint64_t row_version);
+    void finish_proposal(time_point now);
+
+    // End and leave (engine_end.cpp).
+    void end(time_point now, const std::string& cause);
+    void leave(time_point now);
+    void tend_leave(time_point now);
+    void tend_end(time_point now);
+    void finish(const std::string& cause);
+    void start_store_end(time_point now, incarnation_id target, const std::string& by);
+    void on_end_placement_read(time_point now, const store::reply& reply);
+    void on_end_member_read(time_point now, const store::reply& reply);
+    void write_store_end(time_point now);
+    void fail_store_end(const std::string& cause);
+
+    // Store calls (engine_store.cpp).
+    using continuation = std::function<void(time_point, const store::reply&)>;
+    /// False when the rate or backoff forbids the call now.
+    bool call(time_point now, store::request request, continuation done);
+    void on_store_reply(time_point now, std::uint64_t id, const store::reply& reply);
+    void expire_calls(time_point now);
+    void tend_reading(time_point now);
+    void on_members_read(time_point now, time_point began, const store::reply& reply);
+    void on_placements_read(time_point now, const store::reply& reply);
+    void erase_rows(time_point now, const std::vector<store::row>& rows);
+    std::optional<member_row> read_member(const store::row& row);
+    std::optional<placement> read_placement(const store::row& row);
+    void report_bad_row(const std::string& key, const std::string& problem);
+    std::string next_writer();
+
+    engine_settings settings;
+    random_source random;
+    incarnation_id self;
+    directory shared;
+    witness_table witness;
+    holder_lease lease;
+    store_schedule schedule;
+    std::map<std::string, keyed_service> services;
+    rules_stamp rules;
+    std::optional<target_info> target;
+    member_row own;
+    std::vector<effect> effects;
+
+    std::vector<gossip_item> fresh; ///< first seen in this call, to be forwarded
+    incarnation_id fresh_from;      ///< who sent them
+    time_point next_digest{};
+    std::size_t digest_offset = 0; ///< where a bounded answer to a digest starts
+    std::optional<time_point> last_heard;
+
+    struct pending_call {
+        continuation done;
+        time_point sent;
+        bool is_write = false;
+    };
+    std::map<std::uint64_t, pending_call> calls;
+    std::uint64_t last_call = 0;
+    std::uint64_t last_writer = 0;
+    time_point next_members_read{};
+    time_point next_placements_read{};
+    bool reading_members = false;
+    bool reading_placements = false;
+    bool members_known = false;    ///< the store's members were read once
+    bool placements_known = false; ///< the store's placements were read once
+    bool erasing = false;
+    std::set<std::string> bad_rows;
+
+    /// A write of the own row that is not confirmed yet. Retries repeat the same
+    /// content and writer, so that a delayed first write does no harm.
+    struct row_write {
+        member_row row;
+        std::string writer;
+        bool busy = false;
+        bool read_first = false;    ///< the outcome of an earlier write is open
+        bool maybe_written = false; ///< some write may still take effect
+    };
+    std::optional<row_write> own_write;
+    std::uint64_t own_row_version = 0;
+    std::uint32_t highest_set_version = 0;
+    std::optional<time_point> witnesses_found; ///< since when two are known
+    bool too_few_witnesses = false;
+    time_point next_set_change{};
+    time_point next_improvement{};
+    std::map<incarnation_id, time_point> silent_witnesses;
+
+    std::shared_ptr<const placement_view> adopted_view;
+    std::shared_ptr<const placement_view> offered_view;
+    std::shared_ptr<const placement_view> waiting_view; ///< adoption deferred
+    time_point waiting_since{};
+    std::map<range_id, fence> serving;
+    bool serving_dirty = false;
+    bool lease_was_running = false;
+    std::map<range_id, std::size_t> in_flight;
+    std::vector<range_id> draining;
+
+    struct proposal_state {
+        std::string writer;
+        bool written = false; ///< a write was sent; its outcome may be open
+    };
+    std::optional<proposal_state> proposal;
+    std::optional<time_point> propose_at;
+    time_point next_consideration{};
+    std::optional<time_point> last_addition;
+    std::map<range_id, incarnation_id> wanted_overrides;
+    std::optional<std::uint32_t> wanted_weight;
+
+    struct leave_state {
+        time_point since;
+        bool without_store = false;
+    };
+    std::optional<leave_state> leaving;
+    struct end_state {
+        std::string cause;
+        time_point since;
+        time_point next_seal{};
+    };
+    std::optional<end_state> ending;
+    bool over = false;
+    struct store_end_state {
+        incarnation_id target{};
+        std::string by{};
+        placement_version version{};
+        std::uint64_t placement_row = 0;
+        std::uint64_t member_row_version = 0;
+        member_row row{};
+        unsigned attempts = 0;
+        bool busy = false;
+        time_point next{};
+    };
+    std::optional<store_end_state> store_end;
+};
+
+} // namespace bulrushgw::ownership
--- /dev/null
+++ b/src/ownership/engine_store.cpp
@@ -0,0 +1,181 @@
+#include <algorithm>
+
+#include "ownership/engine_state.h"
+#include "ownership/rows.h"
+
+namespace bulrushgw::ownership {
+
+namespace {
+
+/// A call without an answer for this long counts as lost.
+constexpr std::chrono::seconds call_limit{10};
+/// Complete readings of all nodes together are limited to 5 a second, so that
+/// their bytes do not grow with the square of the number of nodes.
+constexpr milliseconds reading_share{200};
+constexpr milliseconds reading_low{5000};
+/// Interval of readings while this node lacks witnesses.
+constexpr milliseconds reading_while_alone{500};
+/// Rows of ended members stay this long, so that every node learns of the end.
+constexpr std::chrono::seconds ended_row_age{30};
+constexpr std::size_t erased_rows = 16;
+constexpr std::size_t remembered_bad_rows = 64;
+
+} // namespace
+
+std::string engine::state::next_writer()
+{
+    return to_string(self) + "-" + std::to_string(++last_writer);
+}
+
+bool engine::state::call(time_point now, store::request request, continuation done)
+{
+    const bool is_write = store::is_write(request);
+    if (!schedule.take(now, is_write)) {
+        return false;
+    }
+    const std::uint64_t id = ++last_call;
+    calls.emplace(id, pending_call{std::move(done), now, is_write});
+    effects.emplace_back(store_call{id, std::move(request)});
+    return true;
+}
+
+void engine::state::on_store_reply(time_point now, std::uint64_t id, const store::reply& reply)
+{
+    const auto found = calls.find(id);
+    if (found == calls.end() || over) {
+        return;
+    }
+    const continuation done = std::move(found->second.done);
+    calls.erase(found);
+    schedule.on_result(now, reply.result, random);
+    done(now, reply);
+}
+
+void engine::state::expire_calls(time_point now)
+{
+    std::vector<std::pair<std::uint64_t, bool>> expired;
+    for (const auto& [id, each] : calls) {
+        if (now - each.sent > call_limit) {
+            expired.emplace_back(id, each.is_write);
+        }
+    }
+    for (const auto& [id, is_write] : expired) {
+        store::reply lost;
+        lost.result = is_write ? store::status::unknown : store::status::unavailable;
+        on_store_reply(now, id, lost);
+    }
+}
+
+void engine::state::tend_reading(time_point now)
+{
+    const auto nodes = static_cast<std::int64_t>(shared.members().size());
+    const milliseconds regular = std::max(reading_low, reading_share * nodes);
+    const milliseconds interval = too_few_witnesses && target
+                                      ? reading_while_alone
+                                      : random.between(regular * 3 / 4, regular);
+    if (!reading_members && now >= next_members_read) {
+        reading_members = call(now, store::read_prefix{member_prefix},
+                               [this, began = now](time_point at, const store::reply& reply) {
+                                   on_members_read(at, began, reply);
+                               });
+        if (reading_members) {
+            next_members_read = now + interval;
+        }
+    }
+    if (!reading_placements && now >= next_placements_read) {
+        reading_placements = call(
+            now, store::read_prefix{placement_prefix},
+            [this](time_point at, const store::reply& reply) { on_placements_read(at, reply); });
+        if (reading_placements) {
+            next_placements_read = now + interval;
+        }
+    }
+}
+
+void engine::state::report_bad_row(const std::string& key, const std::string& problem)
+{
+    if (bad_rows.size() < remembered_bad_rows && bad_rows.insert(key).second) {
+        audit(audit_kind::refusal, {}, problem);
+    }
+}
+
+std::optional<member_row> engine::state::read_member(const store::row& row)
+{
+    try {
+        return parse_member(row.key, row.value);
+    }
+    catch (const row_error& problem) {
+        report_bad_row(row.key, problem.what());
+        return std::nullopt;
+    }
+}
+
+std::optional<placement> engine::state::read_placement(const store::row& row)
+{
+    try {
+        return parse_placement(row.key, row.value);
+    }
+    catch (const row_error& problem) {
+        report_bad_row(row.key, problem.what());
+        return std::nullopt;
+    }
+}
+
+void engine::state::on_members_read(time_point now, time_point began, const store::reply& reply)
+{
+    reading_members = false;
+    if (reply.result != store::status::ok) {
+        next_members_read = schedule.blocked_until();
+        return;
+    }
+    members_known = true;
+    std::vector<incarnation_id> present;
+    std::vector<store::row> old;
+    for (const store::row& row : reply.rows) {
+        const auto parsed = read_member(row);
+        if (!parsed) {
+            continue;
+        }
+        present.push_back(parsed->incarnation);
+        accept_member(now, *parsed);
+        const auto closed = shared.closed_since(parsed->incarnation);
+        if (closed && now - *closed > ended_row_age && old.size() < erased_rows) {
+            old.push_back(row);
+        }
+    }
+    shared.on_store_members(now, began, present, self);
+    erase_rows(now, old);
+}
+
+void engine::state::on_placements_read(time_point now, const store::reply& reply)
+{
+    reading_placements = false;
+    if (reply.result != store::status::ok) {
+        next_placements_read = schedule.blocked_until();
+        return;
+    }
+    placements_known = true;
+    for (const store::row& row : reply.rows) {
+        if (const auto record = read_placement(row)) {
+            accept_placement(now, *record);
+        }
+    }
+}
+
+void engine::state::erase_rows(time_point now, const std::vector<store::row>& rows)
+{
+    // One node in a few tries at each reading; the others find the rows gone.
+    constexpr std::size_t one_in = 3;
+    if (rows.empty() || erasing || random.below(one_in) != 0) {
+        return;
+    }
+    store::transact change;
+    for (const store::row& row : rows) {
+        change.conditions.push_back({row.key, row.version});
+        change.writes.push_back({row.key, {}, true});
+    }
+    erasing =
+        call(now, std::move(change), [this](time_point, const store::reply&) { erasing = false; });
+}
+
+} // namespace bulrushgw::ownership
--- /dev/null
+++ b/src/ownership/holder_lease.cpp
@@ -0,0 +1,148 @@
+#include "ownership/holder_lease.h"
+
+#include <algorithm>
+
+#include "common/errors.h"
+
+namespace bulrushgw::ownership {
+
+namespace {
+bool holds(const std::vector<incarnation_id>& ids, incarnation_id id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+} // namespace
+
+void holder_lease::start(std::uint32_t set_version, std::vector<incarnation_id> witnesses)
+{
+    set_version_ = set_version;
+    witnesses_ = std::move(witnesses);
+    hurry();
+}
+
+std::optional<renew> holder_lease::due(time_point now)
+{
+    if (!started() || now < next_renewal_) {
+        return std::nullopt;
+    }
+    next_renewal_ = now + times_.renewal;
+    ++sequence_;
+    sent_[sequence_ % remembered_renewals] = {sequence_, now};
+    for (const incarnation_id target : renew_targets()) {
+        heard_.try_emplace(target, now);
+    }
+    const std::uint32_t version = change_ ? change_->set_version : set_version_;
+    return renew{version, sequence_, offered_};
+}
+
+std::vector<incarnation_id> holder_lease::renew_targets() const
+{
+    std::vector<incarnation_id> targets = witnesses_;
+    if (change_) {
+        std::erase(targets, change_->lost);
+        targets.push_back(change_->added);
+    }
+    return targets;
+}
+
+bool holder_lease::counts(incarnation_id witness) const
+{
+    return holds(witnesses_, witness) && !(change_ && change_->lost == witness);
+}
+
+bool holder_lease::on_ack(time_point now, incarnation_id from, const renew_ack& ack)
+{
+    const sent_renewal& sent = sent_[ack.sequence % remembered_renewals];
+    if (ack.sequence == 0 || sent.sequence != ack.sequence) {
+        return false;
+    }
+    auto& heard = heard_[from];
+    heard = std::max(heard, now);
+    if (!counts(from)) {
+        return false;
+    }
+    const time_point end = std::max(end_, sent.at + times_.lease);
+    const placement_version adopted = std::max(adopted_, std::min(ack.adopted, offered_));
+    const bool changed = end != end_ || adopted != adopted_;
+    end_ = end;
+    adopted_ = adopted;
+    return changed;
+}
+
+void holder_lease::on_refused(incarnation_id from)
+{
+    if (!holds(refused_, from)) {
+        refused_.push_back(from);
+    }
+}
+
+void holder_lease::adopt(placement_version version)
+{
+    if (version > offered_) {
+        offered_ = version;
+        hurry();
+    }
+}
+
+void holder_lease::begin_change(incarnation_id lost, incarnation_id added,
+                                std::uint32_t set_version)
+{
+    set_change_state change{lost, added, {}, set_version};
+    for (const incarnation_id witness : witnesses_) {
+        if (witness != lost) {
+            change.stays = witness;
+        }
+    }
+    change_ = change;
+    heard_.erase(added);
+}
+
+void holder_lease::abandon_change()
+{
+    change_.reset();
+}
+
+void holder_lease::confirm_change()
+{
+    witnesses_ = {change_->stays, change_->added};
+    set_version_ = change_->set_version;
+    heard_.erase(change_->lost);
+    std::erase(refused_, change_->lost);
+    change_.reset();
+}
+
+std::vector<incarnation_id> holder_lease::holder_seal_targets() const
+{
+    return change_ ? std::vector<incarnation_id>{change_->stays} : witnesses_;
+}
+
+bool holder_lease::refused_by(incarnation_id witness) const
+{
+    return holds(refused_, witness);
+}
+
+time_point holder_lease::last_heard(incarnation_id witness) const
+{
+    const auto found = heard_.find(witness);
+    return found == heard_.end() ? time_point{} : found->second;
+}
+
+void validate(const lease_times& times)
+{
+    constexpr unsigned drift_limit = 500;
+    constexpr int renewals_per_lease = 3;
+    const auto require = [](bool holds_true, const char* text) {
+        if (!holds_true) {
+            throw error(std::string{"lease times: "} + text);
+        }
+    };
+    require(times.tick.count() > 0 && times.renewal > times.tick,
+            "renewal must be longer than tick, and tick above 0");
+    require(times.lease >= times.renewal * renewals_per_lease,
+            "lease must be at least 3 renewals, or one lost message ends it");
+    require(times.drift_permille < drift_limit, "drift must be below 500 permille");
+    require(times.pause_threshold > times.tick, "pause threshold must be longer than tick");
+    require(times.digest_interval.count() > 0, "digest interval must be above 0");
+}
+
+} // namespace bulrushgw::ownership
--- /dev/null
+++ b/src/ownership/rows.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/// JSON text of the rows `members/<incarnation>` and `placements/<service>`.
+
+#include <string>
+
+#include "common/errors.h"
+#include "ownership/types.h"
+
+namespace bulrushgw::ownership {
+
+/// A row of the store that does not follow its format.
+struct row_error : parse_error {
+    row_error(const std::string& key, const std::string& problem)
+        : parse_error("row " + key + ": " + problem)
+    {
+    }
+};
+
+inline constexpr const char* member_prefix = "members/";
+inline constexpr const char* placement_prefix = "placements/";
+
+std::string member_key(incarnation_id id);
+std::string placement_key(const std::string& service);
+
+/// `writer` identifies the write, so that a lost answer can be resolved.
+std::string encode_member(const member_row& row, const std::string& writer);
+std::string encode_placement(const placement& record, const std::string& writer);
+
+/// Throw `row_error` for text that is no such row or does not belong to `key`.
+member_row parse_member(const std::string& key, const std::string& text);
+placement parse_placement(const std::string& key, const std::string& text);
+/// The writer token of a row, or empty text.
+std::string writer_of(const std::string& text);
+
+} // namespace bulrushgw::ownership
--- /dev/null
+++ b/tests/ownership/cluster.h
@@ -0,0 +1,291 @@
+#pragma once
+
+/// A few engines with virtual time, a store in memory and a message transport,
+/// for the tests of the whole engine.
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ownership/engine.h"
+
+namespace bulrushgw::ownership {
+
+/// Store rows in memory. A reply can be lost after the write took effect.
+struct memory_store {
+    std::map<std::string, store::row> rows;
+    bool up = true;
+    unsigned lose_writes = 0; ///< answers of the next writes that are lost
+    std::size_t writes = 0;
+    std::size_t reads = 0;
+
+    store::reply run(const store::request& request)
+    {
+        store::reply reply;
+        if (!up) {
+            return reply;
+        }
+        if (const auto* change = std::get_if<store::transact>(&request)) {
+            ++writes;
+            return transact(*change);
+        }
+        ++reads;
+        reply.result = store::status::ok;
+        if (const auto* one = std::get_if<store::read_row>(&request)) {
+            const auto found = rows.find(one->key);
+            reply.result = found == rows.end() ? store::status::not_found : store::status::ok;
+            if (found != rows.end()) {
+                reply.rows.push_back(found->second);
+            }
+        }
+        else if (const auto* all = std::get_if<store::read_prefix>(&request)) {
+            for (const auto& [key, row] : rows) {
+                if (key.starts_with(all->prefix)) {
+                    reply.rows.push_back(row);
+                }
+            }
+        }
+        return reply;
+    }
+
+    store::reply transact(const store::transact& change)
+    {
+        store::reply reply;
+        for (const store::condition& each : change.conditions) {
+            const auto found = rows.find(each.key);
+            if ((found == rows.end() ? 0 : found->second.version) != each.version) {
+                reply.result = store::status::conflict;
+                return reply;
+            }
+        }
+        for (const store::write& each : change.writes) {
+            if (each.erase) {
+                rows.erase(each.key);
+                continue;
+            }
+            store::row& row = rows[each.key];
+            row = {each.key, row.version + 1, each.value};
+            reply.written.push_back({each.key, row.version, {}});
+        }
+        reply.result = store::status::ok;
+        if (lose_writes > 0) {
+            --lose_writes;
+            reply = {};
+            reply.result = store::status::unknown;
+        }
+        return reply;
+    }
+};
+
+/// One engine and what its effects told.
+struct test_node {
+    std::unique_ptr<engine> core;
+    std::string address;
+    bool running = true; ///< false: killed
+    bool paused = false; ///< messages wait, no ticks
+    bool has_store = true;
+    bool left = false;
+    std::string ended; ///< cause of the end of the incarnation
+    std::vector<audit_event> audits;
+    std::map<range_id, fence> grants;
+    std::deque<std::function<void()>> waiting;
+};
+
+struct test_cluster {
+    static constexpr milliseconds latency{2};
+    static constexpr const char* service = "ladder-front";
+    std::uint32_t ranges = 16;
+    time_point now{std::chrono::seconds{1000}};
+    memory_store store;
+    std::vector<std::unique_ptr<test_node>> nodes;
+    std::multimap<time_point, std::function<void()>> events;
+    /// Drops a message when it returns true.
+    std::function<bool(const test_node& from, const test_node& to, const message&)> drop =
+        [](const test_node&, const test_node&, const message&) { return false; };
+    /// Highest fence that was granted for a range, over all nodes.
+    std::map<range_id, fence> highest;
+    std::size_t fence_regressions = 0;
+
+    test_node& add(const std::string& zone, std::uint32_t slots = 6, bool has_store = true,
+                   std::vector<std::string> join_peers = {}, unsafe_switches unsafe = {})
+    {
+        nodes.push_back(std::make_unique<test_node>());
+        test_node& node = *nodes.back();
+        node.address = "10.0.0." + std::to_string(nodes.size());
+        node.has_store = has_store;
+        engine_settings settings;
+        settings.host = "host-" + std::to_string(nodes.size());
+        settings.zone = zone;
+        settings.region = "nairobi";
+        settings.address = node.address;
+        settings.join_peers = std::move(join_peers);
+        settings.unsafe = unsafe;
+        node.core = std::make_unique<engine>(settings, 7000 + nodes.size(), now);
+        node.core->set_services(now, {{service, ranges, 60}});
+        if (slots > 0) {
+            node.core->on_target(now, {service, slots, true});
+        }
+        carry_out(node);
+        return node;
+    }
+
+    /// `zones` hosts, one in each zone in turn.
+    void start(std::size_t hosts)
+    {
+        const char* zones[] = {"nbo-a", "nbo-b", "nbo-c"};
+        for (std::size_t i = 0; i < hosts; ++i) {
+            add(zones[i % 3]);
+        }
+        run(std::chrono::seconds{8});
+    }
+
+    test_node* find(incarnation_id id)
+    {
+        for (const auto& node : nodes) {
+            if (node->core->self() == id) {
+                return node.get();
+            }
+        }
+        return nullptr;
+    }
+
+    void deliver(test_node& to, std::function<void()> handle)
+    {
+        events.emplace(now + latency, [this, &to, handle = std::move(handle)] {
+            if (!to.running) {
+                return;
+            }
+            if (to.paused) {
+                to.waiting.push_back(handle);
+                return;
+            }
+            handle();
+            carry_out(to);
+        });
+    }
+
+    void carry_out(test_node& node)
+    {
+        for (effect& each : node.core->take_effects()) {
+            if (auto* out = std::get_if<send>(&each)) {
+                for (const auto& to : nodes) {
+                    const bool meant =
+                        out->to ? to->core->self() == out->to : to->address == out->address;
+                    if (meant && !drop(node, *to, out->body)) {
+                        deliver(*to, [this, &to = *to, from = node.core->self(), body = out->body] {
+                            to.core->on_message(now, from, body);
+                        });
+                    }
+                }
+            }
+            else if (auto* request = std::get_if<store_call>(&each)) {
+                const store::reply reply =
+                    node.has_store ? store.run(request->request) : store::reply{};
+                deliver(node, [this, &node, id = request->id, reply] {
+                    node.core->on_store_reply(now, id, reply);
+                });
+            }
+            else if (auto* change = std::get_if<serving_changed>(&each)) {
+                for (const range_id range : change->releases) {
+                    node.grants.erase(range);
+                }
+                for (const auto& grant : change->grants) {
+                    node.grants[grant.range] = grant.token;
+                    fence_regressions += grant.token < highest[grant.range] ? 1 : 0;
+                    highest[grant.range] = std::max(highest[grant.range], grant.token);
+                }
+            }
+            else if (auto* ended = std::get_if<incarnation_ended>(&each)) {
+                node.ended = ended->cause;
+            }
+            else if (std::holds_alternative<left>(each)) {
+                node.left = true;
+            }
+            else if (auto* event = std::get_if<audit_event>(&each)) {
+                node.audits.push_back(*event);
+            }
+        }
+    }
+
+    void resume(test_node& node)
+    {
+        node.paused = false;
+        for (auto& handle : std::exchange(node.waiting, {})) {
+            handle();
+            carry_out(node);
+        }
+    }
+
+    /// Runs for `time`; checks at each tick that no range has two owners.
+    void run(std::chrono::nanoseconds time)
+    {
+        const time_point end = now + time;
+        time_point next_tick = now;
+        while (now < end) {
+            next_tick += milliseconds{20};
+            while (!events.empty() && events.begin()->first <= next_tick) {
+                now = std::max(now, events.begin()->first);
+                auto handle = std::move(events.begin()->second);
+                events.erase(events.begin());
+                handle();
+            }
+            now = next_tick;
+            for (const auto& node : nodes) {
+                if (node->running && !node->paused) {
+                    node->core->on_tick(now);
+                    carry_out(*node);
+                }
+            }
+            check_owners();
+        }
+    }
+
+    std::size_t two_owners = 0;
+
+    void check_owners()
+    {
+        for (std::uint32_t i = 0; i < ranges; ++i) {
+            two_owners += owners(range_id{i}).size() > 1 ? 1 : 0;
+        }
+    }
+
+    std::vector<test_node*> owners(range_id range)
+    {
+        std::vector<test_node*> result;
+        for (const auto& node : nodes) {
+            if (node->running && node->ended.empty() && !node->left &&
+                node->core->may_serve(now, service, range).allowed) {
+                result.push_back(node.get());
+            }
+        }
+        return result;
+    }
+
+    /// Ranges that no node serves now.
+    std::size_t unserved()
+    {
+        std::size_t count = 0;
+        for (std::uint32_t i = 0; i < ranges; ++i) {
+            count += owners(range_id{i}).empty() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// Time until every range is served again, up to `limit`.
+    milliseconds outage(milliseconds limit)
+    {
+        const time_point start = now;
+        while (unserved() > 0 && now - start < limit) {
+            run(milliseconds{20});
+        }
+        return std::chrono::duration_cast<milliseconds>(now - start);
+    }
+};
+
+} // namespace bulrushgw::ownership
