--- a/src/node/ownership_host.cpp
+++ b/src/node/ownership_host.cpp
@@ -61,6 +61,12 @@
     run_effects();
 }
 
+void ownership_host::assert_ended(incarnation_id id, const std::string& operator_name)
+{
+    engine_.assert_ended(hooks_.now(), id, operator_name);
+    run_effects();
+}
+
 void ownership_host::on_in_flight(const std::string& service, range_id range, std::size_t count)
 {
     engine_.on_in_flight(hooks_.now(), service, range, count);
--- a/src/node/ownership_host.h
+++ b/src/node/ownership_host.h
@@ -45,6 +45,8 @@
     void on_target(const ownership::target_info& target);
     void end_incarnation(const std::string& cause);
     void leave();
+    /// Precondition: the operator switched the host off.
+    void assert_ended(incarnation_id id, const std::string& operator_name);
     void on_in_flight(const std::string& service, range_id range, std::size_t count);
     void on_load(const std::string& service, std::vector<ownership::range_load> loads);
 
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -71,6 +71,7 @@
     void rules_at(std::uint64_t version, completion<rules_document> done);
     void submit(rules_submission input, std::function<void(submission_result)> done);
     void assert_ended(const end_request& request, completion<done_message> done);
+    void await_end(incarnation_id id, time_point give_up, completion<done_message> done);
     void drain(const drain_request& request, const completion<done_message>& done);
     void update_metrics();
 
--- a/src/node/process_operations.cpp
+++ b/src/node/process_operations.cpp
@@ -16,6 +16,9 @@
 // Each version is one read of the store, so that an operator's listing stays
 // within the read budget of one node.
 constexpr std::size_t max_history_reads = 50;
+// An operator waits this long for the recording of an asserted end.
+constexpr milliseconds end_patience{8000};
+constexpr milliseconds end_poll{100};
 
 rules_version_info info_of(const rules::version_record& record)
 {
@@ -383,6 +386,57 @@
     done(done_message{"the host hands its ranges over and then stops"});
 }
 
+void process::assert_ended(const end_request& request, completion<done_message> done)
+{
+    const ownership::engine& engine = ownership_.engine();
+    if (!request.switched_off) {
+        done(operator_error{operator_failure::bad_request,
+                            "confirm that the host is switched off: a running host with an "
+                            "asserted end could serve beside its successor"});
+        return;
+    }
+    if (engine.find_member(request.incarnation) == nullptr) {
+        done(operator_error{operator_failure::not_found,
+                            "incarnation " + to_string(request.incarnation) + " is not known"});
+        return;
+    }
+    if (request.incarnation == engine.self()) {
+        done(operator_error{operator_failure::refused, "this is the node that answers"});
+        return;
+    }
+    audit_record record;
+    record.at = std::chrono::system_clock::now();
+    record.kind = audit_kind::end_asserted;
+    record.subject = request.incarnation;
+    record.who = request.who;
+    audit_.record(std::move(record));
+    log_event event;
+    event.kind = event_kind::end_asserted;
+    event.subject = request.incarnation;
+    event.cause = request.who;
+    log_.write(loop_.now(), event);
+    ownership_.assert_ended(request.incarnation, request.who);
+    await_end(request.incarnation, loop_.now() + end_patience, std::move(done));
+}
+
+void process::await_end(incarnation_id id, time_point give_up, completion<done_message> done)
+{
+    const auto proofs = ownership_.engine().certificates();
+    const bool ended = std::any_of(proofs.begin(), proofs.end(),
+                                   [&](const auto& proof) { return proof.holder == id; });
+    if (ended) {
+        done(done_message{"the end of " + to_string(id) + " is recorded"});
+    }
+    else if (loop_.now() >= give_up) {
+        done(operator_error{operator_failure::outcome_unknown,
+                            "the end is not confirmed yet; see the audit trail, and repeat"});
+    }
+    else {
+        loop_.after(end_poll,
+                    [this, id, give_up, done = std::move(done)] { await_end(id, give_up, done); });
+    }
+}
+
 void process::update_metrics()
 {
     const time_point now = loop_.now();
