--- a/src/rules/parser.h
+++ b/src/rules/parser.h
@@ -13,7 +13,7 @@
 namespace bulrushgw::rules {
 
 /// A rules text must fit into one frame between nodes.
-inline constexpr std::size_t max_file_bytes = 768 * 1024;
+inline constexpr std::size_t max_file_bytes = std::size_t{768} * 1024;
 inline constexpr std::size_t max_name_bytes = 64;
 inline constexpr std::uint32_t max_ranges = 65536;
 inline constexpr std::uint32_t max_worth = 1000;
--- a/src/rules/text.h
+++ b/src/rules/text.h
@@ -36,4 +36,12 @@
 /// Lines without their line ends.
 std::vector<std::string_view> split_lines(std::string_view text);
 
+namespace detail {
+
+/// `diff_lines` for texts that are split already.
+std::vector<changed_line> diff_split(const std::vector<std::string_view>& before,
+                                     const std::vector<std::string_view>& after);
+
+} // namespace detail
+
 } // namespace bulrushgw::rules
