--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <tuple>
 #include <variant>
 #include <vector>
@@ -20,7 +19,7 @@
 struct admission_settings {
     std::uint32_t slots = 1;
     std::uint32_t max_connections = 100;
-    std::optional<std::uint32_t> queue; ///< default 4 x slots
+    std::optional<std::uint32_t> queue = std::nullopt; ///< default 4 x slots
     milliseconds slow_start{10000};
     milliseconds silence{1000}; ///< no answer for this long while some are awaited
 };
@@ -90,7 +89,9 @@
     bool cancel_queued(time_point now, ticket id);
 
     void on_report(time_point now, const load_report& report);
-    /// A probe (a grant, a health question) was written to the target.
+    /// A probe (a grant, a health question) was written to the target. The
+    /// caller probes at least twice in `silence` while requests are in flight,
+    /// because a healthy target may take longer than that for one request.
     void on_probe_sent(time_point now);
     /// The target answered anything at all.
     void on_sign_of_life(time_point now);
@@ -112,7 +113,8 @@
     [[nodiscard]] std::size_t in_flight() const { return in_flight_.size(); }
     [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
     [[nodiscard]] bool is_silent() const { return silent_; }
-    [[nodiscard]] std::optional<reason> closed_for() const { return closed_; }
+    /// Why new requests are refused; none when they are admitted.
+    [[nodiscard]] std::optional<reason> closed_for() const;
     [[nodiscard]] const admission_counters& counters() const { return counters_; }
 
 private:
@@ -129,6 +131,7 @@
     void enqueue(const queued_request& request);
     void refuse(ticket id, reason why);
     void refuse_queue(reason why);
+    void update_wait(time_point now);
     void expire(time_point now);
     void start_waiting(time_point now);
     void start(time_point now, ticket id);
@@ -144,6 +147,10 @@
     std::optional<load_report> report_;
     std::optional<reason> closed_;
     std::optional<time_point> awaiting_since_; ///< oldest thing without a later answer
+    bool probe_waits_ = false;
+    std::optional<time_point> last_tick_;
+    std::uint32_t peak_in_flight_ = 0; ///< since the last report
+    std::uint32_t excess_ = 0;         ///< reported load that is not this node's
     bool silent_ = false;
     std::vector<admission_effect> effects_;
     admission_counters counters_;
--- a/src/request/duplicate_table.h
+++ b/src/request/duplicate_table.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -62,7 +61,8 @@
     std::uint64_t replayed = 0;
     std::uint64_t in_progress = 0;
     std::uint64_t history_lost = 0;
-    std::uint64_t evicted = 0;
+    std::uint64_t stripped = 0; ///< answers removed for space, their ids kept
+    std::uint64_t evicted = 0;  ///< ids removed for space
     std::uint64_t expired = 0;
 };
 
@@ -101,20 +101,25 @@
     struct entry {
         std::uint64_t fingerprint = 0;
         bool running = true;
-        bool answer_kept = true;
+        bool answer_kept = true; ///< valid when not running
         time_point ended;
         final_answer answer;
         std::size_t bytes = 0;
-        std::list<request_key>::iterator position; ///< valid when not running
+        std::list<request_key>::iterator position; ///< in `ended_`, when not running
+        std::list<request_key>::iterator text;     ///< in `texts_`, when the answer is kept
     };
 
     [[nodiscard]] bool history_incomplete(time_point now, const request_key& key) const;
+    /// Removes the oldest answers first and ids only when that is not enough,
+    /// because a removed id makes repeats in its whole range unanswerable.
     bool make_room(time_point now, std::size_t needed);
+    void strip(entry& stripped);
     void erase(std::map<request_key, entry>::iterator found);
 
     duplicate_settings settings_;
     std::map<request_key, entry> entries_;
     std::list<request_key> ended_; ///< oldest first
+    std::list<request_key> texts_; ///< of these, those with their answer
     std::map<range_key, range_history> ranges_;
     std::size_t bytes_ = 0;
     duplicate_counters counters_;
--- a/src/request/forward_tracker.h
+++ b/src/request/forward_tracker.h
@@ -23,10 +23,13 @@
     /// Subtracted from the deadline at each hop, so that the owner's refusal
     /// arrives before the entry node gives up.
     milliseconds hop_margin{5};
-    std::uint32_t max_resends = 8; ///< after not_owner and other answers "not run"
+    /// After not_owner and other answers "not run". With the intervals below, 16
+    /// cover 2.7 s, more than a takeover of at most 2 s.
+    std::uint32_t max_resends = 16;
     /// A request that waits for newer placement state tries again after this
-    /// long even without news.
-    milliseconds resend_interval{50};
+    /// long even without news; the interval doubles up to the maximum.
+    milliseconds first_resend{20};
+    milliseconds max_resend{200};
     retry_settings retry;
 };
 
@@ -140,19 +143,28 @@
     struct record {
         forward_request request;
         std::vector<incarnation_id> avoid;
-        std::uint32_t attempts = 0;
+        std::uint32_t sends = 0;
+        std::uint32_t retries = 0;
         std::uint32_t resends = 0;
         std::uint64_t number = 0; ///< 0: not sent, waits
         incarnation_id peer;
         time_point next_try;
-        placement_version needed; ///< not_owner named this version
-        reason last = reason::no_owner;
+        placement_version needed;                ///< not_owner named this version
+        reason last = reason::deadline_not_sent; ///< why it waits
+        /// Set when an attempt may have run: the end is then never "not run".
+        std::optional<reason> may_have_run;
     };
 
     void attempt(time_point now, forward_id id);
-    void failed(time_point now, forward_id id, reason why);
-    void finish(forward_id id);
+    /// `replied`: `why` comes from a reply that can be passed to the client.
+    void failed(time_point now, forward_id id, reason why, bool replied);
+    void wait(time_point now, record& entry, reason why);
+    void resend(time_point now, forward_id id, reason why, bool replied);
+    void end(forward_id id, reason why, bool replied = false);
     void unlink(record& entry);
+    void expire(forward_id id);
+    [[nodiscard]] std::vector<forward_id>
+    select(const std::function<bool(const record&)>& wanted) const;
 
     forward_settings settings_;
     choose_peer choose_;
--- /dev/null
+++ b/src/request/retry.cpp
@@ -0,0 +1,108 @@
+#include "request/retry.h"
+
+namespace bulrushgw::request {
+
+namespace {
+
+constexpr std::uint64_t hundred_percent = 100;
+
+bool ended_without_owner(reason why)
+{
+    switch (why) {
+    case reason::not_owner:
+    case reason::no_owner:
+    case reason::lease_over:
+    case reason::draining:
+    case reason::target_silent:
+    case reason::no_target:
+    case reason::peer_unreachable:
+    case reason::no_rules:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool may_be_answered_elsewhere(reason why)
+{
+    return why == reason::connection_lost || why == reason::malformed_answer ||
+           why == reason::shut_down;
+}
+
+} // namespace
+
+retry_budget::retry_budget(retry_settings settings) : settings_(settings) {}
+
+retry_budget::second& retry_budget::current(time_point now)
+{
+    const std::int64_t number =
+        std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    auto& found = window_[static_cast<std::size_t>(number) % window_seconds];
+    if (found.number != number) {
+        found = second{number, 0, 0, 0};
+    }
+    return found;
+}
+
+void retry_budget::on_request(time_point now)
+{
+    ++current(now).requests;
+}
+
+bool retry_budget::try_spend(time_point now)
+{
+    auto& this_second = current(now);
+    if (this_second.by_second < settings_.per_second) {
+        ++this_second.by_second;
+        ++spent_;
+        return true;
+    }
+    std::uint64_t requests = 0;
+    std::uint64_t by_percent = 0;
+    for (const auto& part : window_) {
+        if (part.number > this_second.number - static_cast<std::int64_t>(window_seconds)) {
+            requests += part.requests;
+            by_percent += part.by_percent;
+        }
+    }
+    if ((by_percent + 1) * hundred_percent <= requests * settings_.percent) {
+        ++this_second.by_percent;
+        ++spent_;
+        return true;
+    }
+    ++refused_;
+    return false;
+}
+
+retry_kind decide_retry(const failed_attempt& attempt, rules::service_kind kind,
+                        const retry_settings& settings)
+{
+    if (attempt.remaining < min_attempt_time) {
+        return retry_kind::give_up;
+    }
+    if (ended_without_owner(attempt.why)) {
+        return retry_kind::resend;
+    }
+    const bool idempotent = attempt.repeat == rules::repeat_kind::idempotent;
+    // The range may just have moved; a target sees a `once` request only once.
+    if (attempt.why == reason::stale_fence && idempotent) {
+        return retry_kind::resend;
+    }
+    if (attempt.attempts >= settings.max_attempts) {
+        return retry_kind::give_up;
+    }
+    const bool balanced = kind == rules::service_kind::balanced;
+    // The full queue was in the node: no target saw the request.
+    if (attempt.why == reason::overloaded && balanced) {
+        return retry_kind::retry;
+    }
+    if (attempt.why == reason::target_refused && balanced && idempotent) {
+        return retry_kind::retry;
+    }
+    if (may_be_answered_elsewhere(attempt.why) && idempotent) {
+        return retry_kind::retry;
+    }
+    return retry_kind::give_up;
+}
+
+} // namespace bulrushgw::request
--- /dev/null
+++ b/tests/request/forward_tracker_test.cpp
@@ -0,0 +1,222 @@
+#include "request/forward_tracker.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::request;
+using rules::repeat_kind;
+using rules::service_kind;
+
+namespace {
+
+constexpr time_point origin{std::chrono::hours{1}};
+constexpr incarnation_id first{1};
+constexpr incarnation_id second{2};
+
+time_point at(int ms)
+{
+    return origin + milliseconds{ms};
+}
+
+struct effect_log {
+    std::vector<send_forward> sends;
+    std::vector<send_cancel> cancels;
+    std::vector<end_forward> ends;
+    std::vector<accept_reply> accepts;
+};
+
+} // namespace
+
+TEST_GROUP(forwards)
+{
+    std::vector<incarnation_id> peers{first};
+    placement_version version{1};
+    bool budget = true;
+    forward_tracker tracker{
+        {},
+        [this](const forward_request&,
+               const std::vector<incarnation_id>& avoid) -> std::optional<forward_choice> {
+            for (const auto peer : peers) {
+                if (std::find(avoid.begin(), avoid.end(), peer) == avoid.end()) {
+                    return forward_choice{peer, version};
+                }
+            }
+            if (peers.empty()) {
+                return std::nullopt;
+            }
+            return forward_choice{peers.front(), version};
+        },
+        [this](time_point, const std::string&) { return budget; }};
+
+    effect_log drain()
+    {
+        effect_log log;
+        for (const auto& effect : tracker.take_effects()) {
+            if (const auto* send = std::get_if<send_forward>(&effect)) {
+                log.sends.push_back(*send);
+            }
+            else if (const auto* cancel = std::get_if<send_cancel>(&effect)) {
+                log.cancels.push_back(*cancel);
+            }
+            else if (const auto* end = std::get_if<end_forward>(&effect)) {
+                log.ends.push_back(*end);
+            }
+            else {
+                log.accepts.push_back(std::get<accept_reply>(effect));
+            }
+        }
+        return log;
+    }
+    send_forward submit(repeat_kind repeat, service_kind kind = service_kind::keyed)
+    {
+        tracker.submit(at(0), {"s", kind, range_id{1}, "id", repeat, at(800)});
+        const auto log = drain();
+        UNSIGNED_LONGS_EQUAL(1, log.sends.size());
+        return log.sends.front();
+    }
+    void reply(int ms, incarnation_id peer, std::uint64_t number, reply_kind kind,
+               reason why = reason::none, std::uint64_t needed = 0)
+    {
+        tracker.on_reply(at(ms), peer, {number, "id", kind, why, placement_version{needed}});
+    }
+};
+
+// Guards against a client that receives a late, repeated or another client's answer.
+TEST(forwards, only_the_matching_reply_is_accepted)
+{
+    const auto sent = submit(repeat_kind::once);
+    LONGS_EQUAL(795, sent.deadline.count());
+    reply(1, second, sent.number, reply_kind::answered);
+    tracker.on_reply(at(1), first, {sent.number, "other", reply_kind::answered, {}, {}});
+    CHECK(drain().accepts.empty());
+    UNSIGNED_LONGS_EQUAL(2, tracker.counters().crossed);
+    UNSIGNED_LONGS_EQUAL(1, tracker.in_flight(first));
+    reply(2, first, sent.number, reply_kind::answered);
+    reply(3, first, sent.number, reply_kind::answered);
+    UNSIGNED_LONGS_EQUAL(1, drain().accepts.size());
+    UNSIGNED_LONGS_EQUAL(1, tracker.counters().late);
+    UNSIGNED_LONGS_EQUAL(0, tracker.in_flight(first));
+}
+
+// Guards against a second run of a `once` request whose connection broke, and
+// against calling it "not run".
+TEST(forwards, broken_connection_leaves_once_unknown_and_retries_idempotent)
+{
+    submit(repeat_kind::once);
+    tracker.on_disconnect(at(5), first);
+    auto log = drain();
+    CHECK(log.sends.empty() && log.ends.at(0).why == reason::connection_lost);
+    submit(repeat_kind::idempotent);
+    tracker.on_disconnect(at(5), first);
+    UNSIGNED_LONGS_EQUAL(1, drain().sends.size());
+    budget = false;
+    tracker.on_disconnect(at(6), first);
+    CHECK(drain().ends.at(0).why == reason::connection_lost);
+    UNSIGNED_LONGS_EQUAL(1, tracker.counters().retries_refused);
+}
+
+// Guards against "not run" for a request whose earlier attempt may have run.
+TEST(forwards, a_refused_retry_does_not_hide_that_the_first_may_have_run)
+{
+    submit(repeat_kind::idempotent);
+    tracker.on_disconnect(at(5), first);
+    const auto again = drain().sends.at(0);
+    reply(6, first, again.number, reply_kind::not_run, reason::overloaded);
+    const auto log = drain();
+    CHECK(log.accepts.empty());
+    CHECK(log.ends.at(0).why == reason::connection_lost);
+}
+
+// Guards against a request that is lost, or sent in a tight loop, while its
+// range moves.
+TEST(forwards, not_owner_waits_for_newer_placement)
+{
+    const auto sent = submit(repeat_kind::once);
+    reply(10, first, sent.number, reply_kind::not_owner, reason::none, 2);
+    tracker.on_tick(at(60));
+    tracker.on_placement(at(70), "s");
+    CHECK(drain().sends.empty()); // the own state is still older than needed
+    version = placement_version{2};
+    peers = {second};
+    tracker.on_placement(at(80), "s");
+    const auto moved = drain().sends.at(0);
+    CHECK(moved.peer == second);
+    LONGS_EQUAL(715, moved.deadline.count());
+    reply(90, first, sent.number, reply_kind::answered); // late, of the first attempt
+    CHECK(drain().accepts.empty());
+    reply(91, second, moved.number, reply_kind::answered);
+    UNSIGNED_LONGS_EQUAL(1, drain().accepts.size());
+}
+
+// Guards against unbounded re-sends between nodes that disagree.
+TEST(forwards, resends_are_bounded)
+{
+    tracker.submit(at(0),
+                   {"s", service_kind::keyed, range_id{1}, "id", repeat_kind::once, at(60000)});
+    std::size_t sends = 0;
+    std::optional<reason> ended;
+    for (int ms = 0; ms < 60000 && !ended; ms += 10) {
+        tracker.on_tick(at(ms));
+        const auto log = drain();
+        sends += log.sends.size();
+        for (const auto& sent : log.sends) {
+            reply(ms, first, sent.number, reply_kind::not_owner, reason::none, 1);
+        }
+        if (!log.ends.empty()) {
+            ended = log.ends.front().why;
+        }
+    }
+    UNSIGNED_LONGS_EQUAL(17, sends);
+    CHECK(ended == reason::not_owner);
+}
+
+// Guards against a refusal that hides why the request never left the node.
+TEST(forwards, deadline_without_an_owner_is_not_run)
+{
+    peers.clear();
+    tracker.submit(at(0),
+                   {"s", service_kind::keyed, range_id{1}, "id", repeat_kind::once, at(100)});
+    tracker.on_tick(at(50));
+    CHECK(drain().ends.empty());
+    tracker.on_tick(at(100));
+    CHECK(drain().ends.at(0).why == reason::no_owner);
+    UNSIGNED_LONGS_EQUAL(0, tracker.pending());
+}
+
+// Guards against work that goes on for a client that is gone or out of time.
+TEST(forwards, deadline_and_cancel_reach_the_peer)
+{
+    auto sent = submit(repeat_kind::once);
+    tracker.on_tick(at(800));
+    auto log = drain();
+    CHECK(log.cancels.at(0).number == sent.number);
+    CHECK(log.ends.at(0).why == reason::deadline_sent);
+    sent = submit(repeat_kind::once);
+    tracker.cancel(at(1), sent.id);
+    log = drain();
+    CHECK(log.cancels.at(0).number == sent.number);
+    CHECK(log.ends.empty());
+    UNSIGNED_LONGS_EQUAL(0, tracker.in_flight(first));
+}
+
+// Guards against a request that stays with a node that cannot be reached while
+// another node of a balanced service can serve it.
+TEST(forwards, balanced_request_goes_to_another_node_at_once)
+{
+    peers = {first, second};
+    const auto sent = submit(repeat_kind::once, service_kind::balanced);
+    tracker.on_not_sent(at(1), sent.number);
+    CHECK(drain().sends.at(0).peer == second);
+}
+
+// Guards against a reason of another build that turns "unknown" into "not run".
+TEST(forwards, outcome_wins_over_a_contradicting_reason)
+{
+    const auto sent = submit(repeat_kind::idempotent);
+    reply(1, first, sent.number, reply_kind::unknown, reason::overloaded);
+    const auto again = drain().sends.at(0); // retried as a lost connection
+    reply(2, first, again.number, reply_kind::not_run, reason::none);
+    CHECK(drain().ends.at(0).why == reason::connection_lost);
+}
