--- a/src/request/duplicate_table.h
+++ b/src/request/duplicate_table.h
@@ -19,9 +19,9 @@
 
 struct duplicate_settings {
     std::chrono::minutes retention{10};
-    std::size_t max_bytes = 16 * 1024 * 1024;
+    std::size_t max_bytes = std::size_t{16} * 1024 * 1024;
     /// A longer answer is remembered without its text.
-    std::size_t max_answer_bytes = 64 * 1024;
+    std::size_t max_answer_bytes = std::size_t{64} * 1024;
 };
 
 using header_pairs = std::vector<std::pair<std::string, std::string>>;
