Read the placement version before comparing it

A planned leave never got its proposal through, because the version of the row read back was compared before it was set. Hosts that lack witnesses now also read the members again soon.

--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds first_ack_limit{3};
 /// After both witnesses were silent for this long the node ends its incarnation.
 constexpr std::chrono::seconds cut_off_limit{10};
+/// Interval of reading the members while this node lacks witnesses.
+constexpr milliseconds reading_while_alone{300};
 constexpr milliseconds set_change_retry{200};
 /// Pause between replacements that only improve the spread over zones.
 constexpr std::chrono::seconds improvement_pause{15};
@@ -85,6 +87,7 @@
     too_few_witnesses = second == nullptr;
     if (too_few_witnesses) {
         witnesses_found.reset();
+        next_members_read = std::min(next_members_read, now + reading_while_alone);
         if (own_row_version == 0) { // lets the others find this node
             own_write = row_write{own, next_writer()};
             write_own_row(now);
--- a/src/ownership/engine_proposals.cpp
+++ b/src/ownership/engine_proposals.cpp
@@ -112,6 +112,7 @@
         }
         accept_placement(now, *record);
         row_version = row.version;
+        read_version = record->current.version;
     }
     else if (reply.result != store::status::not_found) {
         finish_proposal(now);
@@ -119,6 +120,7 @@
     }
     const auto newest = shared.placement_of(own.service);
     const bool lost_row = row_version == 0 && newest;
+    // A store that lost its newest state must not get a version twice.
     const bool older_row =
         row_version != 0 && newest && read_version != newest->record.current.version;
     if (lost_row || older_row || ending || over || !lease.is_running(now) ||
--- a/src/ownership/engine_store.cpp
+++ b/src/ownership/engine_store.cpp
@@ -13,8 +13,6 @@
 /// their bytes do not grow with the square of the number of nodes.
 constexpr milliseconds reading_share{200};
 constexpr milliseconds reading_low{5000};
-/// Interval of readings while this node lacks witnesses.
-constexpr milliseconds reading_while_alone{500};
 /// Rows of ended members stay this long, so that every node learns of the end.
 constexpr std::chrono::seconds ended_row_age{30};
 constexpr std::size_t erased_rows = 16;
@@ -70,9 +68,7 @@
 {
     const auto nodes = static_cast<std::int64_t>(shared.members().size());
     const milliseconds regular = std::max(reading_low, reading_share * nodes);
-    const milliseconds interval = too_few_witnesses && target
-                                      ? reading_while_alone
-                                      : random.between(regular * 3 / 4, regular);
+    const milliseconds interval = random.between(regular * 3 / 4, regular);
     if (!reading_members && now >= next_members_read) {
         reading_members = call(now, store::read_prefix{member_prefix},
                                [this, began = now](time_point at, const store::reply& reply) {
