Move ranges by load within a budget, and back off reads and writes apart

Weights and overrides had no source. A store that answers reads but fails writes no longer resets the backoff of writes.

--- a/src/ownership/engine.cpp
+++ b/src/ownership/engine.cpp
@@ -72,8 +72,8 @@
     const member_row* row = shared.find(from);
     const auto view = row == nullptr ? nullptr : shared.placement_of(row->service);
     const std::uint64_t newest = view ? view->record.current.version.value : 0;
-    if (body.adopted.value != 0 && body.adopted.value + 1 < newest &&
-        !settings.unsafe.skip_seal_permanence) {
+    if (view && view->record.ranges > 0 && body.adopted.value != 0 &&
+        body.adopted.value + 1 < newest && !settings.unsafe.skip_seal_permanence) {
         // A version that old is closed, so the holder must have ended; its
         // certificate was forgotten here.
         send_items(from, {view->record});
@@ -132,7 +132,7 @@
                            accept(now, each);
                        }
                    },
-                   [&](const digest& item) { on_digest(from, item); },
+                   [&](const digest& item) { on_digest(now, from, item); },
                },
                body);
     after_event(now);
@@ -163,6 +163,7 @@
         tend_join(now);
         tend_witnesses(now);
         renew_lease(now);
+        consider_move(now);
         consider_proposal(now);
         tend_leave(now);
     }
@@ -248,7 +249,10 @@
     state_->after_event(now);
 }
 
-void engine::on_load(time_point, const std::string&, std::vector<range_load>) {}
+void engine::on_load(time_point, const std::string& service, std::vector<range_load> loads)
+{
+    state_->on_load(service, std::move(loads));
+}
 
 std::vector<effect> engine::take_effects()
 {
--- a/src/ownership/engine_gossip.cpp
+++ b/src/ownership/engine_gossip.cpp
@@ -210,6 +210,7 @@
 {
     digest result = shared.summary();
     result.rules = rules;
+    result.requests_per_second = own_rate();
     result.reply_wanted = reply_wanted;
     return result;
 }
@@ -238,8 +239,9 @@
     }
 }
 
-void engine::state::on_digest(incarnation_id from, const digest& theirs)
+void engine::state::on_digest(time_point now, incarnation_id from, const digest& theirs)
 {
+    on_peer_load(now, from, theirs.requests_per_second);
     const digest mine = own_digest(false);
     std::vector<gossip_item> items;
     if (theirs.members != mine.members) {
--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -52,6 +52,7 @@
     }
     else {
         wanted_weight = std::max<std::uint32_t>(info.slots, 1);
+        wanted_weight_since = now;
     }
 }
 
@@ -78,7 +79,7 @@
         write_own_row(now);
         return;
     }
-    if (!target || leaving || !members_known || lease.started()) {
+    if (!target || leaving || !members_known || now < first_write || lease.started()) {
         return;
     }
     const std::vector<const member_row*> live = witness_candidates(now);
@@ -265,7 +266,8 @@
         }
         return;
     }
-    if (own_write || schedule.is_failing() || !schedule.ever_answered()) {
+    if (own_write || schedule.is_failing() || !schedule.ever_answered() ||
+        now < schedule.blocked_until(true)) {
         return;
     }
     const bool improve = lost.empty();
--- a/src/ownership/engine_proposals.cpp
+++ b/src/ownership/engine_proposals.cpp
@@ -41,6 +41,14 @@
         const auto& members = inputs.newest->record.current.members;
         inputs.may_add = members.size() < unbounded_join_members;
     }
+    inputs.own_weight = settled_weight(now);
+    if (wanted_move && serving.contains(wanted_move->range)) {
+        inputs.overrides[wanted_move->range] = wanted_move->to;
+    }
+    if (!moves.allows(now, moves_of(inputs), moves_share())) {
+        inputs.own_weight.reset();
+        inputs.overrides.clear();
+    }
     return inputs;
 }
 
@@ -133,7 +141,8 @@
 
 void engine::state::write_proposal(time_point now, std::uint64_t row_version)
 {
-    const auto next = plan(inputs_for_plan(now));
+    const plan_inputs inputs = inputs_for_plan(now);
+    const auto next = plan(inputs);
     if (!next) {
         finish_proposal(now);
         return;
@@ -145,12 +154,15 @@
     change.conditions.push_back({key, row_version});
     change.writes.push_back({key, encode_placement(*next, proposal->writer), false});
     const bool sent = call(
-        now, std::move(change), [this, record = *next](time_point at, const store::reply& reply) {
+        now, std::move(change),
+        [this, record = *next, spent = moves_of(inputs)](time_point at, const store::reply& reply) {
             if (!proposal) {
                 return;
             }
             if (reply.result == store::status::ok) {
                 audit(audit_kind::proposal, self, record.reason);
+                moves.take(at, spent, moves_share());
+                wanted_move.reset();
                 accept_placement(at, record);
             }
             if (reply.result == store::status::conflict || reply.result == store::status::unknown) {
--- a/src/ownership/engine_state.h
+++ b/src/ownership/engine_state.h
@@ -14,6 +14,7 @@
 #include "ownership/directory.h"
 #include "ownership/engine.h"
 #include "ownership/holder_lease.h"
+#include "ownership/load_moves.h"
 #include "ownership/planner.h"
 #include "ownership/random_source.h"
 #include "ownership/serve_rule.h"
@@ -35,7 +36,7 @@
     void publish(gossip_item item) { fresh.push_back(std::move(item)); }
     void flush_gossip();
     void send_items(incarnation_id to, const std::vector<gossip_item>& items);
-    void on_digest(incarnation_id from, const digest& theirs);
+    void on_digest(time_point now, incarnation_id from, const digest& theirs);
     void exchange_digests(time_point now);
     [[nodiscard]] digest own_digest(bool reply_wanted) const;
     [[nodiscard]] std::vector<incarnation_id> random_peers(std::size_t count);
@@ -85,6 +86,16 @@
     void write_proposal(time_point now, std::uint64_t row_version);
     void finish_proposal(time_point now);
 
+    // Load and weights (engine_load.cpp).
+    void on_load(const std::string& service, std::vector<range_load> loads);
+    void on_peer_load(time_point now, incarnation_id from, double rate);
+    [[nodiscard]] double own_rate() const;
+    void consider_move(time_point now);
+    [[nodiscard]] std::optional<std::uint32_t> settled_weight(time_point now) const;
+    [[nodiscard]] double moves_share() const;
+    /// Moves of ranges that the load changes of these inputs cause.
+    [[nodiscard]] std::size_t moves_of(const plan_inputs& inputs) const;
+
     // End and leave (engine_end.cpp).
     void end(time_point now, const std::string& cause);
     void leave(time_point now);
@@ -145,6 +156,7 @@
     bool reading_placements = false;
     bool members_known = false;    ///< the store's members were read once
     bool placements_known = false; ///< the store's placements were read once
+    time_point first_write{};      ///< not before this the own row is written
     bool erasing = false;
     std::set<std::string> bad_rows;
 
@@ -184,8 +196,18 @@
     std::optional<time_point> propose_at;
     time_point next_consideration{};
     std::optional<time_point> last_addition;
-    std::map<range_id, incarnation_id> wanted_overrides;
-    std::optional<std::uint32_t> wanted_weight;
+    std::optional<std::uint32_t> wanted_weight; ///< of the target's newest announcement
+    time_point wanted_weight_since{};
+    std::optional<range_move> wanted_move;
+    std::vector<range_load> own_loads;
+    std::optional<time_point> overloaded_since;
+    time_point next_move{};
+    struct peer_load {
+        double rate = 0;
+        time_point at;
+    };
+    std::map<incarnation_id, peer_load> peer_loads;
+    move_budget moves;
 
     struct leave_state {
         time_point since;
--- a/src/ownership/engine_store.cpp
+++ b/src/ownership/engine_store.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds reading_low{5000};
 /// Rows of ended members stay this long, so that every node learns of the end.
 constexpr std::chrono::seconds ended_row_age{30};
+/// Each known node lengthens the random delay of a new node's first write by
+/// this much, which keeps the writes of all nodes below 250 a second.
+constexpr milliseconds first_write_share{4};
 constexpr std::size_t erased_rows = 16;
 constexpr std::size_t remembered_bad_rows = 64;
 
@@ -44,8 +47,9 @@
         return;
     }
     const continuation done = std::move(found->second.done);
+    const bool is_write = found->second.is_write;
     calls.erase(found);
-    schedule.on_result(now, reply.result, random);
+    schedule.on_result(now, is_write, reply.result, random);
     done(now, reply);
 }
 
@@ -121,9 +125,14 @@
 {
     reading_members = false;
     if (reply.result != store::status::ok) {
-        next_members_read = schedule.blocked_until();
+        next_members_read = schedule.blocked_until(false);
         return;
     }
+    if (!members_known) {
+        // Hosts that start together in a large system spread their first writes.
+        const auto nodes = static_cast<std::int64_t>(reply.rows.size());
+        first_write = now + random.between(milliseconds{0}, first_write_share * nodes);
+    }
     members_known = true;
     std::vector<incarnation_id> present;
     std::vector<store::row> old;
@@ -147,7 +156,7 @@
 {
     reading_placements = false;
     if (reply.result != store::status::ok) {
-        next_placements_read = schedule.blocked_until();
+        next_placements_read = schedule.blocked_until(false);
         return;
     }
     placements_known = true;
--- /dev/null
+++ b/src/ownership/load_moves.cpp
@@ -0,0 +1,78 @@
+#include "ownership/load_moves.h"
+
+#include <algorithm>
+
+namespace bulrushgw::ownership {
+
+namespace {
+constexpr double burst_share = 0.5;
+/// Rates below this many requests per second are noise.
+constexpr double least_rate = 1.0;
+} // namespace
+
+std::optional<range_move> choose_move(incarnation_id self, const std::vector<member_load>& loads,
+                                      const std::vector<range_load>& own)
+{
+    double total = 0;
+    double weights = 0;
+    const member_load* mine = nullptr;
+    for (const member_load& load : loads) {
+        total += load.rate;
+        weights += load.weight;
+        mine = load.member == self ? &load : mine;
+    }
+    if (mine == nullptr || loads.size() < 2) {
+        return std::nullopt;
+    }
+    const auto relative = [](const member_load& load) { return load.rate / load.weight; };
+    const double mean = total / weights;
+    if (mine->rate < least_rate || relative(*mine) <= mean * overload_factor) {
+        return std::nullopt;
+    }
+    const auto least = std::min_element(
+        loads.begin(), loads.end(), [&](const member_load& left, const member_load& right) {
+            return relative(left) != relative(right) ? relative(left) < relative(right)
+                                                     : left.member < right.member;
+        });
+    const double excess = mine->rate - mean * mine->weight;
+    const range_load* best = nullptr;
+    for (const range_load& candidate : own) {
+        // The receiver must stay below the load from which the range comes.
+        const bool evens = candidate.requests_per_second <= excess &&
+                           (least->rate + candidate.requests_per_second) / least->weight <
+                               (mine->rate - candidate.requests_per_second) / mine->weight;
+        if (evens && candidate.requests_per_second >= least_rate &&
+            (best == nullptr || candidate.requests_per_second > best->requests_per_second)) {
+            best = &candidate;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return range_move{best->range, least->member};
+}
+
+double move_budget::available(time_point now, double moves_per_hour) const
+{
+    const double hours = std::chrono::duration<double, std::ratio<3600>>(now - at_).count();
+    const double left = std::max(0.0, spent_ - hours * moves_per_hour * (1 - burst_share));
+    return moves_per_hour * burst_share - left;
+}
+
+bool move_budget::allows(time_point now, std::size_t moves, double moves_per_hour) const
+{
+    return static_cast<double>(moves) <= available(now, moves_per_hour);
+}
+
+bool move_budget::take(time_point now, std::size_t moves, double moves_per_hour)
+{
+    const double before = available(now, moves_per_hour);
+    if (static_cast<double>(moves) > before) {
+        return false;
+    }
+    spent_ = moves_per_hour * burst_share - before + static_cast<double>(moves);
+    at_ = now;
+    return true;
+}
+
+} // namespace bulrushgw::ownership
--- a/src/ownership/store_schedule.h
+++ b/src/ownership/store_schedule.h
@@ -11,15 +11,18 @@
 
 namespace bulrushgw::ownership {
 
-/// Token buckets for reads and writes, and exponential backoff with full jitter
-/// while the store fails. Not thread-safe.
+/// Token buckets for reads and writes, each with exponential backoff with full
+/// jitter after failures. A store may answer reads and fail writes, so the two
+/// back off apart. Not thread-safe.
 class store_schedule {
 public:
     /// Budget of all nodes together, per second.
     static constexpr double total_writes = 300;
     static constexpr double total_reads = 1500;
-    /// Largest burst of one node.
-    static constexpr double burst = 6;
+    /// Bursts of one node: with many nodes the sum of the bursts matters.
+    static constexpr double burst_high = 6;
+    static constexpr double burst_low = 2;
+    static constexpr double total_burst = 3000;
     static constexpr milliseconds backoff_low{100};
     static constexpr milliseconds backoff_high{10000};
 
@@ -27,23 +30,28 @@
     /// Takes a token when one is there and no backoff runs.
     bool take(time_point now, bool is_write);
     /// Learns the outcome of a call.
-    void on_result(time_point now, store::status result, random_source& random);
-    /// True after a failure until the next success.
-    [[nodiscard]] bool is_failing() const { return failures_ > 0; }
+    void on_result(time_point now, bool is_write, store::status result, random_source& random);
+    /// True while reads fail, which means that the store is probably down.
+    [[nodiscard]] bool is_failing() const { return reads_.failures > 0; }
     [[nodiscard]] bool ever_answered() const { return answered_; }
     [[nodiscard]] time_point last_answer() const { return last_answer_; }
-    [[nodiscard]] time_point blocked_until() const { return blocked_until_; }
+    [[nodiscard]] time_point blocked_until(bool is_write) const
+    {
+        return (is_write ? writes_ : reads_).blocked_until;
+    }
 
 private:
-    void refill(time_point now);
+    struct lane {
+        double tokens = burst_high;
+        bool filled = false;
+        time_point filled_at{};
+        unsigned failures = 0;
+        time_point blocked_until{};
+    };
 
     std::size_t nodes_ = 1;
-    double writes_ = burst;
-    double reads_ = burst;
-    bool filled_ = false;
-    time_point filled_at_{};
-    unsigned failures_ = 0;
-    time_point blocked_until_{};
+    lane writes_;
+    lane reads_;
     bool answered_ = false;
     time_point last_answer_{};
 };
