--- /dev/null
+++ b/src/node/accumulators_library.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Boost.Accumulators, whose headers do not compile without warnings.
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+#pragma GCC diagnostic ignored "-Wdeprecated-declarations"
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#pragma GCC diagnostic pop
--- a/src/node/audit_trail.h
+++ b/src/node/audit_trail.h
@@ -49,23 +49,23 @@
 struct audit_record {
     std::uint64_t number = 0; ///< counts from 1 in each process
     /// Wall-clock time for people. No decision compares it.
-    std::chrono::system_clock::time_point at;
+    std::chrono::system_clock::time_point at{};
     audit_kind kind = audit_kind::grant;
-    std::string service;
-    std::optional<range_id> range;
-    fence token;            ///< 0: none
-    incarnation_id subject; ///< whom the event is about
-    incarnation_id seen_by; ///< the incarnation that recorded it
-    std::string who;        ///< operator, for rules changes, drains and asserted ends
-    std::string cause;
+    std::string service{};
+    std::optional<range_id> range{};
+    fence token{};            ///< 0: none
+    incarnation_id subject{}; ///< whom the event is about
+    incarnation_id seen_by{}; ///< the incarnation that recorded it
+    std::string who{};        ///< operator, for rules changes, drains and asserted ends
+    std::string cause{};
 };
 
 /// Members without a value match every record.
 struct audit_query {
-    std::string service;
-    std::optional<range_id> range;
-    std::optional<incarnation_id> subject; ///< as subject or as witness of the event
-    std::optional<audit_kind> kind;
+    std::string service{};
+    std::optional<range_id> range{};
+    std::optional<incarnation_id> subject{}; ///< as subject or as witness of the event
+    std::optional<audit_kind> kind{};
     std::size_t most = 200; ///< the newest ones
 };
 
@@ -73,7 +73,7 @@
     std::size_t ring = 4096;
     std::size_t rows_per_minute = 6; ///< 0: write none
     std::size_t events_per_row = 256;
-    std::size_t rows_kept = 64; ///< for each incarnation; older ones are erased
+    std::size_t rows_kept = 64; ///< by one process; older ones are erased
 };
 
 /// Records events and hands batches to the store hook. Not thread-safe.
@@ -88,6 +88,8 @@
     ~audit_trail();
     audit_trail(const audit_trail&) = delete;
     audit_trail& operator=(const audit_trail&) = delete;
+    audit_trail(audit_trail&&) = delete;
+    audit_trail& operator=(audit_trail&&) = delete;
 
     /// Rows from now on belong to this incarnation.
     void set_incarnation(incarnation_id self);
@@ -105,7 +107,7 @@
     [[nodiscard]] std::uint64_t recorded() const { return next_number_ - 1; }
 
 private:
-    void on_written(std::uint64_t last, store::status result);
+    void on_written(std::uint64_t last, const std::string& key, store::status result);
 
     audit_settings settings_;
     store_hook write_;
@@ -116,11 +118,15 @@
     std::uint64_t next_number_ = 1;
     std::uint64_t stored_ = 0; ///< number of the last record in the store
     std::uint64_t next_row_ = 0;
+    std::deque<std::string> rows_; ///< keys in the store, oldest first
     std::uint64_t dropped_ = 0;
     bool writing_ = false;
     std::optional<time_point> last_write_;
 };
 
+/// RFC 3339 in UTC with milliseconds, for people.
+std::string wall_clock_text(std::chrono::system_clock::time_point at);
+
 /// JSON object of a record, as rows and the operator interface show it.
 std::string to_json(const audit_record& record);
 
--- a/src/node/event_log.h
+++ b/src/node/event_log.h
@@ -118,12 +118,12 @@
 /// One change of state. Members without a value are left out of the line.
 struct log_event {
     event_kind kind = event_kind::started;
-    std::string service;
-    std::optional<range_id> range;
-    incarnation_id subject; ///< whom the event is about, if not this node
-    std::optional<std::uint64_t> version;
-    std::optional<std::uint64_t> count;
-    std::string cause;
+    std::string service{};
+    std::optional<range_id> range{};
+    incarnation_id subject{}; ///< whom the event is about, if not this node
+    std::optional<std::uint64_t> version{};
+    std::optional<std::uint64_t> count{};
+    std::string cause{};
 };
 
 struct event_log_limits {
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -184,6 +184,8 @@
     ~metric_summary();
     metric_summary(const metric_summary&) = delete;
     metric_summary& operator=(const metric_summary&) = delete;
+    metric_summary(metric_summary&&) = delete;
+    metric_summary& operator=(metric_summary&&) = delete;
 
     void observe(double value);
     [[nodiscard]] std::uint64_t count() const;
@@ -205,6 +207,8 @@
     ~metrics();
     metrics(const metrics&) = delete;
     metrics& operator=(const metrics&) = delete;
+    metrics(metrics&&) = delete;
+    metrics& operator=(metrics&&) = delete;
 
     /// The counter or gauge with these label values, made when first named. Keep
     /// the reference on hot paths. Throws `metric_error` for a summary and for a
--- a/src/node/operator_api.h
+++ b/src/node/operator_api.h
@@ -17,6 +17,8 @@
 #include "common/ids.h"
 #include "net/http.h"
 #include "node/audit_trail.h"
+#include "rules/acceptance.h"
+#include "rules/text.h"
 #include "rules/types.h"
 
 namespace bulrushgw::node {
@@ -39,52 +41,12 @@
     std::string message;
 };
 
-/// One accepted version of the rules.
-struct rules_version_info {
-    std::uint64_t version = 0;
-    std::string digest;
-    std::string who;
-    std::string at; ///< wall-clock time of the acceptance, RFC 3339 in UTC
-    std::string submission_id;
-};
-
 struct rules_document {
-    rules_version_info info;
+    rules::version_record record;
     std::string text;
     bool possibly_stale = false;
 };
 
-/// `kind` is '+' for a line only in the newer version, '-' only in the older.
-struct diff_line {
-    char kind = '+';
-    std::size_t line = 0; ///< in its own version, from 1
-    std::string text;
-};
-
-struct rules_submission {
-    std::uint64_t base_version = 0;
-    std::string who;
-    std::string submission_id;
-    std::string text;
-};
-
-struct submission_accepted {
-    rules_version_info info;
-    bool repeated = false; ///< this submission id was accepted before
-};
-
-struct submission_lost {
-    rules_version_info winner;
-    std::vector<diff_line> lines; ///< from the edited version to the winner's
-};
-
-struct submission_invalid {
-    std::vector<rules::rule_problem> problems;
-};
-
-using submission_result =
-    std::variant<submission_accepted, submission_lost, submission_invalid, operator_error>;
-
 struct key_owner {
     std::string service;
     std::string key;
@@ -177,12 +139,11 @@
 struct operator_hooks {
     std::function<answer<rules_document>()> rules;
     /// Newest first, at most `most`.
-    std::function<void(std::size_t most, completion<std::vector<rules_version_info>>)> history;
+    std::function<void(std::size_t most, completion<std::vector<rules::version_record>>)> history;
     /// The text of an accepted version.
     std::function<void(std::uint64_t version, completion<rules_document>)> rules_at;
-    std::function<std::vector<diff_line>(const std::string& older, const std::string& newer)> diff;
-    std::function<std::vector<rules::rule_problem>(const std::string& text)> check;
-    std::function<void(rules_submission, std::function<void(submission_result)>)> submit;
+    /// Carries the submission through `rules::submission_process`.
+    std::function<void(rules::submission, std::function<void(rules::submission_result)>)> submit;
     std::function<answer<key_owner>(const std::string& service, const std::string& key)> owner;
     std::function<std::vector<host_info>()> hosts;
     std::function<void(drain_request, completion<done_message>)> drain;
