--- a/src/node/operator_api.h
+++ b/src/node/operator_api.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -135,7 +136,8 @@
 using completion = std::function<void(answer<Value>)>;
 
 /// Behaviour of the node behind the interface. Hooks with a completion may call
-/// it at once or later, exactly once. A hook that is not set answers 404.
+/// it at once or later, exactly once. A hook that is not set answers 404, except
+/// that a rules file can always be checked.
 struct operator_hooks {
     std::function<answer<rules_document>()> rules;
     /// Newest first, at most `most`.
@@ -156,7 +158,6 @@
 
 /// Limits of the values that operators send.
 inline constexpr std::size_t max_operator_name_bytes = 128;
-inline constexpr std::size_t max_submission_id_bytes = 64;
 inline constexpr std::size_t max_audit_answer = 4096;
 inline constexpr std::size_t max_history_answer = 1000;
 
@@ -173,7 +174,8 @@
 
 request_target parse_request_target(const std::string& target);
 
-/// Percent-encodes a query value.
-std::string encode_query(const std::string& value);
+/// "bad-request" for `operator_failure::bad_request`, and so on.
+std::string_view to_string(operator_failure failure);
+int http_status(operator_failure failure);
 
 } // namespace bulrushgw::node
