--- a/src/node/client_entry.cpp
+++ b/src/node/client_entry.cpp
@@ -13,9 +13,18 @@
 
 using request::reason;
 
-constexpr std::array<std::string_view, 10> connection_headers{
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
-    "trailer",    "upgrade",    "transfer-encoding",  "content-length",      "host"};
+constexpr std::array<std::string_view, 12> connection_headers{"date",
+                                                              "server",
+                                                              "connection",
+                                                              "keep-alive",
+                                                              "proxy-authenticate",
+                                                              "proxy-authorization",
+                                                              "te",
+                                                              "trailer",
+                                                              "upgrade",
+                                                              "transfer-encoding",
+                                                              "content-length",
+                                                              "host"};
 constexpr std::string_view protocol_prefix = "bulrush-";
 
 std::string lower_case(std::string_view text)
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -67,9 +67,9 @@
     [[nodiscard]] answer<key_owner> owner_of(const std::string& service,
                                              const std::string& key) const;
     [[nodiscard]] answer<rules_document> rules_in_force() const;
-    void history(std::size_t most, completion<std::vector<rules_version_info>> done);
+    void history(std::size_t most, completion<std::vector<rules::version_record>> done);
     void rules_at(std::uint64_t version, completion<rules_document> done);
-    void submit(rules_submission input, std::function<void(submission_result)> done);
+    void submit(rules::submission input, std::function<void(rules::submission_result)> done);
     void assert_ended(const end_request& request, completion<done_message> done);
     void await_end(incarnation_id id, time_point give_up, completion<done_message> done);
     void drain(const drain_request& request, const completion<done_message>& done);
--- a/src/node/process_operations.cpp
+++ b/src/node/process_operations.cpp
@@ -4,15 +4,11 @@
 #include "common/hash.h"
 #include "common/wall_time.h"
 #include "node/process.h"
-#include "rules/parser.h"
-#include "rules/text.h"
 
 namespace bulrushgw::node {
 
 namespace {
 
-using rules::submission_status;
-
 // Each version is one read of the store, so that an operator's listing stays
 // within the read budget of one node.
 constexpr std::size_t max_history_reads = 50;
@@ -20,11 +16,6 @@
 constexpr milliseconds end_patience{8000};
 constexpr milliseconds end_poll{100};
 
-rules_version_info info_of(const rules::version_record& record)
-{
-    return {record.version, record.digest, record.who, record.when, record.submission_id};
-}
-
 std::string_view text_of(ownership::member_state state)
 {
     switch (state) {
@@ -40,38 +31,6 @@
     return "ended";
 }
 
-std::vector<diff_line> lines_of(const std::vector<rules::changed_line>& changes)
-{
-    std::vector<diff_line> lines;
-    for (const auto& change : changes) {
-        const char kind = change.kind == rules::change_kind::added ? '+' : '-';
-        lines.push_back({kind, change.line, change.text});
-    }
-    return lines;
-}
-
-submission_result result_of(const rules::submission_result& result)
-{
-    switch (result.status) {
-    case submission_status::accepted:
-    case submission_status::repeated:
-        return submission_accepted{info_of(*result.record),
-                                   result.status == submission_status::repeated};
-    case submission_status::invalid:
-        return submission_invalid{result.problems};
-    case submission_status::lost_race:
-        return submission_lost{result.winner ? info_of(*result.winner) : rules_version_info{},
-                               lines_of(result.their_changes)};
-    case submission_status::id_reused:
-        return operator_error{operator_failure::bad_request, result.message};
-    case submission_status::unavailable:
-        return operator_error{operator_failure::store_unavailable, result.message};
-    case submission_status::undetermined:
-        break;
-    }
-    return operator_error{operator_failure::outcome_unknown, result.message};
-}
-
 operator_error store_failure(const store::reply& reply, const std::string& what)
 {
     if (reply.result == store::status::not_found || reply.result == store::status::ok) {
@@ -82,10 +41,10 @@
 
 /// Collects the answers of several reads and completes after the last one.
 struct history_collection {
-    std::vector<rules_version_info> found;
+    std::vector<rules::version_record> found;
     std::size_t missing = 0;
     bool failed = false;
-    completion<std::vector<rules_version_info>> done;
+    completion<std::vector<rules::version_record>> done;
 
     void finish_one()
     {
@@ -109,17 +68,14 @@
 {
     operator_hooks hooks;
     hooks.rules = [this] { return rules_in_force(); };
-    hooks.history = [this](std::size_t most, completion<std::vector<rules_version_info>> done) {
+    hooks.history = [this](std::size_t most, completion<std::vector<rules::version_record>> done) {
         history(most, std::move(done));
     };
     hooks.rules_at = [this](std::uint64_t version, completion<rules_document> done) {
         rules_at(version, std::move(done));
     };
-    hooks.diff = [](const std::string& older, const std::string& newer) {
-        return lines_of(rules::diff_lines(older, newer));
-    };
-    hooks.check = [](const std::string& text) { return rules::parse_and_check(text).problems; };
-    hooks.submit = [this](rules_submission input, std::function<void(submission_result)> done) {
+    hooks.submit = [this](rules::submission input,
+                          std::function<void(rules::submission_result)> done) {
         submit(std::move(input), std::move(done));
     };
     hooks.owner = [this](const std::string& service, const std::string& key) {
@@ -150,19 +106,19 @@
     }
     rules_document document;
     try {
-        document.info = info_of(rules::parse_record(rules_.current_record()));
+        document.record = rules::parse_record(rules_.current_record());
     }
     catch (const parse_error&) {
         // A peer may relay the text without a readable record.
-        document.info.version = current->version;
-        document.info.digest = current->digest;
+        document.record.version = current->version;
+        document.record.digest = current->digest;
     }
     document.text = current->text;
     document.possibly_stale = rules_.possibly_stale();
     return document;
 }
 
-void process::history(std::size_t most, completion<std::vector<rules_version_info>> done)
+void process::history(std::size_t most, completion<std::vector<rules::version_record>> done)
 {
     const std::uint64_t newest = rules_.versions().newest_known();
     const std::size_t count = std::min<std::size_t>({most, newest, max_history_reads});
@@ -175,7 +131,7 @@
                         if (reply.result == store::status::ok && !reply.rows.empty()) {
                             try {
                                 collection->found.push_back(
-                                    info_of(rules::parse_record(reply.rows.front().value)));
+                                    rules::parse_record(reply.rows.front().value));
                             }
                             catch (const parse_error&) {
                                 collection->failed = true;
@@ -214,34 +170,29 @@
                                 done(store_failure(object, what));
                                 return;
                             }
-                            done(rules_document{info_of(record), object.bytes, false});
+                            done(rules_document{record, object.bytes, false});
                         });
         });
 }
 
-void process::submit(rules_submission input, std::function<void(submission_result)> done)
+void process::submit(rules::submission input, std::function<void(rules::submission_result)> done)
 {
-    rules::submission request;
-    request.id = std::move(input.submission_id);
-    request.base_version = input.base_version;
-    request.who = std::move(input.who);
-    request.when = rfc3339(std::chrono::system_clock::now());
-    request.text = std::move(input.text);
-    const std::string who = request.who;
-    rules_.submit(std::move(request),
-                  [this, who, done = std::move(done)](const rules::submission_result& result) {
-                      audit_record record;
-                      record.at = std::chrono::system_clock::now();
-                      record.who = who;
-                      const bool accepted = result.status == submission_status::accepted;
-                      record.kind = accepted ? audit_kind::rules_change : audit_kind::rules_refused;
-                      record.cause = accepted ? "version " + std::to_string(result.record->version)
-                                              : result.message;
-                      if (result.status != submission_status::repeated) {
-                          audit_.record(std::move(record));
-                      }
-                      done(result_of(result));
-                  });
+    const std::string who = input.who;
+    input.when = rfc3339(std::chrono::system_clock::now());
+    rules_.submit(std::move(input), [this, who, done = std::move(done)](
+                                        const rules::submission_result& result) {
+        const bool accepted = result.status == rules::submission_status::accepted;
+        if (result.status != rules::submission_status::repeated) {
+            audit_record record;
+            record.at = std::chrono::system_clock::now();
+            record.who = who;
+            record.kind = accepted ? audit_kind::rules_change : audit_kind::rules_refused;
+            record.cause =
+                accepted ? "version " + std::to_string(result.record->version) : result.message;
+            audit_.record(std::move(record));
+        }
+        done(result);
+    });
 }
 
 answer<key_owner> process::owner_of(const std::string& service, const std::string& key) const
