Add the stand-ins for the platform store and for targets

Tests of the node need an outside store that loses answers and a server that freezes, checks fences and finds double runs. The logic is free of sockets and time; two small programs serve it over HTTP. The HTTP server can now drop a connection without an answer and calls no hook after its destruction.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -61,20 +61,24 @@
     std::string body;
 };
 
-/// Answers one request. `respond` may be called later, on the loop, and at most
-/// once; calls after the client has gone are ignored. `on_cancel`, when set by
-/// the handler, is called if the client goes before the answer.
+/// Answers one request. `respond` may be called later, on the loop; calls after the
+/// first, or after the client has gone, are ignored. Headers of the response that
+/// belong to the connection or break the HTTP grammar are left out. `on_cancel`,
+/// when set by the handler, is called if the client goes before the answer; a
+/// client that closes only its sending side counts as gone. It is not called once
+/// the server is destroyed. `drop` closes the connection without an answer.
 struct http_exchange {
     http_request request;
     std::function<void(http_response)> respond;
     std::shared_ptr<std::function<void()>> on_cancel;
+    std::function<void()> drop;
 };
 
 struct http_server_limits {
-    std::size_t max_body_bytes = 1024 * 1024; ///< 413 above
-    std::size_t max_header_bytes = 16 * 1024; ///< 431 above, for all names and values
-    std::size_t max_connections = 1000;       ///< further connections are closed
-    milliseconds request_timeout{10000};      ///< slow senders are closed
+    std::size_t max_body_bytes = std::size_t{1024} * 1024; ///< 413 above
+    std::size_t max_header_bytes = std::size_t{16} * 1024; ///< 431 above, for all names and values
+    std::size_t max_connections = 1000;                    ///< further connections are closed
+    milliseconds request_timeout{10000};                   ///< slow senders are closed
 };
 
 /// Serves HTTP/1.1 on one address. Not thread-safe.
@@ -88,6 +92,8 @@
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
 
     /// Accepts no more connections; requests in progress go on.
     void stop_accepting();
@@ -124,12 +130,14 @@
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
 
     /// Calls back exactly once on the loop, also after `cancel` (as `closed`, or
     /// `not_sent` when that is certain). `before_write`, when set, is called
     /// immediately before the first byte is written; when it returns false, the
     /// call ends as `not_sent`.
-    call_id send(const endpoint& address, http_request request, milliseconds timeout,
+    call_id send(const endpoint& address, const http_request& request, milliseconds timeout,
                  callback on_result, std::function<bool()> before_write = {});
     /// Closes the connection of the call, which cancels it at the server.
     void cancel(call_id call);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -19,7 +19,7 @@
 /// connection that is about to be reused.
 constexpr std::uint64_t idle_connection_ms = 5000;
 /// h2o restarts this timeout on every read; each call has its own hard timeout.
-constexpr std::uint64_t h2o_io_timeout_ms = 3600 * 1000;
+constexpr std::uint64_t h2o_io_timeout_ms = 3'600'000;
 /// Calls that wait for a connection to one address; further calls are refused.
 constexpr std::size_t max_waiting_per_address = 10000;
 
@@ -292,7 +292,7 @@
     h2o_timeout_dispose(state_->owner.evloop(), &state_->io_timeout);
 }
 
-http_client::call_id http_client::send(const endpoint& address, http_request request,
+http_client::call_id http_client::send(const endpoint& address, const http_request& request,
                                        milliseconds timeout, callback on_result,
                                        std::function<bool()> before_write)
 {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -128,9 +128,11 @@
     endpoint address;
     std::set<connection*> connections;
     std::shared_ptr<state> self_while_closing;
+    /// False once the server object is gone: its handlers must not be called.
+    std::shared_ptr<bool> open_for_hooks = std::make_shared<bool>(true);
 
     state(net::loop& on_loop, handler to_call, http_server_limits with)
-        : owner(on_loop), on_request(std::move(to_call)), limits(std::move(with))
+        : owner(on_loop), on_request(std::move(to_call)), limits(with)
     {
     }
 
@@ -144,6 +146,7 @@
     void abandon(std::shared_ptr<pending> call) const;
 
     static void answer(pending& call, const http_response& response);
+    static void drop(pending& call);
     static void watch(connection& client);
     static void stop_watch(connection& client);
     static void on_readable(h2o_socket_t* socket, const char* failure);
@@ -198,6 +201,7 @@
 void http_server::state::close(std::shared_ptr<state> self)
 {
     self_while_closing = std::move(self);
+    *open_for_hooks = false;
     listener.reset();
     on_request = nullptr;
     const auto open_now = connections;
@@ -260,6 +264,7 @@
     exchange.request = copy_request(*call->request);
     exchange.on_cancel = call->on_cancel;
     exchange.respond = [call](const http_response& response) { answer(*call, response); };
+    exchange.drop = [call] { drop(*call); };
     try {
         on_request(std::move(exchange));
     }
@@ -280,8 +285,8 @@
 
 void http_server::state::cancel(const std::shared_ptr<pending>& call) const
 {
-    owner.defer([hook = call->on_cancel] {
-        if (*hook) {
+    owner.defer([hook = call->on_cancel, is_open = open_for_hooks] {
+        if (*is_open && *hook) {
             (*hook)();
         }
     });
@@ -310,6 +315,17 @@
     write_response(*request, response);
 }
 
+// h2o closes the connection when the write of the answer fails.
+void http_server::state::drop(pending& call)
+{
+    if (call.request == nullptr) {
+        return;
+    }
+    shutdown(h2o_socket_get_fd(call.client->socket), SHUT_RDWR);
+    call.request->http1_is_persistent = 0;
+    answer(call, refusal(503, "dropped"));
+}
+
 // h2o does not read while it waits for an answer, so it would not see that the
 // client closes. Reading is left to h2o: the request refers to the input buffer,
 // which a read may move.
@@ -346,7 +362,7 @@
 
 http_server::http_server(loop& loop, const endpoint& address, handler on_request,
                          http_server_limits limits)
-    : state_(std::make_shared<state>(loop, std::move(on_request), std::move(limits)))
+    : state_(std::make_shared<state>(loop, std::move(on_request), limits))
 {
     state_->start(address);
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -24,6 +24,8 @@
     ~loop();
     loop(const loop&) = delete;
     loop& operator=(const loop&) = delete;
+    loop(loop&&) = delete;
+    loop& operator=(loop&&) = delete;
 
     /// Calls `action` once after `delay`. The result cancels it.
     timer_id after(milliseconds delay, std::function<void()> action);
--- a/src/net/peer_incoming.h
+++ b/src/net/peer_incoming.h
@@ -22,6 +22,8 @@
     ~peer_incoming();
     peer_incoming(const peer_incoming&) = delete;
     peer_incoming& operator=(const peer_incoming&) = delete;
+    peer_incoming(peer_incoming&&) = delete;
+    peer_incoming& operator=(peer_incoming&&) = delete;
 
     [[nodiscard]] const endpoint& address() const { return listener_.address(); }
 
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -50,7 +50,7 @@
 
     void receive(const wire::frame& frame);
     peer* find_or_connect(const std::string& address);
-    bool queue(peer& to, std::string bytes);
+    bool queue(peer& to, const std::string& bytes);
     void defer_flush(peer& to);
     void flush(peer& to);
     void disconnect(peer& to);
@@ -94,7 +94,7 @@
     return &to;
 }
 
-bool peer_transport::state::queue(peer& to, std::string bytes)
+bool peer_transport::state::queue(peer& to, const std::string& bytes)
 {
     if (to.pending.size() + to.writing.size() + bytes.size() > limits.max_queued_bytes) {
         return false;
@@ -235,7 +235,7 @@
         return false;
     }
     auto* to = self.find_or_connect(address);
-    if (to == nullptr || !self.queue(*to, std::move(bytes))) {
+    if (to == nullptr || !self.queue(*to, bytes)) {
         ++self.counters.frames_refused;
         return false;
     }
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -18,7 +18,7 @@
 struct peer_limits {
     std::size_t max_frame_bytes = wire::max_frame_bytes;
     /// Unsent bytes kept for one peer; frames above are refused to the sender.
-    std::size_t max_queued_bytes = 4 * 1024 * 1024;
+    std::size_t max_queued_bytes = std::size_t{4} * 1024 * 1024;
     std::size_t max_connections = 2000; ///< for each direction
     milliseconds connect_timeout{500};
     milliseconds reconnect_delay{100};
@@ -60,6 +60,8 @@
     ~peer_transport();
     peer_transport(const peer_transport&) = delete;
     peer_transport& operator=(const peer_transport&) = delete;
+    peer_transport(peer_transport&&) = delete;
+    peer_transport& operator=(peer_transport&&) = delete;
 
     /// Queues a frame; false when it was certainly not sent and will not be. The
     /// frames of one turn of the loop go out in one write. Must not be called with
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -34,6 +34,8 @@
     ~listener();
     listener(const listener&) = delete;
     listener& operator=(const listener&) = delete;
+    listener(listener&&) = delete;
+    listener& operator=(listener&&) = delete;
 
     /// The bound address; its port is known also after binding port 0.
     [[nodiscard]] const endpoint& address() const { return address_; }
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -133,7 +133,7 @@
         if constexpr (detail::has_fields<T>) {
             auto members = detail::fields(into);
             array_of(std::tuple_size_v<decltype(members)>);
-            std::apply([this](auto&... member) { (value(member), ...); }, members);
+            std::apply([this](auto&... member) { (this->value(member), ...); }, members);
         }
         else if constexpr (detail::is_id<T>) {
             value(into.value);
@@ -165,7 +165,7 @@
         array_of(2);
         const auto type = number(std::variant_size_v<ownership::gossip_item> - 1);
         select(into, type);
-        std::visit([this](auto& item) { value(item); }, into);
+        std::visit([this](auto& item) { this->value(item); }, into);
     }
 
     template <typename T>
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -50,7 +50,7 @@
     {
         array(2);
         value(static_cast<std::uint64_t>(from.index()));
-        std::visit([this](const auto& item) { value(item); }, from);
+        std::visit([this](const auto& item) { this->value(item); }, from);
     }
 
     template <typename T>
@@ -85,7 +85,7 @@
     {
         const auto members = detail::fields(from);
         array(std::tuple_size_v<std::remove_const_t<decltype(members)>>);
-        std::apply([this](const auto&... member) { (value(member), ...); }, members);
+        std::apply([this](const auto&... member) { (this->value(member), ...); }, members);
     }
 
     struct sink {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -35,10 +35,10 @@
 /// Bytes of the length that precedes each frame.
 inline constexpr std::size_t length_bytes = 4;
 /// Upper bound on the bytes after the length.
-inline constexpr std::size_t max_frame_bytes = 1024 * 1024;
+inline constexpr std::size_t max_frame_bytes = std::size_t{1024} * 1024;
 /// Upper bound on the msgpack values of one frame. It bounds the memory that a
 /// hostile frame of one-byte values takes while it is decoded.
-inline constexpr std::size_t max_frame_values = 256 * 1024;
+inline constexpr std::size_t max_frame_values = std::size_t{256} * 1024;
 /// Upper bound on nested arrays; the deepest message needs 7.
 inline constexpr std::size_t max_frame_depth = 10;
 
--- /dev/null
+++ b/standins/program.cpp
@@ -0,0 +1,28 @@
+#include "standins/program.h"
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include "common/errors.h"
+
+namespace bulrushgw::standin {
+
+int run_program(const std::function<net::endpoint(net::loop&)>& start)
+{
+    try {
+        net::loop loop;
+        loop.on_signal([&loop] { loop.stop(); });
+        std::cout << "listening on " << to_string(start(loop)) << std::endl;
+        loop.run();
+        // The process ends at once; connections are closed by the system.
+        std::_Exit(0);
+    }
+    catch (const std::exception& failure) {
+        std::cerr << failure.what() << std::endl;
+        // The server that `start` made must not outlive the loop.
+        std::_Exit(2);
+    }
+}
+
+} // namespace bulrushgw::standin
--- /dev/null
+++ b/standins/url.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/// Paths and queries of the stand-ins' HTTP requests.
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bulrushgw::standin {
+
+/// The path without its query.
+std::string_view path_of(std::string_view target);
+/// The decoded value of a query parameter, or none.
+std::optional<std::string> query_value(std::string_view target, std::string_view name);
+/// Replaces %XX. Other uses of '%' stay as they are.
+std::string percent_decode(std::string_view text);
+/// The segment of a path with that index, from 0, or empty text.
+std::string_view path_segment(std::string_view path, std::size_t index);
+
+} // namespace bulrushgw::standin
--- a/tests/net/raw_client.h
+++ b/tests/net/raw_client.h
@@ -14,6 +14,8 @@
     ~raw_client();
     raw_client(const raw_client&) = delete;
     raw_client& operator=(const raw_client&) = delete;
+    raw_client(raw_client&&) = delete;
+    raw_client& operator=(raw_client&&) = delete;
 
     /// Sends without waiting; returns false when the peer closed.
     bool send(const std::string& bytes) const;
