--- a/src/node/target_link.cpp
+++ b/src/node/target_link.cpp
@@ -1,6 +1,7 @@
 #include "node/target_link.h"
 
 #include <charconv>
+#include <set>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -57,6 +58,22 @@
     return value;
 }
 
+/// Ranges of the field "stale": the target holds a higher fence for them.
+std::set<range_id> refused_grants(const std::string& body)
+{
+    std::set<range_id> refused;
+    const json answer = json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("stale") || !answer["stale"].is_array()) {
+        return refused;
+    }
+    for (const auto& entry : answer["stale"]) {
+        if (entry.is_object() && entry.contains("range") && entry["range"].is_number_unsigned()) {
+            refused.insert(range_id{entry["range"].get<std::uint32_t>()});
+        }
+    }
+    return refused;
+}
+
 } // namespace
 
 announcement parse_announcement(const std::string& body)
@@ -223,9 +240,10 @@
         releases_.insert(releases_.end(), releases_sent_.begin(), releases_sent_.end());
         return;
     }
+    const std::set<range_id> refused = refused_grants(result.response->body);
     for (const auto& [range, token] : sent) {
         const auto found = wanted_.find(range);
-        if (found != wanted_.end() && found->second == token) {
+        if (found != wanted_.end() && found->second == token && !refused.contains(range)) {
             confirmed_[range] = token;
         }
     }
--- a/standins/load.h
+++ b/standins/load.h
@@ -83,7 +83,7 @@
 };
 
 /// One line of a target's run log.
-struct run_record {
+struct logged_run {
     std::string target;
     std::string request_id;
     std::string service;
@@ -117,13 +117,13 @@
 inline constexpr milliseconds mark_window{4000};
 
 load_report make_report(const std::vector<load_record>& records,
-                        const std::vector<run_record>& runs,
+                        const std::vector<logged_run>& runs,
                         const std::map<std::string, std::int64_t>& marks);
 
 void write_records(std::ostream& out, const std::vector<load_record>& records);
 /// Throw `parse_error` for a line that is not one record.
 std::vector<load_record> read_records(std::istream& in);
-std::vector<run_record> read_runs(std::istream& in);
+std::vector<logged_run> read_runs(std::istream& in);
 
 std::string to_text(const load_report& report);
 std::string to_json(const load_report& report);
--- a/standins/load_main.cpp
+++ b/standins/load_main.cpp
@@ -74,7 +74,7 @@
 {
     auto records_in = open_input(FLAGS_records);
     const auto records = standin::read_records(records_in);
-    std::vector<standin::run_record> runs;
+    std::vector<standin::logged_run> runs;
     for (const auto& name : split(FLAGS_runs)) {
         auto in = open_input(name);
         const auto more = standin::read_runs(in);
--- a/standins/load_report.cpp
+++ b/standins/load_report.cpp
@@ -28,7 +28,7 @@
     }
 }
 
-void count_runs(const std::vector<load_record>& records, const std::vector<run_record>& runs,
+void count_runs(const std::vector<load_record>& records, const std::vector<logged_run>& runs,
                 load_report& report)
 {
     std::map<std::string, std::size_t> runs_by_id;
@@ -45,17 +45,17 @@
 
 /// In the order of starting, the fences of a range never decrease, and one
 /// fence belongs to one target.
-std::size_t count_non_owner_runs(std::vector<run_record> runs)
+std::size_t count_non_owner_runs(std::vector<logged_run> runs)
 {
     std::stable_sort(runs.begin(), runs.end(),
                      [](const auto& a, const auto& b) { return a.started_ms < b.started_ms; });
-    std::map<std::pair<std::string, std::uint32_t>, const run_record*> newest;
+    std::map<std::pair<std::string, std::uint32_t>, const logged_run*> newest;
     std::size_t violations = 0;
     for (const auto& run : runs) {
         if (!run.keyed) {
             continue;
         }
-        const run_record*& last = newest[{run.service, run.range}];
+        const logged_run*& last = newest[{run.service, run.range}];
         const bool stale = last != nullptr && run.fence < last->fence;
         const bool shared =
             last != nullptr && run.fence == last->fence && run.target != last->target;
@@ -131,7 +131,7 @@
 } // namespace
 
 load_report make_report(const std::vector<load_record>& records,
-                        const std::vector<run_record>& runs,
+                        const std::vector<logged_run>& runs,
                         const std::map<std::string, std::int64_t>& marks)
 {
     load_report report;
@@ -172,10 +172,10 @@
     });
 }
 
-std::vector<run_record> read_runs(std::istream& in)
+std::vector<logged_run> read_runs(std::istream& in)
 {
-    return read_lines<run_record>(in, [](const json& line) {
-        run_record run;
+    return read_lines<logged_run>(in, [](const json& line) {
+        logged_run run;
         run.target = line.at("target");
         run.request_id = line.at("request_id");
         run.service = line.at("service");
--- a/standins/standin_target_main.cpp
+++ b/standins/standin_target_main.cpp
@@ -15,6 +15,7 @@
 DEFINE_bool(checks_fences, true, "refuse requests without a valid grant");
 DEFINE_uint32(delay_ms, 0, "execution time of a request");
 DEFINE_uint32(cold_start_ms, 0, "time after the start during which requests take longer");
+DEFINE_string(run_log, "", "file to which each run is appended as a JSON line");
 DEFINE_uint32(announce_ms, 1000, "time between two announcements");
 
 namespace {
@@ -46,6 +47,9 @@
         server = std::make_unique<bulrushgw::standin::target_server>(
             loop, bulrushgw::net::parse_endpoint(FLAGS_listen), node, settings_from_flags(),
             std::random_device{}(), std::chrono::milliseconds{FLAGS_announce_ms});
+        if (!FLAGS_run_log.empty()) {
+            server->log_runs(FLAGS_run_log);
+        }
         return server->address();
     });
 }
--- a/standins/target_model.cpp
+++ b/standins/target_model.cpp
@@ -222,6 +222,9 @@
     if (!entry.request_id.empty() && ++starts_by_id_[entry.request_id] > 1) {
         double_runs_.insert(entry.request_id);
     }
+    if (on_run_) {
+        on_run_(entry);
+    }
     runs_.push_back(std::move(entry));
     active_[run] = {&runs_.back(), true};
     if (runs_.size() > max_recorded_runs && runs_.front().outcome != run_outcome::running) {
--- a/standins/target_model.h
+++ b/standins/target_model.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -71,6 +72,10 @@
 public:
     target_model(target_settings settings, std::uint64_t run_id, time_point now);
 
+    /// Called for each run before it begins, so that a log of runs survives the
+    /// loss of the process.
+    void set_run_hook(std::function<void(const run_record&)> hook) { on_run_ = std::move(hook); }
+
     /// `POST /bulrush/v1/grants` and `POST /bulrush/v1/drain`.
     net::http_response on_grants(const std::string& body, time_point now);
     net::http_response on_drain(time_point now);
@@ -129,6 +134,7 @@
     std::unordered_map<std::string, std::uint32_t> starts_by_id_;
     std::set<std::string> double_runs_;
     target_counters counters_;
+    std::function<void(const run_record&)> on_run_;
 };
 
 /// Milliseconds of a target's monotonic clock.
--- a/standins/target_server.cpp
+++ b/standins/target_server.cpp
@@ -40,6 +40,26 @@
     loop_.cancel(announcing_);
 }
 
+void target_server::log_runs(const std::string& file)
+{
+    run_log_.open(file, std::ios::app);
+    if (!run_log_) {
+        throw error("cannot open the run log " + file);
+    }
+    model_->set_run_hook([this](const run_record& entry) {
+        nlohmann::json line = {{"target", model_->settings().name},
+                               {"service", model_->settings().service},
+                               {"request_id", entry.request_id},
+                               {"key", entry.key},
+                               {"fence", entry.fence},
+                               {"started_ms", entry.started_ms}};
+        if (entry.range) {
+            line["range"] = *entry.range;
+        }
+        run_log_ << line.dump() << std::endl;
+    });
+}
+
 void target_server::respond(const net::http_exchange& exchange, net::http_response response)
 {
     model_->stamp(response, loop_.now());
--- a/standins/target_server.h
+++ b/standins/target_server.h
@@ -3,8 +3,10 @@
 /// Serves a `target_model` over HTTP and announces it to its node.
 
 #include <deque>
+#include <fstream>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "net/http.h"
 #include "net/loop.h"
@@ -26,6 +28,9 @@
     target_server(target_server&&) = delete;
     target_server& operator=(target_server&&) = delete;
 
+    /// Appends each run to the file as a JSON line, before the run begins. Throws
+    /// `error` when the file cannot be opened.
+    void log_runs(const std::string& file);
     [[nodiscard]] const net::endpoint& address() const { return server_.address(); }
     [[nodiscard]] const target_model& model() const { return *model_; }
 
@@ -44,6 +49,7 @@
     std::deque<net::http_exchange> unread_; ///< what a frozen target has not read yet
     net::http_client client_;
     net::http_server server_;
+    std::ofstream run_log_;
     net::loop::timer_id announcing_ = 0;
     bool announcement_in_progress_ = false;
 };
