Add the command line

Scripts need to tell a refusal, wrong usage, an unreachable node and a lost race apart. gflags ends the process with code 1 on an unknown flag, so arguments are walked here and gflags keeps the flags, their types and defaults. `rules submit` sends the same submission id again when an answer was lost.

--- /dev/null
+++ b/src/cli/command_line.cpp
@@ -0,0 +1,223 @@
+#include "cli/command_line.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <gflags/gflags.h>
+
+#include "cli/commands.h"
+#include "cli/flags.h"
+
+namespace bulrushgw::cli {
+
+namespace {
+
+std::vector<std::string_view> remote(std::vector<std::string_view> more = {})
+{
+    std::vector<std::string_view> flags{"node", "json", "timeout_ms"};
+    flags.insert(flags.begin(), more.begin(), more.end());
+    return flags;
+}
+
+std::string usage_line(const command& command)
+{
+    std::string line = "bulrushgw " + std::string(command.words);
+    if (!command.arguments.empty()) {
+        line += " " + std::string(command.arguments);
+    }
+    return line;
+}
+
+std::string general_help()
+{
+    constexpr std::size_t help_column = 48;
+    std::string text = "bulrushgw routes requests to servers that own keys exclusively.\n\n"
+                       "Commands:\n";
+    for (const command& command : commands()) {
+        std::string line = "  " + usage_line(command);
+        line.resize(std::max(line.size() + 2, help_column), ' ');
+        const std::size_t end = command.help.find_first_of(".;");
+        text += line + std::string(command.help.substr(0, end)) + "\n";
+    }
+    text += "\nbulrushgw COMMAND --help prints the flags of a command.\n"
+            "Exit codes: 0 done, 1 refused or not found, 2 bad usage or settings,\n"
+            "3 the node or the store cannot be reached, 4 lost a race.\n";
+    return text;
+}
+
+std::string command_help(const command& command)
+{
+    std::string text =
+        "Usage: " + usage_line(command) + " [FLAGS]\n\n" + std::string(command.help) + "\n";
+    text += command.flags.empty() ? "" : "\nFlags:\n";
+    for (const std::string_view flag : command.flags) {
+        text += "  " + flag_help(flag) + "\n";
+    }
+    return text;
+}
+
+std::vector<std::string> words_of(const command& command)
+{
+    std::vector<std::string> words;
+    std::string_view rest = command.words;
+    while (!rest.empty()) {
+        const std::size_t end = std::min(rest.find(' '), rest.size());
+        words.emplace_back(rest.substr(0, end));
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return words;
+}
+
+bool begins_with(const std::vector<std::string>& arguments, const std::vector<std::string>& words)
+{
+    return arguments.size() >= words.size() &&
+           std::equal(words.begin(), words.end(), arguments.begin());
+}
+
+/// Commands that share a first word, for a message about a wrong second one.
+std::string group_of(const std::string& word)
+{
+    std::string names;
+    for (const command& command : commands()) {
+        if (command.words.starts_with(word + " ")) {
+            names += (names.empty() ? "" : ", ") + std::string(command.words);
+        }
+    }
+    return names;
+}
+
+[[noreturn]] void refuse_command(const std::vector<std::string>& arguments)
+{
+    if (arguments.empty()) {
+        throw usage_error("a command is missing; bulrushgw --help lists them");
+    }
+    const std::string group = group_of(arguments[0]);
+    if (group.empty()) {
+        throw usage_error("unknown command \"" + arguments[0] + "\"; bulrushgw --help lists them");
+    }
+    throw usage_error("\"" + arguments[0] +
+                      "\" is followed by an unknown or missing word; "
+                      "expected one of: " +
+                      group);
+}
+
+const command& find_command(const std::vector<std::string>& arguments)
+{
+    for (const command& command : commands()) {
+        if (begins_with(arguments, words_of(command))) {
+            return command;
+        }
+    }
+    refuse_command(arguments);
+}
+
+bool asks_for(const std::vector<std::string>& arguments, const std::string& flag)
+{
+    const auto end = std::ranges::find(arguments, "--");
+    return std::find(arguments.begin(), end, flag) != end;
+}
+
+exit_code run_command(const std::vector<std::string>& arguments, std::ostream& out,
+                      std::ostream& err, const node_runner& run_node)
+{
+    if (!arguments.empty() && arguments[0] == "--version") {
+        out << "bulrushgw " << BULRUSHGW_VERSION << "\n";
+        return exit_code::done;
+    }
+    if (!arguments.empty() && (arguments[0] == "--help" || arguments[0] == "help")) {
+        out << general_help();
+        return exit_code::done;
+    }
+    const command& command = find_command(arguments);
+    const auto words = static_cast<std::ptrdiff_t>(words_of(command).size());
+    const std::vector<std::string> rest(arguments.begin() + words, arguments.end());
+    if (asks_for(rest, "--help")) {
+        out << command_help(command);
+        return exit_code::done;
+    }
+    const auto positional = parse_flags(rest, command.flags);
+    if (positional.size() < command.least_arguments || positional.size() > command.most_arguments) {
+        throw usage_error("found " + std::to_string(positional.size()) +
+                          " arguments, expected: " + usage_line(command));
+    }
+    return command.run({positional, out, err, run_node});
+}
+
+} // namespace
+
+const std::vector<command>& commands()
+{
+    static const std::vector<command> all{
+        {"node",
+         "",
+         0,
+         0,
+         {"config", "check", "print_settings"},
+         "Run a node beside a target. Stops on SIGTERM after it handed its ranges over; a second "
+         "signal ends it at once.",
+         run_node_command},
+        {"rules check",
+         "FILE",
+         1,
+         1,
+         {"json"},
+         "Check a rules file offline. Reports all problems at once; FILE \"-\" is standard input.",
+         rules_check},
+        {"rules submit", "FILE", 1, 1, remote({"base", "operator", "submission_id"}),
+         "Submit an edited rules file for acceptance. Names the version that was edited, so that "
+         "nobody's edit is overwritten; a lost answer is resolved by the submission id.",
+         rules_submit},
+        {"rules show", "", 0, 0, remote({"at"}),
+         "Print the rules in force. The version goes to standard error, so that the output is the "
+         "file to edit.",
+         rules_show},
+        {"rules history", "", 0, 0, remote({"most"}), "List accepted versions, newest first.",
+         rules_history},
+        {"rules diff", "FROM [TO]", 1, 2, remote(),
+         "Print the lines that differ between two versions. TO is the version in force by default; "
+         "FROM 0 is the empty file.",
+         rules_diff},
+        {"keys owner", "SERVICE KEY", 2, 2, remote(), "Print which host owns a key.", keys_owner},
+        {"hosts list", "", 0, 0, remote(), "List the hosts that the node knows.", hosts_list},
+        {"hosts drain", "[HOST]", 0, 1, remote({"operator"}),
+         "Hand the ranges of a host over and end its node. HOST is a host name or an incarnation; "
+         "the node that answers by default.",
+         hosts_drain},
+        {"hosts assert-ended", "HOST", 1, 1, remote({"operator", "switched_off"}),
+         "Record that a lost host is switched off. Only for ranges that wait because two of the "
+         "three voters of a lease are lost; a host that still runs would serve them as well.",
+         hosts_assert_ended},
+        {"targets list", "", 0, 0, remote(), "List the targets that the node knows.", targets_list},
+        {"audit", "", 0, 0, remote({"service", "range", "subject", "kind", "most"}),
+         "Print audit events, oldest first.", show_audit},
+        {"status", "", 0, 0, remote(), "Print the state of the node.", show_status},
+    };
+    return all;
+}
+
+int run(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err,
+        const node_runner& run_node)
+{
+    const gflags::FlagSaver restore_flags;
+    const auto fail = [&](const char* type, const std::string& message, exit_code code) {
+        if (wants_json()) {
+            out << ordered_json{{"error", {{"type", type}, {"message", message}}}}.dump(2) << "\n";
+        }
+        err << "bulrushgw: " << message << "\n";
+        return static_cast<int>(code);
+    };
+    try {
+        return static_cast<int>(run_command(arguments, out, err, run_node));
+    }
+    catch (const usage_error& failure) {
+        return fail("usage", failure.what(), exit_code::usage);
+    }
+    catch (const unreachable_error& failure) {
+        return fail("unreachable", failure.what(), exit_code::unreachable);
+    }
+    catch (const error& failure) {
+        return fail("failed", failure.what(), exit_code::refused);
+    }
+}
+
+} // namespace bulrushgw::cli
--- /dev/null
+++ b/src/cli/host_commands.cpp
@@ -0,0 +1,233 @@
+#include <cstdlib>
+
+#include "cli/commands.h"
+#include "cli/flags.h"
+#include "cli/table.h"
+#include "common/ids.h"
+
+namespace bulrushgw::cli {
+
+namespace {
+
+std::string yes_or_no(const ordered_json& object, const char* name)
+{
+    return object.value(name, false) ? "yes" : "no";
+}
+
+bool is_incarnation(const std::string& text)
+{
+    try {
+        parse_incarnation(text);
+        return true;
+    }
+    catch (const parse_error&) {
+        return false;
+    }
+}
+
+/// The incarnation of a host that is named or given as an incarnation. A name
+/// must belong to exactly one incarnation that did not end.
+std::string find_incarnation(const operator_client& node, const std::string& host)
+{
+    if (is_incarnation(host)) {
+        return host;
+    }
+    const auto answer = node.get("/operator/v1/hosts");
+    std::string found;
+    std::string all;
+    if (answer.ok()) {
+        for (const auto& row : answer.body.at("hosts")) {
+            if (text_of(row, "host") == host && text_of(row, "state") != "ended") {
+                found = text_of(row, "incarnation");
+                all += " " + found;
+            }
+        }
+    }
+    if (found.empty()) {
+        throw error("no host \"" + host + "\" is known to the node, or it has ended");
+    }
+    if (all != " " + found) {
+        throw error("host \"" + host + "\" has several incarnations, name one of:" + all);
+    }
+    return found;
+}
+
+void print_pairs(const invocation& call,
+                 const std::vector<std::pair<std::string, std::string>>& pairs)
+{
+    constexpr std::size_t value_column = 20;
+    for (const auto& [name, value] : pairs) {
+        std::string line = name;
+        line.resize(value_column, ' ');
+        call.out << line << printable(value) << "\n";
+    }
+}
+
+exit_code report_message(const invocation& call, const operator_answer& answer)
+{
+    return report(call, answer, [&](const ordered_json& body) {
+        call.out << printable(text_of(body, "message")) << "\n";
+    });
+}
+
+} // namespace
+
+bool wants_json()
+{
+    return FLAGS_json;
+}
+
+operator_client connect()
+{
+    try {
+        return {net::parse_endpoint(FLAGS_node), milliseconds{FLAGS_timeout_ms}};
+    }
+    catch (const net::address_error& failure) {
+        throw usage_error(std::string("flag --node: ") + failure.what());
+    }
+}
+
+std::string operator_name()
+{
+    if (!FLAGS_operator.empty()) {
+        return FLAGS_operator;
+    }
+    for (const char* variable : {"USER", "LOGNAME"}) {
+        // The command line runs on one thread, and nothing changes the environment.
+        const char* name = std::getenv(variable); // NOLINT(concurrency-mt-unsafe)
+        if (name != nullptr && *name != '\0') {
+            return name;
+        }
+    }
+    throw usage_error("flag --operator is missing, and the environment has no login name");
+}
+
+std::string text_of(const ordered_json& object, const char* name)
+{
+    const auto place = object.find(name);
+    if (place == object.end() || place->is_null()) {
+        return {};
+    }
+    return place->is_string() ? place->get<std::string>() : place->dump();
+}
+
+exit_code report_failure(const invocation& call, const operator_answer& answer)
+{
+    if (wants_json()) {
+        call.out << answer.body.dump(2) << "\n";
+    }
+    const std::string type = answer.error_type();
+    call.err << "bulrushgw: " << (type.empty() ? "status " + std::to_string(answer.status) : type)
+             << ": " << printable(answer.error_message()) << "\n";
+    if (type == "lost-race") {
+        return exit_code::lost_race;
+    }
+    if (type == "bad-request") {
+        return exit_code::usage;
+    }
+    return type == "store-unavailable" || type == "outcome-unknown" ? exit_code::unreachable
+                                                                    : exit_code::refused;
+}
+
+exit_code keys_owner(const invocation& call)
+{
+    const auto path = with_query("/operator/v1/keys/owner",
+                                 {{"service", call.arguments[0]}, {"key", call.arguments[1]}});
+    return report(call, connect().get(path), [&](const ordered_json& body) {
+        print_pairs(call, {{"service", text_of(body, "service")},
+                           {"key", text_of(body, "key")},
+                           {"range", text_of(body, "range")},
+                           {"owner", text_of(body, "owner")},
+                           {"host", text_of(body, "host")},
+                           {"zone", text_of(body, "zone")},
+                           {"address", text_of(body, "address")},
+                           {"fence", text_of(body, "fence")},
+                           {"placement version", text_of(body, "placement_version")},
+                           {"reason", text_of(body, "reason")}});
+    });
+}
+
+exit_code hosts_list(const invocation& call)
+{
+    return report(call, connect().get("/operator/v1/hosts"), [&](const ordered_json& body) {
+        table rows({"HOST", "ZONE", "REGION", "SERVICE", "STATE", "SLOTS", "FENCES", "ADOPTED",
+                    "INCARNATION", "ADDRESS"});
+        for (const auto& host : body.at("hosts")) {
+            rows.add({text_of(host, "host"), text_of(host, "zone"), text_of(host, "region"),
+                      text_of(host, "service"), text_of(host, "state"), text_of(host, "slots"),
+                      yes_or_no(host, "checks_fences"), text_of(host, "adopted"),
+                      text_of(host, "incarnation"), text_of(host, "address")});
+        }
+        call.out << rows.text();
+    });
+}
+
+exit_code hosts_drain(const invocation& call)
+{
+    ordered_json body{{"operator", operator_name()}};
+    const operator_client node = connect();
+    if (!call.arguments.empty()) {
+        body["incarnation"] = find_incarnation(node, call.arguments[0]);
+    }
+    return report_message(call, node.post("/operator/v1/hosts/drain", body));
+}
+
+exit_code hosts_assert_ended(const invocation& call)
+{
+    if (!FLAGS_switched_off) {
+        throw usage_error("flag --switched-off is missing; it confirms that the host is switched "
+                          "off, because a host that still runs would serve its ranges as well");
+    }
+    ordered_json body{{"operator", operator_name()}, {"switched_off", true}};
+    const operator_client node = connect();
+    body["incarnation"] = find_incarnation(node, call.arguments[0]);
+    return report_message(call, node.post("/operator/v1/hosts/assert-ended", body));
+}
+
+exit_code targets_list(const invocation& call)
+{
+    return report(call, connect().get("/operator/v1/targets"), [&](const ordered_json& body) {
+        table rows({"HOST", "SERVICE", "ADDRESS", "SLOTS", "CONNECTIONS", "IN-FLIGHT", "QUEUED",
+                    "READY", "DRAINING", "FENCES"});
+        for (const auto& target : body.at("targets")) {
+            rows.add({text_of(target, "host"), text_of(target, "service"),
+                      text_of(target, "address"), text_of(target, "slots"),
+                      text_of(target, "connections"), text_of(target, "in_flight"),
+                      text_of(target, "queued"), yes_or_no(target, "ready"),
+                      yes_or_no(target, "draining"), yes_or_no(target, "checks_fences")});
+        }
+        call.out << rows.text();
+    });
+}
+
+exit_code show_audit(const invocation& call)
+{
+    const auto path = with_query("/operator/v1/audit", {{"service", FLAGS_service},
+                                                        {"range", FLAGS_range},
+                                                        {"subject", FLAGS_subject},
+                                                        {"kind", FLAGS_kind},
+                                                        {"most", std::to_string(FLAGS_most)}});
+    return report(call, connect().get(path), [&](const ordered_json& body) {
+        table rows(
+            {"TIME", "KIND", "SERVICE", "RANGE", "EPOCH", "SUBJECT", "SEEN BY", "WHO", "CAUSE"});
+        for (const auto& event : body.at("events")) {
+            rows.add({text_of(event, "at"), text_of(event, "kind"), text_of(event, "service"),
+                      text_of(event, "range"), text_of(event, "epoch"), text_of(event, "subject"),
+                      text_of(event, "seen_by"), text_of(event, "who"), text_of(event, "cause")});
+        }
+        call.out << rows.text();
+    });
+}
+
+exit_code show_status(const invocation& call)
+{
+    return report(call, connect().get("/operator/v1/status"), [&](const ordered_json& body) {
+        std::vector<std::pair<std::string, std::string>> pairs;
+        for (const auto& [name, value] : body.items()) {
+            pairs.emplace_back(name, text_of(body, name.c_str()));
+        }
+        print_pairs(call, pairs);
+    });
+}
+
+} // namespace bulrushgw::cli
