Measure the wait of requests in place of gaps between answers

The gap between two answers of a key contained the pause between two requests of the load, about 2 s for the rarest path. The wait of a request from its sending to the next answer for its key does not.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,7 +6,8 @@
 
 BUILD_DIR="${BUILD_DIR:-build}"
 BASE_PORT="${BASE_PORT:-21000}"
-WORK="$(mktemp -d)"
+WORK="${WORK:-$(mktemp -d)}"
+mkdir -p "$WORK"
 declare -A PIDS=()
 
 cluster_port() { echo $((BASE_PORT + 10 * $1 + $2)); }
--- a/standins/load.h
+++ b/standins/load.h
@@ -104,8 +104,8 @@
     std::size_t untrue_not_run = 0; ///< refused as not run, but in a run log
     std::size_t crossed = 0;        ///< answers that name another request
     std::size_t non_owner = 0;      ///< runs under a fence below an earlier one
-    /// Longest time without an answered request for one path, by mark name,
-    /// counted within `mark_window` after the mark.
+    /// Longest time from the sending of a request until its key was served, by
+    /// mark name, for requests sent within `mark_window` after the mark.
     std::map<std::string, milliseconds> unavailable;
 
     [[nodiscard]] bool promises_kept() const
--- a/standins/load_report.cpp
+++ b/standins/load_report.cpp
@@ -67,46 +67,45 @@
     return violations;
 }
 
-/// Gap between two answered requests of one path, the first of which may lie
-/// before the mark. Only the part after the mark counts.
-milliseconds longest_gap(const std::vector<const load_record*>& answered, std::int64_t mark)
+/// The part of the path that holds the key: requests with the same key have the
+/// same owner.
+std::string key_of(const std::string& path)
 {
-    std::int64_t previous = mark;
-    std::int64_t longest = 0;
-    const std::int64_t end = mark + mark_window.count();
-    for (const load_record* record : answered) {
-        if (record->done_ms <= mark) {
-            continue;
-        }
-        const std::int64_t until = std::min(record->done_ms, end);
-        longest = std::max(longest, until - previous);
-        previous = until;
-        if (record->done_ms >= end) {
-            break;
+    const auto begin = path.find('/', 1);
+    return begin == std::string::npos ? path : path.substr(0, path.find('/', begin + 1));
+}
+
+/// How long a request that was sent at this moment waited until its key was
+/// served: its own answer, or the next one of the same key.
+std::int64_t wait_of(const std::vector<const load_record*>& of_key, std::size_t index)
+{
+    const load_record& sent = *of_key[index];
+    for (std::size_t later = index; later < of_key.size(); ++later) {
+        if (of_key[later]->outcome == "answered") {
+            return of_key[later]->done_ms - sent.sent_ms;
         }
     }
-    return milliseconds{longest};
+    return mark_window.count();
 }
 
-void measure_gaps(const std::vector<load_record>& records,
-                  const std::map<std::string, std::int64_t>& marks, load_report& report)
+void measure_waits(const std::vector<load_record>& records,
+                   const std::map<std::string, std::int64_t>& marks, load_report& report)
 {
-    std::map<std::string, std::vector<const load_record*>> answered;
+    std::map<std::string, std::vector<const load_record*>> by_key;
     for (const auto& record : records) {
-        if (record.outcome == "answered") {
-            answered[record.path].push_back(&record);
-        }
-    }
-    for (auto& [path, list] : answered) {
-        std::sort(list.begin(), list.end(),
-                  [](const auto* a, const auto* b) { return a->done_ms < b->done_ms; });
+        by_key[key_of(record.path)].push_back(&record);
     }
     for (const auto& [name, mark] : marks) {
-        milliseconds worst{0};
-        for (const auto& [path, list] : answered) {
-            worst = std::max(worst, longest_gap(list, mark));
+        std::int64_t worst = 0;
+        for (const auto& [key, of_key] : by_key) {
+            for (std::size_t i = 0; i < of_key.size(); ++i) {
+                const std::int64_t sent = of_key[i]->sent_ms;
+                if (sent >= mark && sent < mark + mark_window.count()) {
+                    worst = std::max(worst, wait_of(of_key, i));
+                }
+            }
         }
-        report.unavailable[name] = worst;
+        report.unavailable[name] = milliseconds{worst};
     }
 }
 
@@ -138,7 +137,7 @@
     count_outcomes(records, report);
     count_runs(records, runs, report);
     report.non_owner = count_non_owner_runs(runs);
-    measure_gaps(records, marks, report);
+    measure_waits(records, marks, report);
     return report;
 }
 
@@ -204,8 +203,7 @@
     line("refused as not run, but ran", report.untrue_not_run, true);
     line("another request's answer", report.crossed, true);
     for (const auto& [name, time] : report.unavailable) {
-        line("longest gap of a key, " + name + ", ms", static_cast<std::size_t>(time.count()),
-             false);
+        line("longest wait, " + name + ", ms", static_cast<std::size_t>(time.count()), false);
     }
     return out.str();
 }
