Measure the policy in virtual time against six baselines

The placement, admission, forwarding and retry classes had no figures. build/policy runs them over models of both deployments with the same requests and disturbances for each policy, and compares whole-file spread with deltas. A process that restarted answers not_owner under a new incarnation, which the tracker dropped as crossed; it now sends again.

--- /dev/null
+++ b/bench/policy_ownership.cpp
@@ -0,0 +1,308 @@
+#include "bench/policy_ownership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/hash.h"
+
+namespace bulrushgw::bench {
+
+namespace {
+
+constexpr const char* service_name = "keyed";
+
+// As in the engine of package ownership.
+constexpr std::chrono::seconds settle_time{10};
+constexpr std::chrono::seconds move_pause{15};
+constexpr double moves_per_hour = 60;
+
+/// The baseline without hysteresis: any member above the mean gives its largest
+/// range that leaves the receiver below it.
+std::optional<ownership::range_move> eager_move(incarnation_id self,
+                                                const std::vector<ownership::member_load>& loads,
+                                                const std::vector<ownership::range_load>& own)
+{
+    const auto less = [](const auto& left, const auto& right) { return left.rate < right.rate; };
+    const auto least = std::min_element(loads.begin(), loads.end(), less);
+    const auto mine = std::find_if(loads.begin(), loads.end(),
+                                   [self](const auto& load) { return load.member == self; });
+    const ownership::range_load* best = nullptr;
+    for (const auto& candidate : own) {
+        const double rate = candidate.requests_per_second;
+        if (rate > 0 && least->rate + rate < mine->rate &&
+            (best == nullptr || rate > best->requests_per_second)) {
+            best = &candidate;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return ownership::range_move{best->range, least->member};
+}
+
+double seconds(boot_clock::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+std::string key_text(std::size_t key)
+{
+    return "key-" + std::to_string(key);
+}
+
+std::vector<policy> all_policies()
+{
+    using enum assignment_kind;
+    using enum recovery_kind;
+    return {
+        {"static", fixed, none, false, true, true},
+        {"modulo", modulo, quorum, false, true, true},
+        {"store-leases", rendezvous, store, true, true, true},
+        {"no-load-moves", rendezvous, quorum, false, true, true},
+        {"no-hysteresis", rendezvous, quorum, true, false, true},
+        {"no-retry-budget", rendezvous, quorum, true, true, false},
+        {"shipped", rendezvous, quorum, true, true, true},
+    };
+}
+
+ownership_model::ownership_model(const policy& rules, const deployment& sizes, time_point start)
+    : rules_(rules), sizes_(sizes), movers_(sizes.hosts()), assigned_(sizes.ranges, no_host),
+      serving_(sizes.ranges, no_host), lost_(sizes.hosts(), false), gap_since_(sizes.ranges),
+      unavailable_(sizes.ranges, 0), keys_in_range_(sizes.ranges, 0)
+{
+    for (std::size_t key = 0; key < sizes.keys; ++key) {
+        keys_in_range_[range_of(key_text(key), sizes.ranges).value] += 1;
+    }
+    for (std::size_t host = 0; host < sizes.keyed_hosts; ++host) {
+        members_.push_back(host);
+    }
+    assigned_ = wanted();
+    for (std::size_t range = 0; range < sizes.ranges; ++range) {
+        set_serving(start, range, assigned_[range]);
+    }
+}
+
+std::vector<std::size_t> ownership_model::wanted()
+{
+    std::vector<std::size_t> owners(sizes_.ranges, no_host);
+    if (rules_.assignment == assignment_kind::rendezvous) {
+        ownership::placement_list list;
+        for (const auto host : members_) {
+            list.members.push_back({incarnation_id{host + 1}, sizes_.slots});
+        }
+        std::erase_if(overrides_, [&list](const auto& entry) {
+            return std::none_of(list.members.begin(), list.members.end(), [&](const auto& member) {
+                return member.incarnation == entry.second;
+            });
+        });
+        list.overrides = overrides_;
+        table_.emplace(std::move(list), service_name);
+    }
+    for (std::size_t range = 0; range < owners.size(); ++range) {
+        const range_id id{static_cast<std::uint32_t>(range)};
+        if (rules_.assignment == assignment_kind::fixed) {
+            owners[range] = range % sizes_.keyed_hosts;
+        }
+        else if (members_.empty()) {
+            continue;
+        }
+        else if (rules_.assignment == assignment_kind::modulo) {
+            owners[range] = members_[range % members_.size()];
+        }
+        else {
+            owners[range] = members_[table_->of(id).front()];
+        }
+    }
+    return owners;
+}
+
+void ownership_model::set_serving(time_point now, std::size_t range, std::size_t host)
+{
+    serving_[range] = host;
+    auto& since = gap_since_[range];
+    if (host == no_host) {
+        since = since.value_or(now);
+    }
+    else if (since) {
+        const double gap = seconds(now - *since);
+        unavailable_[range] += gap;
+        figures_.longest_gap_seconds = std::max(figures_.longest_gap_seconds, gap);
+        since.reset();
+    }
+}
+
+void ownership_model::reassign(time_point now, bool by_load)
+{
+    const auto next = wanted();
+    ++version_;
+    for (std::size_t range = 0; range < next.size(); ++range) {
+        if (next[range] == assigned_[range]) {
+            continue;
+        }
+        const auto before = assigned_[range];
+        assigned_[range] = next[range];
+        figures_.moved_keys += keys_in_range_[range];
+        ++(by_load ? figures_.load_moves : figures_.member_moves);
+        const bool from_lost_host = before == no_host || lost_[before];
+        if (suspended_) {
+            continue;
+        }
+        if (from_lost_host || next[range] == no_host) {
+            set_serving(now, range, next[range]);
+            continue;
+        }
+        set_serving(now, range, no_host);
+        pending_.push_back({range, next[range], version_});
+    }
+}
+
+void ownership_model::lose(time_point now, std::size_t host)
+{
+    lost_[host] = true;
+    for (std::size_t range = 0; range < serving_.size(); ++range) {
+        if (serving_[range] == host) {
+            set_serving(now, range, no_host);
+        }
+    }
+}
+
+void ownership_model::remove(time_point now, std::size_t host, bool planned)
+{
+    if (!planned) {
+        lose(now, host);
+    }
+    if (std::erase(members_, host) == 0) {
+        return;
+    }
+    ++figures_.member_events;
+    reassign(now, false);
+    if (rules_.assignment == assignment_kind::fixed) {
+        lose(now, host);
+    }
+    lost_[host] = true;
+}
+
+void ownership_model::add(time_point now, std::size_t host)
+{
+    lost_[host] = false;
+    if (std::find(members_.begin(), members_.end(), host) == members_.end()) {
+        members_.push_back(host);
+        std::sort(members_.begin(), members_.end());
+        ++figures_.member_events;
+        reassign(now, false);
+    }
+    // Ranges that nobody took over in the meantime.
+    for (std::size_t range = 0; range < serving_.size() && !suspended_; ++range) {
+        if (assigned_[range] == host && serving_[range] == no_host &&
+            std::none_of(pending_.begin(), pending_.end(),
+                         [range](const pending& entry) { return entry.range == range; })) {
+            set_serving(now, range, host);
+        }
+    }
+}
+
+void ownership_model::activate(time_point now, std::size_t range, std::size_t host,
+                               std::uint64_t version)
+{
+    const bool current = assigned_[range] == host && version <= version_;
+    if (current && !lost_[host] && !suspended_) {
+        set_serving(now, range, host);
+    }
+}
+
+std::vector<ownership::member_load>
+ownership_model::member_loads(const std::vector<double>& rates) const
+{
+    std::vector<ownership::member_load> loads;
+    for (const auto host : members_) {
+        double rate = 0;
+        for (std::size_t range = 0; range < rates.size(); ++range) {
+            rate += assigned_[range] == host ? rates[range] : 0;
+        }
+        loads.push_back({incarnation_id{host + 1}, rate, sizes_.slots});
+    }
+    return loads;
+}
+
+std::vector<ownership::range_load>
+ownership_model::own_loads(std::size_t host, const std::vector<double>& rates) const
+{
+    std::vector<ownership::range_load> loads;
+    for (std::size_t range = 0; range < rates.size(); ++range) {
+        if (serving_[range] == host) {
+            loads.push_back({range_id{static_cast<std::uint32_t>(range)}, rates[range]});
+        }
+    }
+    return loads;
+}
+
+void ownership_model::balance(time_point now, const std::vector<double>& rates)
+{
+    if (!rules_.load_moves || suspended_ || members_.empty()) {
+        return;
+    }
+    const double share = moves_per_hour / static_cast<double>(members_.size());
+    for (const auto host : members_) {
+        auto& mover = movers_[host];
+        if (lost_[host] || now < mover.next_move) {
+            continue;
+        }
+        const incarnation_id self{host + 1};
+        const auto loads = member_loads(rates);
+        const auto own = own_loads(host, rates);
+        const auto move = rules_.hysteresis ? ownership::choose_move(self, loads, own)
+                                            : eager_move(self, loads, own);
+        if (!move) {
+            mover.overloaded_since.reset();
+            continue;
+        }
+        mover.overloaded_since = mover.overloaded_since.value_or(now);
+        if (rules_.hysteresis) {
+            if (now - *mover.overloaded_since < settle_time || !mover.budget.take(now, 1, share)) {
+                continue;
+            }
+            mover.overloaded_since.reset();
+            mover.next_move = now + move_pause;
+        }
+        overrides_[move->range] = move->to;
+        reassign(now, true);
+    }
+}
+
+void ownership_model::suspend(time_point now)
+{
+    suspended_ = true;
+    for (std::size_t range = 0; range < serving_.size(); ++range) {
+        set_serving(now, range, no_host);
+    }
+}
+
+void ownership_model::resume(time_point now)
+{
+    suspended_ = false;
+    for (std::size_t range = 0; range < serving_.size(); ++range) {
+        if (assigned_[range] != no_host && !lost_[assigned_[range]]) {
+            set_serving(now, range, assigned_[range]);
+        }
+    }
+}
+
+void ownership_model::finish(time_point now)
+{
+    for (std::size_t range = 0; range < serving_.size(); ++range) {
+        if (gap_since_[range]) {
+            set_serving(now, range, 0);
+        }
+        figures_.unavailable_key_seconds += unavailable_[range] * keys_in_range_[range];
+        figures_.worst_key_seconds = std::max(figures_.worst_key_seconds, unavailable_[range]);
+    }
+}
+
+std::vector<ownership_model::pending> ownership_model::take_pending()
+{
+    return std::exchange(pending_, {});
+}
+
+} // namespace bulrushgw::bench
--- /dev/null
+++ b/bench/policy_simulation.h
@@ -0,0 +1,165 @@
+#pragma once
+
+/// Runs one policy over one deployment in virtual time. Admission, forwarding,
+/// retry budget and the balanced choice are the shipped classes; hosts, targets
+/// and the network are models.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+#include "bench/policy_ownership.h"
+#include "bench/policy_scenario.h"
+#include "request/admission.h"
+#include "request/forward_tracker.h"
+#include "request/retry.h"
+
+namespace bulrushgw::bench {
+
+struct simulation_settings {
+    std::chrono::minutes length{30};
+    std::uint64_t seed = 1;
+    double load_factor = 1.0;
+};
+
+struct simulation_figures {
+    ownership_figures ownership;
+    double hours = 0;
+    std::size_t keys = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t lost_with_entry = 0; ///< the entry node was lost with the request
+    std::uint64_t ran_twice = 0;       ///< `once` requests, which must be 0
+    std::uint64_t false_not_run = 0;   ///< told "not run" and ran, which must be 0
+    double worth = 0;
+    double worth_correct_once = 0;
+    std::uint64_t sent = 0; ///< forwards, for attempts per request
+    std::uint64_t retried = 0;
+    std::uint64_t not_owner = 0;
+    double imbalance_mean = 0; ///< of the minutes in which no host came or went
+    double imbalance_worst = 0;
+    std::map<request::reason, std::uint64_t> reasons; ///< of not answered requests
+    std::vector<float> latency_ms; ///< of answered requests, sorted
+    [[nodiscard]] double quantile(double part) const;
+};
+
+class simulation {
+public:
+    simulation(const policy& rules, const deployment& sizes, const simulation_settings& settings);
+    ~simulation();
+    simulation(const simulation&) = delete;
+    simulation& operator=(const simulation&) = delete;
+
+    simulation_figures run();
+
+private:
+    struct client_request {
+        std::size_t kind = 0;
+        std::uint32_t range = 0;
+        time_point sent;
+        std::uint32_t runs = 0;
+        bool ended = false;
+    };
+    struct job {
+        std::size_t request = 0;
+        std::size_t entry = 0;
+        std::uint64_t entry_generation = 0;
+        std::uint64_t number = 0;
+        time_point deadline;
+    };
+    struct host;
+    struct event {
+        time_point at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    void after(boot_clock::duration delay, std::function<void()> action);
+    [[nodiscard]] double uniform();
+    [[nodiscard]] boot_clock::duration up_to(boot_clock::duration most);
+    [[nodiscard]] boot_clock::duration hop(std::size_t from, std::size_t to) const;
+    [[nodiscard]] incarnation_id incarnation_of(std::size_t host) const;
+    [[nodiscard]] bool is_current(std::size_t host, std::uint64_t generation) const;
+
+    // Workload and disturbances.
+    void schedule_arrival();
+    void arrive();
+    void enter(std::size_t request, std::size_t entry, std::uint64_t generation);
+    void disturb(const disturbance& change);
+    void crash(std::size_t host, bool silent);
+    void come_back(std::size_t host);
+    void start_host(std::size_t host);
+    void add_counters(const host& node);
+    void found_dead(std::size_t host, std::uint64_t generation);
+    void end_by_silence(std::size_t host);
+    void join(std::size_t host, std::uint64_t generation);
+    void store_changes(bool up);
+    void spread_view();
+    void start_moves();
+
+    // Entry node.
+    [[nodiscard]] std::optional<request::forward_choice>
+    choose(std::size_t entry, const request::forward_request& wanted,
+           const std::vector<incarnation_id>& avoid);
+    [[nodiscard]] bool spend(time_point now, std::size_t entry, const std::string& service);
+    void pump_entry(std::size_t entry, request::reason replied = request::reason::none);
+    void send(std::size_t entry, const request::send_forward& frame);
+    void end(std::size_t request, request::reason why);
+
+    // Owner node and target.
+    void deliver(std::size_t owner, std::uint64_t generation, const job& work);
+    void reply(std::size_t owner, const job& work, request::reply_kind kind, request::reason why);
+    void refuse_connection(std::size_t owner, const job& work);
+    void pump_owner(std::size_t owner);
+    void start(std::size_t owner, request::ticket id);
+    void complete(std::size_t owner, std::uint64_t generation, request::ticket id);
+    void abort(std::size_t owner, std::uint64_t generation, request::ticket id,
+               request::reason why);
+    void cancel(std::size_t owner, std::uint64_t generation, std::uint64_t number,
+                std::size_t entry);
+
+    // Measures and periodic work.
+    void tick();
+    void each_second();
+    void report_loads();
+    void close_minute();
+    simulation_figures collect();
+
+    policy rules_;
+    const deployment& sizes_;
+    simulation_settings settings_;
+    recovery_times times_;
+    time_point now_;
+    time_point end_;
+    random_engine random_;   ///< of the policy's own choices
+    random_engine workload_; ///< the same requests for each policy
+    key_choice key_order_;
+    std::vector<std::uint32_t> key_ranges_;
+    std::vector<client_request> requests_;
+    std::vector<std::unique_ptr<host>> hosts_;
+    ownership_model owners_;
+    std::vector<std::size_t> view_; ///< assignment that the entry nodes know
+    std::uint64_t view_version_ = 1;
+    std::vector<bool> view_up_; ///< balanced hosts that the entry nodes know to be up
+    bool store_up_ = true;
+    std::vector<double> range_counts_; ///< requests in this second
+    std::vector<double> range_rates_;  ///< smoothed over about 10 s
+    bool members_changed_ = false;
+    std::size_t phase_ = 0;
+    std::uint64_t ticks_ = 0;
+    std::uint64_t next_order_ = 0;
+    std::priority_queue<event> events_;
+    std::vector<double> imbalances_;
+    simulation_figures figures_;
+};
+
+} // namespace bulrushgw::bench
--- a/src/request/forward_tracker.cpp
+++ b/src/request/forward_tracker.cpp
@@ -166,7 +166,10 @@
     }
     const forward_id id = found->second;
     auto& entry = requests_.at(id);
-    if (entry.peer != peer || entry.request.request_id != reply.request_id) {
+    // A process that started at the peer's address answers not_owner under its own
+    // incarnation. It received the frame, so the previous process did not.
+    const bool from_peer = entry.peer == peer || reply.kind == reply_kind::not_owner;
+    if (!from_peer || entry.request.request_id != reply.request_id) {
         ++counters_.crossed;
         return;
     }
--- a/tests/request/forward_tracker_test.cpp
+++ b/tests/request/forward_tracker_test.cpp
@@ -150,6 +150,17 @@
     UNSIGNED_LONGS_EQUAL(1, drain().accepts.size());
 }
 
+// Guards against a request that waits for its whole deadline after the owner's
+// process was replaced: the new one answers under another incarnation.
+TEST(forwards, not_owner_of_a_new_incarnation_is_accepted)
+{
+    const auto sent = submit(repeat_kind::once);
+    reply(10, incarnation_id{99}, sent.number, reply_kind::not_owner);
+    tracker.on_tick(at(40));
+    UNSIGNED_LONGS_EQUAL(1, drain().sends.size());
+    UNSIGNED_LONGS_EQUAL(0, tracker.counters().crossed);
+}
+
 // Guards against unbounded re-sends between nodes that disagree.
 TEST(forwards, resends_are_bounded)
 {
