Refuse queued requests that have no time left for an answer

A request that left the queue shortly before its deadline was cut off at the target with an unknown outcome, which a client of a once route can not repeat safely.

--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -10,6 +10,9 @@
 constexpr std::uint32_t queue_per_slot = 4;
 constexpr std::uint32_t cold_divisor = 4; ///< a cold target starts with a quarter
 
+/// Weight of one answer in the mean answer time is one of these.
+constexpr int mean_samples = 16;
+
 /// A gap between two ticks above this means that this process was paused: the
 /// target's answers may wait unread, so its silence proves nothing.
 constexpr milliseconds own_pause{500};
@@ -74,8 +77,10 @@
 
 void admission::expire(time_point now)
 {
+    // A request that is started with too little time left is cut off with an
+    // unknown outcome; refused in time, it is known not to have run.
     for (auto next = queue_.begin(); next != queue_.end();) {
-        if (next->second.deadline > now) {
+        if (next->second.deadline - now > mean_answer_) {
             ++next;
             continue;
         }
@@ -153,9 +158,15 @@
 
 void admission::finish(time_point now, ticket id, finish_kind kind)
 {
-    if (in_flight_.erase(id) == 0) {
+    const auto found = in_flight_.find(id);
+    if (found == in_flight_.end()) {
         return;
     }
+    const auto duration = now - found->second;
+    in_flight_.erase(found);
+    if (kind == finish_kind::answered) {
+        mean_answer_ += (duration - mean_answer_) / mean_samples;
+    }
     if (kind == finish_kind::answered) {
         on_sign_of_life(now);
     }
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -147,6 +147,7 @@
     std::optional<load_report> report_;
     std::optional<reason> closed_;
     std::optional<time_point> awaiting_since_; ///< oldest thing without a later answer
+    boot_clock::duration mean_answer_{0};
     bool probe_waits_ = false;
     std::optional<time_point> last_tick_;
     std::uint32_t peak_in_flight_ = 0; ///< since the last report
--- a/tests/request/admission_test.cpp
+++ b/tests/request/admission_test.cpp
@@ -197,3 +197,22 @@
     UNSIGNED_LONGS_EQUAL(1, drain(gate).started.size());
     UNSIGNED_LONGS_EQUAL(0, gate.in_flight());
 }
+
+// Guards against a request that is started without the time to finish, and
+// against a slow target that never gets a request again.
+TEST(admission, request_without_time_for_an_answer_is_refused_in_the_queue)
+{
+    auto gate = make_gate(1, 8);
+    for (int i = 0; i < 100; ++i) { // answers take 100 ms
+        gate.offer(at(i * 100), {1, 1, at(100000)});
+        gate.finish(at(i * 100 + 100), 1, finish_kind::answered);
+    }
+    drain(gate);
+    gate.offer(at(10000), {2, 1, at(11000)});
+    gate.offer(at(10000), {3, 1, at(10150)});
+    gate.finish(at(10090), 2, finish_kind::answered);
+    auto log = drain(gate);
+    CHECK((log.refused == std::vector<std::pair<ticket, reason>>{{3, reason::deadline_not_sent}}));
+    gate.offer(at(10100), {4, 1, at(10110)});
+    CHECK((drain(gate).started == std::vector<ticket>{4}));
+}
