--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -107,6 +107,7 @@
     if (closed_for()) {
         return;
     }
+    expire(now);
     while (!queue_.empty() && in_flight_.size() < share(now)) {
         const auto first = queue_.begin();
         const ticket id = first->second.id;
@@ -147,7 +148,6 @@
         return;
     }
     // Requests that cannot run any more must not push out one that can.
-    expire(now);
     start_waiting(now);
     if (queue_.empty() && in_flight_.size() < share(now)) {
         start(now, request.id);
@@ -172,9 +172,8 @@
     }
     else {
         update_wait(now);
+        start_waiting(now);
     }
-    expire(now);
-    start_waiting(now);
 }
 
 bool admission::cancel_queued(time_point now, ticket id)
