--- a/standins/program.cpp
+++ b/standins/program.cpp
@@ -13,7 +13,8 @@
     try {
         net::loop loop;
         loop.on_signal([&loop] { loop.stop(); });
-        std::cout << "listening on " << to_string(start(loop)) << std::endl;
+        const auto address = start(loop);
+        std::cout << "listening on " << to_string(address) << std::endl;
         loop.run();
         // The process ends at once; connections are closed by the system.
         std::_Exit(0);
