Bound the answers' heads and give h2o's own refusals the outcome headers

h2o collects the headers of an answer without a limit and answers 413 and 417 before any handler runs. The client now looks at the size of unfinished answers every 20 ms, and the server adds headers that its owner chooses.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "net/h2o_library.h"
 #include "net/http.h"
@@ -20,6 +21,11 @@
 constexpr std::uint64_t idle_connection_ms = 5000;
 /// h2o restarts this timeout on every read; each call has its own hard timeout.
 constexpr std::uint64_t h2o_io_timeout_ms = 3'600'000;
+/// Interval between two looks at the size of answers whose headers are incomplete,
+/// which h2o collects without a limit.
+constexpr milliseconds size_check_interval{20};
+/// Bytes that the head of an answer may take beside its body.
+constexpr std::size_t max_head_bytes = std::size_t{64} * 1024;
 /// Calls that wait for a connection to one address; further calls are refused.
 constexpr std::size_t max_waiting_per_address = 10000;
 
@@ -86,6 +92,7 @@
     std::map<endpoint, std::unique_ptr<destination>> destinations;
     std::unordered_map<call_id, std::unique_ptr<call>> calls;
     call_id next_call = 1;
+    loop::timer_id size_check = 0; ///< runs while there are calls
     /// Tells deferred results whether the client still exists.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -105,6 +112,8 @@
     void fail(call& entry, http_failure failure) { finish(entry, {std::nullopt, failure}); }
     void abort(call& entry, http_failure after_write);
     bool append_body(call& entry);
+    void start_size_check();
+    void check_sizes();
 
     static h2o_http1client_head_cb on_connect(h2o_http1client_t* client, const char* failure,
                                               h2o_iovec_t** buffers, size_t* count, int* is_head);
@@ -208,6 +217,7 @@
         }
     }
     entry.now = phase::written;
+    entry.owner->start_size_check();
     entry.buffer = h2o_iovec_init(entry.bytes.data(), entry.bytes.size());
     *buffers = &entry.buffer;
     *count = 1;
@@ -234,7 +244,7 @@
         entry.response.headers.push_back(
             {{from.name->base, from.name->len}, {from.value.base, from.value.len}});
     }
-    if (bytes > entry.owner->max_response_bytes) {
+    if (bytes > max_head_bytes) {
         entry.owner->fail(entry, http_failure::malformed);
         return nullptr;
     }
@@ -245,6 +255,31 @@
     return on_body;
 }
 
+void http_client::state::start_size_check()
+{
+    if (size_check == 0) {
+        size_check = owner.every(size_check_interval, [this] { check_sizes(); });
+    }
+}
+
+void http_client::state::check_sizes()
+{
+    std::vector<call*> oversized;
+    for (auto& [id, entry] : calls) {
+        if (entry->now == phase::written &&
+            entry->client->sock->input->size > max_response_bytes + max_head_bytes) {
+            oversized.push_back(entry.get());
+        }
+    }
+    for (auto* entry : oversized) {
+        h2o_http1client_cancel(std::exchange(entry->client, nullptr));
+        fail(*entry, http_failure::malformed);
+    }
+    if (calls.empty()) {
+        owner.cancel(std::exchange(size_check, 0));
+    }
+}
+
 bool http_client::state::append_body(call& entry)
 {
     auto* socket = entry.client->sock;
@@ -286,6 +321,7 @@
         state_->abort(*state_->calls.begin()->second, http_failure::closed);
     }
     *state_->alive = false;
+    state_->owner.cancel(state_->size_check);
     for (auto& [address, to] : state_->destinations) {
         h2o_socketpool_dispose(&to->pool);
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -113,6 +113,12 @@
         std::shared_ptr<pending> call;
     };
 
+    /// Sees the responses that h2o makes before a handler runs.
+    struct refusal_filter {
+        h2o_filter_t super;
+        state* server;
+    };
+
     struct request_handler {
         h2o_handler_t super;
         state* server;
@@ -132,7 +138,7 @@
     std::shared_ptr<bool> open_for_hooks = std::make_shared<bool>(true);
 
     state(net::loop& on_loop, handler to_call, http_server_limits with)
-        : owner(on_loop), on_request(std::move(to_call)), limits(with)
+        : owner(on_loop), on_request(std::move(to_call)), limits(std::move(with))
     {
     }
 
@@ -141,6 +147,7 @@
     void close(std::shared_ptr<state> self);
     void finish_close_when_idle();
     void handle(h2o_req_t* request);
+    void refuse(h2o_req_t& request, int status, const char* reason) const;
     void dispatch(const std::shared_ptr<pending>& call);
     void cancel(const std::shared_ptr<pending>& call) const;
     void abandon(std::shared_ptr<pending> call) const;
@@ -153,6 +160,7 @@
     static void on_closed(void* data);
     static void on_discarded(void* data);
     static int on_h2o_request(h2o_handler_t* self, h2o_req_t* request);
+    static void on_h2o_response(h2o_filter_t* self, h2o_req_t* request, h2o_ostream_t** slot);
 };
 
 void http_server::state::start(const endpoint& on_address)
@@ -173,6 +181,10 @@
         reinterpret_cast<request_handler*>(h2o_create_handler(path, sizeof(request_handler)));
     entry->super.on_req = on_h2o_request;
     entry->server = this;
+    auto* filter = reinterpret_cast<refusal_filter*>(
+        h2o_create_filter(&host->fallback_path, sizeof(refusal_filter)));
+    filter->super.on_setup_ostream = on_h2o_response;
+    filter->server = this;
     h2o_context_init(&context, owner.evloop(), &config);
     accept.ctx = &context;
     accept.hosts = config.hosts;
@@ -239,11 +251,11 @@
     auto* client = static_cast<connection*>(socket->on_close.data);
     if (on_request == nullptr) {
         request->http1_is_persistent = 0;
-        write_response(*request, refusal(503, "stopping"));
+        refuse(*request, 503, "stopping");
         return;
     }
     if (header_bytes(*request) > limits.max_header_bytes) {
-        write_response(*request, refusal(431, "headers above the limit"));
+        refuse(*request, 431, "headers above the limit");
         return;
     }
     auto call = std::make_shared<pending>();
@@ -258,6 +270,29 @@
     }
 }
 
+void http_server::state::refuse(h2o_req_t& request, int status, const char* reason) const
+{
+    auto response = refusal(status, reason);
+    if (limits.refusal_headers) {
+        for (auto& entry : limits.refusal_headers(status)) {
+            response.headers.push_back(std::move(entry));
+        }
+    }
+    write_response(request, response);
+}
+
+void http_server::state::on_h2o_response(h2o_filter_t* self, h2o_req_t* request,
+                                         h2o_ostream_t** slot)
+{
+    const auto& limits = reinterpret_cast<refusal_filter*>(self)->server->limits;
+    if (limits.refusal_headers) {
+        for (const auto& entry : limits.refusal_headers(request->res.status)) {
+            add_header(*request, entry);
+        }
+    }
+    h2o_setup_next_ostream(request, slot);
+}
+
 void http_server::state::dispatch(const std::shared_ptr<pending>& call)
 {
     http_exchange exchange;
@@ -362,7 +397,7 @@
 
 http_server::http_server(loop& loop, const endpoint& address, handler on_request,
                          http_server_limits limits)
-    : state_(std::make_shared<state>(loop, std::move(on_request), limits))
+    : state_(std::make_shared<state>(loop, std::move(on_request), std::move(limits)))
 {
     state_->start(address);
 }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -218,6 +218,32 @@
     CHECK(box.result->failure == http_failure::closed);
 }
 
+// Guards against memory that a server fills with an endless or oversized answer.
+TEST(http, oversized_answers_are_malformed)
+{
+    static std::string text;
+    static h2o_iovec_t buffer;
+    for (const std::string& bytes :
+         {"HTTP/1.1 200 OK\r\nx: " + std::string(300000, 'h'),
+          "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n" + std::string(200000, 'b'),
+          std::string("SSH-2.0\r\n\r\n")}) {
+        text = bytes;
+        buffer = {text.data(), text.size()};
+        detail::listener hostile(loop, any_port, [](h2o_socket_t* socket) {
+            h2o_socket_write(socket, &buffer, 1, [](h2o_socket_t* written, const char* failure) {
+                if (failure != nullptr) {
+                    h2o_socket_close(written);
+                }
+            });
+        });
+        result_box box;
+        client->send(hostile.address(), get("/"), call_timeout, box.into());
+        CHECK(loop.run_until([&] { return box.calls > 0; }, wait_limit));
+        CHECK(!box.result->response);
+        CHECK(box.result->failure == http_failure::malformed);
+    }
+}
+
 // Guards against hostile sizes: a typed refusal, and the server goes on.
 TEST(http, oversized_requests_are_refused)
 {
@@ -227,6 +253,9 @@
     serve_echo(limits);
     STRCMP_CONTAINS("413",
                     exchange_raw("POST / HTTP/1.1\r\ncontent-length: 2000\r\n\r\n", "413").c_str());
+    const std::string chunked = "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n7d0\r\n";
+    STRCMP_CONTAINS(
+        "413", exchange_raw(chunked + std::string(2000, 'c') + "\r\n0\r\n\r\n", "413").c_str());
     const std::string header(600, 'h');
     STRCMP_CONTAINS("431",
                     exchange_raw("GET / HTTP/1.1\r\nx: " + header + "\r\n\r\n", "431").c_str());
@@ -234,6 +263,82 @@
     CHECK(call(get("/")).response.has_value());
 }
 
+// Guards against refusals by the library below that lack the outcome: a client must
+// learn also from these that its request did not run.
+TEST(http, refusals_without_the_handler_carry_the_given_headers)
+{
+    http_server_limits limits;
+    limits.max_body_bytes = 1000;
+    limits.max_header_bytes = 500;
+    limits.refusal_headers = [](int status) {
+        return header_list{{"Bulrush-Reason", "refused-" + std::to_string(status)}};
+    };
+    serve_echo(limits);
+    STRCMP_CONTAINS(
+        "bulrush-reason: refused-413",
+        exchange_raw("POST / HTTP/1.1\r\ncontent-length: 2000\r\n\r\n", "\r\n\r\n").c_str());
+    const std::string header(600, 'h');
+    STRCMP_CONTAINS(
+        "bulrush-reason: refused-431",
+        exchange_raw("GET / HTTP/1.1\r\nx: " + header + "\r\n\r\n", "\r\n\r\n").c_str());
+    STRCMP_CONTAINS(
+        "bulrush-reason: refused-417",
+        exchange_raw("POST / HTTP/1.1\r\nexpect: tea\r\ncontent-length: 1\r\n\r\n", "\r\n\r\n")
+            .c_str());
+}
+
+// Guards against bytes that are no HTTP/1.1, against a sender that never finishes a
+// request, and against connections that such a sender keeps.
+TEST(http, broken_and_slow_senders_are_closed)
+{
+    http_server_limits limits;
+    limits.request_timeout = milliseconds{200};
+    serve_echo(limits);
+    std::string many_headers = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 150; ++i) {
+        many_headers += "x: y\r\n";
+    }
+    const std::vector<std::string> inputs = {
+        "GET / HTTP/1.1\r\nx: ",
+        "POST / HTTP/1.1\r\ncontent-length: 10\r\n\r\nabc",
+        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: 18446744073709551617\r\n\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        "\x16\x03\x01 tls\r\n\r\n",
+        many_headers + "\r\n",
+        "GET / HTTP/1.1\r\nx: " + std::string(450000, 'h'),
+    };
+    for (const auto& input : inputs) {
+        const auto got = exchange_raw(input, "never in an answer");
+        CHECK_TEXT(got.find(" 201 ") == std::string::npos, input.substr(0, 60).c_str());
+    }
+    CHECK(loop.run_until([&] { return server->connections() == 0; }, wait_limit));
+    CHECK(call(get("/")).response.has_value());
+}
+
+// Guards against crossed answers of requests that a client sends without waiting.
+TEST(http, pipelined_requests_are_answered_in_order)
+{
+    serve_never();
+    test::raw_client raw(server->address());
+    raw.send("GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n");
+    CHECK(loop.run_until([&] { return kept.size() == 1; }, wait_limit));
+    CHECK(!loop.run_until([&] { return kept.size() == 2; }, milliseconds{20}));
+    kept[0].respond({200, {}, "first"});
+    CHECK(loop.run_until([&] { return kept.size() == 2; }, wait_limit));
+    kept[0].respond({200, {}, "again"});
+    kept[1].respond({200, {}, "second"});
+    std::string got;
+    CHECK(loop.run_until(
+        [&] {
+            got += raw.received();
+            return got.find("second") != std::string::npos;
+        },
+        wait_limit));
+    CHECK(got.find("first") < got.find("second"));
+    CHECK(got.find("again") == std::string::npos);
+}
+
 // Guards against an answer that a relayed header splits in two.
 TEST(http, header_injection_is_refused)
 {
