Close connections whose client does not read its answer

h2o waits for such a client without a limit, so that it holds the answer and one of the bounded connections. The server now looks at pending writes and ends those that last longer than the request timeout.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -78,7 +78,7 @@
     std::size_t max_body_bytes = std::size_t{1024} * 1024; ///< 413 above
     std::size_t max_header_bytes = std::size_t{16} * 1024; ///< 431 above, for all names and values
     std::size_t max_connections = 1000;                    ///< further connections are closed
-    milliseconds request_timeout{10000};                   ///< slow senders are closed
+    milliseconds request_timeout{10000};                   ///< slow senders and readers are closed
     /// Headers for the refusals that the server makes without the handler (400,
     /// 413, 417, 431, 503 while it stops), by their status. May be empty.
     std::function<header_list(int status)> refusal_headers;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <new>
+#include <optional>
 #include <set>
 #include <sys/socket.h>
 #include <utility>
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr milliseconds max_sweep_interval{1000};
+constexpr milliseconds min_sweep_interval{10};
 constexpr int default_port = 65535; ///< h2o's mark for a host without a port
 
 std::string to_text(h2o_iovec_t bytes)
@@ -105,6 +108,7 @@
         state* server = nullptr;
         h2o_socket_t* socket = nullptr;
         std::shared_ptr<pending> active;
+        std::optional<time_point> writing_since; ///< as seen by `close_slow_readers`
     };
 
     /// Lies in the memory pool of a request, so that h2o reports its end.
@@ -133,6 +137,7 @@
     std::unique_ptr<detail::listener> listener;
     endpoint address;
     std::set<connection*> connections;
+    loop::timer_id sweep = 0;
     std::shared_ptr<state> self_while_closing;
     /// False once the server object is gone: its handlers must not be called.
     std::shared_ptr<bool> open_for_hooks = std::make_shared<bool>(true);
@@ -146,6 +151,7 @@
     void open(h2o_socket_t* socket);
     void close(std::shared_ptr<state> self);
     void finish_close_when_idle();
+    void close_slow_readers();
     void handle(h2o_req_t* request);
     void refuse(h2o_req_t& request, int status, const char* reason) const;
     void dispatch(const std::shared_ptr<pending>& call);
@@ -188,6 +194,27 @@
     h2o_context_init(&context, owner.evloop(), &config);
     accept.ctx = &context;
     accept.hosts = config.hosts;
+    const auto interval =
+        std::clamp(limits.request_timeout / 4, min_sweep_interval, max_sweep_interval);
+    sweep = owner.every(interval, [this] { close_slow_readers(); });
+}
+
+// h2o waits without a limit for a client that does not read its answer.
+void http_server::state::close_slow_readers()
+{
+    const auto now = owner.now();
+    for (auto* client : connections) {
+        if (client->active != nullptr || h2o_socket_is_writing(client->socket) == 0) {
+            client->writing_since.reset();
+        }
+        else if (!client->writing_since) {
+            client->writing_since = now;
+        }
+        else if (now - *client->writing_since > limits.request_timeout) {
+            // The pending write fails, and h2o closes the connection.
+            shutdown(h2o_socket_get_fd(client->socket), SHUT_RDWR);
+        }
+    }
 }
 
 void http_server::state::open(h2o_socket_t* socket)
@@ -196,7 +223,7 @@
         h2o_socket_close(socket);
         return;
     }
-    auto* client = new connection{this, socket, nullptr};
+    auto* client = new connection{this, socket, nullptr, std::nullopt};
     connections.insert(client);
     socket->on_close.cb = on_closed;
     socket->on_close.data = client;
@@ -233,6 +260,7 @@
         return;
     }
     // h2o still uses the connection that closes now, so the rest waits a turn.
+    owner.cancel(sweep);
     owner.defer([self = std::move(self_while_closing)] {
         h2o_context_dispose(&self->context);
         h2o_config_dispose(&self->config);
@@ -347,6 +375,7 @@
     }
     stop_watch(*call.client);
     call.client->active.reset();
+    call.client->writing_since.reset();
     if (call.client->server->listener == nullptr) {
         request->http1_is_persistent = 0;
     }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -375,6 +375,23 @@
     CHECK(call(get("/")).response.has_value());
 }
 
+// Guards against memory and connections that a client holds by not reading.
+TEST(http, slow_reader_is_closed)
+{
+    http_server_limits limits;
+    limits.request_timeout = milliseconds{50};
+    server.emplace(
+        loop, any_port,
+        [](const http_exchange& exchange) {
+            exchange.respond({200, {}, std::string(20'000'000, 'x')});
+        },
+        limits);
+    test::raw_client raw(server->address());
+    raw.send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    CHECK(loop.run_until([&] { return server->connections() == 1; }, wait_limit));
+    CHECK(loop.run_until([&] { return server->connections() == 0; }, wait_limit));
+}
+
 // Guards against crossed answers of requests that a client sends without waiting.
 TEST(http, pipelined_requests_are_answered_in_order)
 {
