Run the callbacks of finished writes without waiting for the next event

Cause: h2o runs the callback of a finished write after its wait for events. A call that began in a timer or a deferred action had its write done at once, but its answer was read only after the next event or timer, 20 ms later in the measure of forwarded requests. Ruled out: delayed acknowledgements (the same delay with TCP_NODELAY in h2o) and the connection pool. Change: the loop does not wait while such callbacks are pending. After: the new test fails without the change and passes with it.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -96,7 +96,12 @@
 
     [[nodiscard]] milliseconds wait(milliseconds limit) const
     {
-        if (stopped || !deferred.empty()) {
+        // h2o runs the callbacks of finished writes after its wait for events. A
+        // write from a timer or a deferred action would otherwise end only with
+        // the next event, and the answer to it would not be read before.
+        const bool writes_finished =
+            evloop->_pending_as_client != nullptr || evloop->_pending_as_server != nullptr;
+        if (stopped || !deferred.empty() || writes_finished) {
             return milliseconds{0};
         }
         auto result = std::min(limit, max_wait);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -1,4 +1,6 @@
+#include <atomic>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include "net/http.h"
@@ -469,3 +471,40 @@
         CHECK_THROWS(address_error, parse_endpoint(bad));
     }
 }
+
+// Guards against calls that wait for a timer of the loop: a call that begins in
+// the callback of another one took up to the longest wait of the loop (20 ms)
+// before its answer was read. The server has a loop of its own, as another
+// process would, because its events would end the client's waits.
+TEST(http, calls_one_after_another_wait_for_no_timer)
+{
+    std::atomic<std::uint16_t> port{0};
+    std::atomic<bool> finished_all{false};
+    std::thread other([&] {
+        net::loop server_loop;
+        const http_server echo(server_loop, any_port, [](const http_exchange& exchange) {
+            exchange.respond({200, {}, "answer"});
+        });
+        port = echo.address().port;
+        server_loop.run_until([&] { return finished_all.load(); }, milliseconds{10000});
+    });
+    while (port == 0) {
+        std::this_thread::yield();
+    }
+    constexpr int count = 200;
+    int finished = 0;
+    int answered = 0;
+    std::function<void(http_result)> next = [&](const http_result& result) {
+        answered += result.response.has_value() ? 1 : 0;
+        if (++finished < count) {
+            client->send({"127.0.0.1", port}, get("/"), call_timeout, next);
+        }
+    };
+    client->send({"127.0.0.1", port}, get("/"), call_timeout, next);
+    // 200 waits of 20 ms would be 4 s.
+    const bool in_time = loop.run_until([&] { return finished == count; }, milliseconds{2000});
+    finished_all = true;
+    other.join();
+    CHECK(in_time);
+    LONGS_EQUAL(count, answered);
+}
