--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -59,6 +59,10 @@
 
 } // namespace
 
+/// Built on h2o_http1client: its socket pool keeps connections and tests them before
+/// reuse, it can be cancelled, and it calls `on_connect` directly before the write.
+/// It does not bound the number of connections, the time of a call or the size of
+/// an answer; this class does.
 struct http_client::state {
     /// Connections and waiting calls of one address.
     struct destination {
