Record several ends in one transaction, and let any member do it

Two dead members without a certificate on an older version blocked each other's end through the store. Their ends are now recorded together. A holder that stopped also publishes its holder seal, so that any member can record its end after the holder itself is gone. An ended incarnation remains a witness for a bounded time, until its holders replaced it.

--- a/src/ownership/engine.cpp
+++ b/src/ownership/engine.cpp
@@ -165,14 +165,13 @@
         renew_lease(now);
         consider_move(now);
         consider_proposal(now);
+        tend_stopped_holders(now);
         tend_leave(now);
     }
     if (ending) {
         tend_end(now);
     }
-    if (store_end && !store_end->busy && now >= store_end->next) {
-        start_store_end(now, store_end->target, store_end->by);
-    }
+    tend_store_end(now);
     exchange_digests(now);
     after_event(now);
 }
@@ -222,7 +221,7 @@
 
 void engine::assert_ended(time_point now, incarnation_id id, const std::string& operator_name)
 {
-    state_->start_store_end(now, id, operator_name);
+    state_->request_store_end(now, id, operator_name);
     state_->after_event(now);
 }
 
--- a/src/ownership/engine_end.cpp
+++ b/src/ownership/engine_end.cpp
@@ -10,16 +10,23 @@
 constexpr milliseconds holder_seal_retry{100};
 /// A witness that lives answers a holder seal well within this time.
 constexpr std::chrono::seconds holder_seal_limit{1};
-/// After this long a new incarnation starts even if the end could not be
-/// recorded; the witnesses seal by themselves.
-constexpr std::chrono::seconds end_limit{10};
+/// After this long a new incarnation starts even if the end is not proven, when
+/// peers have heard the holder seal; any member can then record the end.
+constexpr std::chrono::seconds end_limit{3};
+/// The same without a word from any peer.
+constexpr std::chrono::seconds isolated_end_limit{30};
+/// How often a member looks for holders that stopped and have no certificate.
+constexpr std::chrono::seconds stopped_holder_low{3};
+constexpr std::chrono::seconds stopped_holder_high{6};
 /// A leaving node waits this long for the store, then hands over by its end.
 constexpr std::chrono::seconds leave_store_limit{5};
 /// Bound on the wait for requests in flight at a leave. Requests have shorter
 /// deadlines.
 constexpr std::chrono::seconds leave_drain_limit{30};
-constexpr milliseconds store_end_retry{500};
-constexpr unsigned store_end_attempts = 10;
+/// An ended incarnation remains a witness for this long at most, so that its
+/// holders can replace it. A planned leave has more time.
+constexpr std::chrono::seconds last_duties_limit{2};
+constexpr std::chrono::seconds leave_duties_limit{5};
 
 } // namespace
 
@@ -28,23 +35,28 @@
     if (ending || over) {
         return;
     }
-    ending = end_state{cause, now, now};
+    ending = end_state{cause, now, now, {}};
     serving_dirty = true;
     audit(audit_kind::end, self, cause);
     update_serving(now);
     if (!lease.started()) {
-        finish(cause);
+        finish(now, cause);
         return;
     }
+    // Any member may record the end through the store on the strength of this.
+    accept_seal(now, {self, self, lease.set_version(), lease.offered(), false});
     tend_end(now);
 }
 
-void engine::state::finish(const std::string& cause)
+void engine::state::finish(time_point now, const std::string& cause)
 {
-    if (over) {
+    if (over || (ending && ending->done)) {
         return;
     }
-    over = true;
+    if (!ending) {
+        ending = end_state{cause, now, now, {}};
+    }
+    ending->done = now;
     if (!serving.empty()) {
         serving_changed change;
         change.service = own.service;
@@ -54,16 +66,30 @@
         serving.clear();
         effects.emplace_back(std::move(change));
     }
+    tend_last_duties(now);
+}
+
+void engine::state::tend_last_duties(time_point now)
+{
+    const auto limit = leaving ? leave_duties_limit : last_duties_limit;
+    if (over || (witness.active() > 0 && now - *ending->done < limit)) {
+        return;
+    }
+    over = true;
     if (leaving) {
         effects.emplace_back(left{});
     }
     else {
-        effects.emplace_back(incarnation_ended{cause});
+        effects.emplace_back(incarnation_ended{ending->cause});
     }
 }
 
 void engine::state::tend_end(time_point now)
 {
+    if (ending->done) {
+        tend_last_duties(now);
+        return;
+    }
     if (now >= ending->next_seal) {
         ending->next_seal = now + holder_seal_retry;
         for (const incarnation_id id : lease.holder_seal_targets()) {
@@ -79,12 +105,13 @@
     const bool sealed_by_all = std::all_of(witnesses.begin(), witnesses.end(),
                                            [&](incarnation_id id) { return lease.refused_by(id); });
     const bool never_placed = lease.offered() == placement_version{};
-    if (sealed_by_all || never_placed || waited >= end_limit) {
-        finish(ending->cause);
+    const bool heard = last_heard && *last_heard > ending->since + holder_seal_limit;
+    if (sealed_by_all || never_placed || waited >= (heard ? end_limit : isolated_end_limit)) {
+        finish(now, ending->cause);
         return;
     }
-    if (!store_end && schedule.ever_answered() && !schedule.is_failing()) {
-        start_store_end(now, self, "holder");
+    if (schedule.ever_answered() && !schedule.is_failing()) {
+        request_store_end(now, self, "holder");
     }
 }
 
@@ -131,123 +158,23 @@
     }
 }
 
-void engine::state::start_store_end(time_point now, incarnation_id subject, const std::string& by)
-{
-    if (!store_end || store_end->target != subject) {
-        if (store_end && store_end->busy) {
-            audit(audit_kind::refusal, subject, "another end is being recorded");
-            return;
-        }
-        store_end = store_end_state{subject, by};
-    }
-    const member_row* row = shared.find(subject);
-    const auto view = row == nullptr ? nullptr : shared.placement_of(row->service);
-    if (row == nullptr || !view) {
-        fail_store_end("the member or its placement is not known");
-        return;
-    }
-    if (shared.certificate_of(subject) != nullptr) {
-        store_end.reset();
-        return;
-    }
-    if (++store_end->attempts > store_end_attempts) {
-        fail_store_end("the store did not confirm the end");
-        return;
-    }
-    store_end->version = view->record.current.version;
-    if (subject == self && lease.offered() > store_end->version) {
-        fail_store_end("a newer placement than the known one was adopted");
-        return;
-    }
-    store_end->next = now + store_end_retry;
-    if (!may_propose(*view, shared, subject)) {
-        return; // asked again until the attempts are used up
-    }
-    store_end->busy = call(
-        now, store::read_row{placement_key(row->service)},
-        [this](time_point at, const store::reply& reply) { on_end_placement_read(at, reply); });
-}
-
-void engine::state::fail_store_end(const std::string& cause)
+void engine::state::tend_stopped_holders(time_point now)
 {
-    audit(audit_kind::refusal, store_end->target, "end through the store: " + cause);
-    store_end.reset();
-}
-
-void engine::state::on_end_placement_read(time_point now, const store::reply& reply)
-{
-    if (!store_end) {
-        return;
-    }
-    store_end->busy = false;
-    if (reply.result != store::status::ok || reply.rows.empty()) {
-        return;
-    }
-    const auto record = read_placement(reply.rows.front());
-    if (!record) {
-        return;
-    }
-    accept_placement(now, *record);
-    if (over || !store_end || record->current.version != store_end->version) {
-        return;
-    }
-    store_end->placement_row = reply.rows.front().version;
-    store_end->busy =
-        call(now, store::read_row{member_key(store_end->target)},
-             [this](time_point at, const store::reply& row) { on_end_member_read(at, row); });
-}
-
-void engine::state::on_end_member_read(time_point now, const store::reply& reply)
-{
-    if (!store_end) {
-        return;
-    }
-    store_end->busy = false;
-    if (reply.result != store::status::ok || reply.rows.empty()) {
-        return;
-    }
-    const auto row = read_member(reply.rows.front());
-    if (!row) {
+    if (now < next_stopped_holder || schedule.is_failing() || !lease.is_running(now)) {
         return;
     }
-    if (row->state == member_state::ended) {
-        store_end.reset();
-        accept_member(now, *row);
+    const bool first = next_stopped_holder == time_point{};
+    next_stopped_holder = now + random.between(stopped_holder_low, stopped_holder_high);
+    const auto view = shared.placement_of(own.service);
+    if (first || !view) {
         return;
     }
-    store_end->member_row_version = reply.rows.front().version;
-    store_end->row = *row;
-    write_store_end(now);
-}
-
-void engine::state::write_store_end(time_point now)
-{
-    member_row row = store_end->row;
-    const auto view = shared.placement_of(row.service);
-    if (!view || view->record.current.version != store_end->version ||
-        !may_propose(*view, shared, row.incarnation)) {
-        return;
+    for (const seal& item : shared.seals().all()) {
+        if (item.witness == item.holder && view->is_open_for(item.holder) &&
+            item.adopted <= view->record.current.version) {
+            request_store_end(now, item.holder, "holder");
+        }
     }
-    row.state = member_state::ended;
-    row.ended_by = store_end->by;
-    row.adopted = store_end->version;
-    store::transact change;
-    change.conditions.push_back({placement_key(row.service), store_end->placement_row});
-    change.conditions.push_back({member_key(row.incarnation), store_end->member_row_version});
-    change.writes.push_back(
-        {member_key(row.incarnation), encode_member(row, next_writer()), false});
-    store_end->busy =
-        call(now, std::move(change), [this, row](time_point at, const store::reply& reply) {
-            if (!store_end) {
-                return;
-            }
-            store_end->busy = false;
-            if (reply.result == store::status::ok) {
-                store_end.reset();
-                accept_member(at, row);
-            }
-            // Otherwise the next attempt reads both rows again.
-        });
 }
 
 } // namespace bulrushgw::ownership
--- a/src/ownership/engine_gossip.cpp
+++ b/src/ownership/engine_gossip.cpp
@@ -158,9 +158,8 @@
     serving_dirty = true;
     audit(audit_kind::end, item.holder, "certificate by " + item.cause);
     if (item.holder == self) {
-        finish(ending ? ending->cause : "certificate by " + item.cause);
+        finish(now, ending ? ending->cause : "certificate by " + item.cause);
     }
-    static_cast<void>(now);
 }
 
 void engine::state::send_to(incarnation_id to, message body)
--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -208,6 +208,7 @@
     }
     else if (lease.change()) {
         next_set_change = now;
+        send_items(lease.change()->lost, {own}); // it need not watch any more
     }
 }
 
@@ -238,9 +239,13 @@
         return;
     }
     if (lease.change()) {
-        if (lease.refused_by(lease.change()->stays)) {
+        const incarnation_id stays = lease.change()->stays;
+        if (lease.refused_by(stays)) {
             end(now, "the witness that stays sealed this incarnation");
         }
+        else if (now - lease.last_heard(stays) > cut_off_limit && !schedule.is_failing()) {
+            end(now, "the witness that stays is lost");
+        }
         else if (!own_write && now >= next_set_change) {
             send_set_change(now);
         }
--- a/src/ownership/engine_state.h
+++ b/src/ownership/engine_state.h
@@ -101,12 +101,15 @@
     void leave(time_point now);
     void tend_leave(time_point now);
     void tend_end(time_point now);
-    void finish(const std::string& cause);
-    void start_store_end(time_point now, incarnation_id target, const std::string& by);
+    void finish(time_point now, const std::string& cause);
+    void tend_last_duties(time_point now);
+    void tend_stopped_holders(time_point now);
+
+    // End through the store (engine_store_end.cpp).
+    void request_store_end(time_point now, incarnation_id subject, const std::string& by);
+    void tend_store_end(time_point now);
     void on_end_placement_read(time_point now, const store::reply& reply);
-    void on_end_member_read(time_point now, const store::reply& reply);
-    void write_store_end(time_point now);
-    void fail_store_end(const std::string& cause);
+    void on_end_members_read(time_point now, const store::reply& reply);
 
     // Store calls (engine_store.cpp).
     using continuation = std::function<void(time_point, const store::reply&)>;
@@ -218,21 +221,27 @@
         std::string cause;
         time_point since;
         time_point next_seal{};
+        /// Since when the end is proven or given up. The engine remains a witness
+        /// until its holders replaced it, for a bounded time.
+        std::optional<time_point> done;
     };
     std::optional<end_state> ending;
-    bool over = false;
+    bool over = false; ///< nothing more happens
+    struct wanted_end {
+        std::string by;
+        unsigned attempts = 0;
+    };
+    std::map<incarnation_id, wanted_end> wanted_ends; ///< to record in the store
+    time_point next_store_end{};
+    /// The attempt in progress.
     struct store_end_state {
-        incarnation_id target{};
-        std::string by{};
-        placement_version version{};
+        std::string service;
+        placement_version version;
+        std::vector<incarnation_id> subjects;
         std::uint64_t placement_row = 0;
-        std::uint64_t member_row_version = 0;
-        member_row row{};
-        unsigned attempts = 0;
-        bool busy = false;
-        time_point next{};
     };
     std::optional<store_end_state> store_end;
+    time_point next_stopped_holder{};
 };
 
 } // namespace bulrushgw::ownership
--- a/src/ownership/planner.cpp
+++ b/src/ownership/planner.cpp
@@ -73,10 +73,12 @@
     return wanted != 0 && difference * weight_share >= current && difference != 0;
 }
 
-bool may_propose(const placement_view& view, const directory& shared, incarnation_id except)
+bool may_propose(const placement_view& view, const directory& shared,
+                 const std::vector<incarnation_id>& except)
 {
     const auto settled = [&](const weighted_member& member) {
-        if (member.incarnation == except || shared.certificate_of(member.incarnation) != nullptr) {
+        if (std::find(except.begin(), except.end(), member.incarnation) != except.end() ||
+            shared.certificate_of(member.incarnation) != nullptr) {
             return true;
         }
         const adoption* adopted = shared.adoption_of(member.incarnation);
--- a/src/ownership/planner.h
+++ b/src/ownership/planner.h
@@ -26,7 +26,8 @@
 /// Proposing condition: to the caller's knowledge every member of the previous
 /// and the current version has adopted the current one and drained what it lost
 /// before, or ended. `except` is not checked.
-bool may_propose(const placement_view& view, const directory& shared, incarnation_id except = {});
+bool may_propose(const placement_view& view, const directory& shared,
+                 const std::vector<incarnation_id>& except = {});
 
 struct plan_inputs {
     std::string service;
--- a/src/ownership/witness.cpp
+++ b/src/ownership/witness.cpp
@@ -108,6 +108,14 @@
     return made;
 }
 
+std::size_t witness_table::active() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(watches_.begin(), watches_.end(), [](const auto& item) {
+            return item.second.in_set && !item.second.sealed && !item.second.ended;
+        }));
+}
+
 const seal* witness_table::seal_of(incarnation_id holder) const
 {
     const auto found = watches_.find(holder);
--- a/src/ownership/witness.h
+++ b/src/ownership/witness.h
@@ -39,6 +39,8 @@
     std::vector<seal> on_tick(time_point now);
 
     [[nodiscard]] const seal* seal_of(incarnation_id holder) const;
+    /// Holders whose lease still depends on this witness.
+    [[nodiscard]] std::size_t active() const;
     [[nodiscard]] std::size_t size() const { return watches_.size(); }
     [[nodiscard]] std::uint32_t set_version_of(incarnation_id holder) const;
 
