Choose witnesses and joiners among members that were heard

Rows of members that died together with their witnesses stay without a certificate. New nodes chose them as witnesses and proposers added them to placements, which then waited for ever.

--- a/src/ownership/directory.cpp
+++ b/src/ownership/directory.cpp
@@ -15,6 +15,11 @@
 constexpr unsigned absences_before_drop = 3;
 constexpr std::chrono::seconds heard_recently{30};
 constexpr std::chrono::seconds row_age_before_drop{60};
+/// A member in no open version that is silent for this long is asked, and its
+/// row removed after this many questions without an answer. If it lives after
+/// all it writes its row again; no range depends on it.
+constexpr std::chrono::minutes unplaced_age{5};
+constexpr unsigned probes_before_removal = 3;
 
 auto rank_of(const member_row& row)
 {
@@ -126,9 +131,26 @@
 {
     if (const auto found = members_.find(from); found != members_.end()) {
         found->second.heard = now;
+        found->second.probes = 0;
     }
 }
 
+bool directory::is_heard(time_point now, incarnation_id id, std::chrono::nanoseconds age) const
+{
+    const known_member* known = find_known(id);
+    return known != nullptr && known->heard != time_point{} && now - known->heard <= age;
+}
+
+bool directory::probe_unplaced(time_point now, incarnation_id id)
+{
+    const auto found = members_.find(id);
+    if (found == members_.end() || is_open(id) || now - found->second.first_seen < unplaced_age ||
+        is_heard(now, id, unplaced_age)) {
+        return false;
+    }
+    return ++found->second.probes > probes_before_removal;
+}
+
 void directory::on_store_members(time_point now, time_point began,
                                  const std::vector<incarnation_id>& present, incarnation_id self)
 {
--- a/src/ownership/directory.h
+++ b/src/ownership/directory.h
@@ -23,6 +23,7 @@
     time_point heard; ///< last message from the member itself
     bool in_store = false;
     unsigned store_absences = 0; ///< complete store readings without the row
+    unsigned probes = 0;         ///< unanswered questions whether it lives
 };
 
 /// Shared state, merged by rules that do not depend on the order of arrival.
@@ -45,6 +46,14 @@
     bool merge(const seal& item);
 
     void on_heard(time_point now, incarnation_id from);
+    /// True when the member itself sent a message in the last `age`.
+    [[nodiscard]] bool is_heard(time_point now, incarnation_id id,
+                                std::chrono::nanoseconds age) const;
+    /// Notes a reading of the store that has the row of a member which is in no
+    /// open version. Returns true when the member was asked often enough without
+    /// an answer that its row may go: its witnesses may all be lost, so that no
+    /// certificate can remove it. The caller asks it each time.
+    bool probe_unplaced(time_point now, incarnation_id id);
     /// Applies a complete reading of the members in the store that began at
     /// `began`: rows that are gone there and in no open version are dropped.
     void on_store_members(time_point now, time_point began,
--- a/src/ownership/engine.cpp
+++ b/src/ownership/engine.cpp
@@ -135,6 +135,7 @@
                    [&](const digest& item) { on_digest(now, from, item); },
                },
                body);
+    shared.on_heard(now, from); // its row may have come with this message
     after_event(now);
 }
 
--- a/src/ownership/engine_end.cpp
+++ b/src/ownership/engine_end.cpp
@@ -101,12 +101,9 @@
     if (waited < holder_seal_limit) {
         return;
     }
-    const std::vector<incarnation_id>& witnesses = lease.witnesses();
-    const bool sealed_by_all = std::all_of(witnesses.begin(), witnesses.end(),
-                                           [&](incarnation_id id) { return lease.refused_by(id); });
     const bool never_placed = lease.offered() == placement_version{};
     const bool heard = last_heard && *last_heard > ending->since + holder_seal_limit;
-    if (sealed_by_all || never_placed || waited >= (heard ? end_limit : isolated_end_limit)) {
+    if (never_placed || waited >= (heard ? end_limit : isolated_end_limit)) {
         finish(now, ending->cause);
         return;
     }
--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -16,6 +16,12 @@
 constexpr milliseconds witness_silence{1000};
 /// A silent witness is not chosen again for this long if there is another one.
 constexpr std::chrono::seconds silent_memory{30};
+/// A witness is chosen from the members that were heard this recently, if there
+/// are enough: rows of dead members remain when their witnesses died with them.
+constexpr std::chrono::seconds witness_heard_age{10};
+/// How many known members a joining node asks whether they live, and how often.
+constexpr std::size_t asked_members = 16;
+constexpr milliseconds asking_interval{100};
 /// A new incarnation is cheaper than a rescue when no witness answers at first.
 constexpr std::chrono::seconds first_ack_limit{3};
 /// After both witnesses were silent for this long the node ends its incarnation.
@@ -59,14 +65,15 @@
 std::vector<const member_row*> engine::state::witness_candidates(time_point now) const
 {
     std::vector<const member_row*> fit;
-    std::vector<const member_row*> silent;
+    std::vector<const member_row*> silent; // the second choice
     for (const member_row* row : shared.live_rows(self)) {
         if (row->state == member_state::leaving || lease.refused_by(row->incarnation)) {
             continue;
         }
         const auto found = silent_witnesses.find(row->incarnation);
         const bool is_silent =
-            found != silent_witnesses.end() && now - found->second < silent_memory;
+            (found != silent_witnesses.end() && now - found->second < silent_memory) ||
+            !shared.is_heard(now, row->incarnation, witness_heard_age);
         (is_silent ? silent : fit).push_back(row);
     }
     return fit.size() >= witness_count ? fit
@@ -82,6 +89,14 @@
     if (!target || leaving || !members_known || now < first_write || lease.started()) {
         return;
     }
+    if (now >= next_asking) {
+        next_asking = now + asking_interval;
+        for (const incarnation_id id : random_peers(asked_members)) {
+            if (!shared.is_heard(now, id, witness_heard_age)) {
+                send_to(id, own_digest(true));
+            }
+        }
+    }
     const std::vector<const member_row*> live = witness_candidates(now);
     const member_row* first = choose_witness(own, nullptr, live);
     const member_row* second = first == nullptr ? nullptr : choose_witness(own, first, live);
@@ -98,8 +113,11 @@
     if (!witnesses_found) {
         witnesses_found = now;
     }
+    const auto heard = [&](const member_row* row) {
+        return shared.is_heard(now, row->incarnation, witness_heard_age);
+    };
     const auto spread = [&] {
-        return fitness_of(own, *first, nullptr).zone == 0 &&
+        return heard(first) && heard(second) && fitness_of(own, *first, nullptr).zone == 0 &&
                fitness_of(own, *second, first).zone == 0;
     };
     if (now - *witnesses_found < choice_delay && !spread()) {
--- a/src/ownership/engine_proposals.cpp
+++ b/src/ownership/engine_proposals.cpp
@@ -31,6 +31,7 @@
         inputs.ranges = service->second.ranges;
     }
     inputs.proposer = self;
+    inputs.now = now;
     inputs.shared = &shared;
     inputs.newest = nullptr;
     if (const auto view = shared.placement_of(own.service)) {
--- a/src/ownership/engine_state.h
+++ b/src/ownership/engine_state.h
@@ -177,6 +177,7 @@
     std::uint32_t highest_set_version = 0;
     std::optional<time_point> witnesses_found; ///< since when two are known
     bool too_few_witnesses = false;
+    time_point next_asking{};
     time_point next_set_change{};
     time_point next_improvement{};
     std::map<incarnation_id, time_point> silent_witnesses;
--- a/src/ownership/engine_store.cpp
+++ b/src/ownership/engine_store.cpp
@@ -147,6 +147,14 @@
         if (closed && now - *closed > ended_row_age && old.size() < erased_rows) {
             old.push_back(row);
         }
+        else if (!closed && parsed->incarnation != self &&
+                 shared.probe_unplaced(now, parsed->incarnation) && old.size() < erased_rows) {
+            old.push_back(row);
+        }
+        const known_member* known = shared.find_known(parsed->incarnation);
+        if (known != nullptr && known->probes > 0) {
+            send_to(parsed->incarnation, own_digest(true));
+        }
     }
     shared.on_store_members(now, began, present, self);
     erase_rows(now, old);
--- a/src/ownership/planner.cpp
+++ b/src/ownership/planner.cpp
@@ -95,7 +95,11 @@
 {
     std::vector<incarnation_id> waiting;
     for (const auto& [id, member] : inputs.shared->members()) {
-        if (member.row.service == inputs.service && member.row.state == member_state::active &&
+        const bool lives =
+            id == inputs.proposer || (inputs.shared->is_heard(inputs.now, id, joiner_heard_age) &&
+                                      inputs.shared->seals().of(id) == nullptr);
+        if (lives && member.row.service == inputs.service &&
+            member.row.state == member_state::active &&
             inputs.shared->certificate_of(id) == nullptr &&
             !(inputs.newest != nullptr && inputs.newest->is_open_for(id))) {
             waiting.push_back(id);
--- a/src/ownership/planner.h
+++ b/src/ownership/planner.h
@@ -35,11 +35,16 @@
     incarnation_id proposer;
     const placement_view* newest = nullptr; ///< null: no placement yet
     const directory* shared = nullptr;
+    time_point now;      ///< for the ages of what the proposer heard
     bool may_add = true; ///< the pause after the last addition is over
     std::optional<std::uint32_t> own_weight;
     std::map<range_id, incarnation_id> overrides; ///< to add
 };
 
+/// A joining member other than the proposer must have been heard this recently.
+/// A member that died before its joining would wait for its certificate, and
+/// for ever if its witnesses died too.
+inline constexpr std::chrono::seconds joiner_heard_age{5};
 /// Members that are ready and not in the placement, ascending.
 std::vector<incarnation_id> waiting_members(const plan_inputs& inputs);
 /// Members of the current version that ended or asked to leave.
