--- a/src/ownership/engine_gossip.cpp
+++ b/src/ownership/engine_gossip.cpp
@@ -8,7 +8,7 @@
 
 /// Bounds on one gossip message; a larger set goes out in several.
 constexpr std::size_t items_per_gossip = 64;
-constexpr std::size_t bytes_per_gossip = 64 * 1024;
+constexpr std::size_t bytes_per_gossip = std::size_t{64} * 1024;
 /// Bound on the items of one answer to a digest. Later answers start further on,
 /// so that repeated exchanges cover a larger state.
 constexpr std::size_t items_per_digest_answer = 512;
--- a/tests/ownership/cluster.h
+++ b/tests/ownership/cluster.h
@@ -90,6 +90,7 @@
     bool running = true; ///< false: killed
     bool paused = false; ///< messages wait, no ticks
     bool has_store = true;
+    int drift_permille = 0; ///< how much faster than true time its clock runs
     bool left = false;
     std::string ended; ///< cause of the end of the incarnation
     std::vector<audit_event> audits;
@@ -98,13 +99,15 @@
 };
 
 struct test_cluster {
-    static constexpr milliseconds latency{2};
     static constexpr const char* service = "ladder-front";
     std::uint32_t ranges = 16;
     time_point now{std::chrono::seconds{1000}};
     memory_store store;
     std::vector<std::unique_ptr<test_node>> nodes;
     std::multimap<time_point, std::function<void()>> events;
+    unsafe_switches unsafe;
+    std::function<void(test_node&)> on_add = [](test_node&) {};
+    std::function<milliseconds()> latency = [] { return milliseconds{2}; };
     /// Drops a message when it returns true.
     std::function<bool(const test_node& from, const test_node& to, const message&)> drop =
         [](const test_node&, const test_node&, const message&) { return false; };
@@ -113,7 +116,7 @@
     std::size_t fence_regressions = 0;
 
     test_node& add(const std::string& zone, std::uint32_t slots = 6, bool has_store = true,
-                   std::vector<std::string> join_peers = {}, unsafe_switches unsafe = {})
+                   std::vector<std::string> join_peers = {})
     {
         nodes.push_back(std::make_unique<test_node>());
         test_node& node = *nodes.back();
@@ -126,10 +129,11 @@
         settings.address = node.address;
         settings.join_peers = std::move(join_peers);
         settings.unsafe = unsafe;
-        node.core = std::make_unique<engine>(settings, 7000 + nodes.size(), now);
-        node.core->set_services(now, {{service, ranges, 60}});
+        on_add(node);
+        node.core = std::make_unique<engine>(settings, 7000 + nodes.size(), clock(node));
+        node.core->set_services(clock(node), {{service, ranges, 60}});
         if (slots > 0) {
-            node.core->on_target(now, {service, slots, true});
+            node.core->on_target(clock(node), {service, slots, true});
         }
         carry_out(node);
         return node;
@@ -145,6 +149,11 @@
         run(std::chrono::seconds{8});
     }
 
+    [[nodiscard]] time_point clock(const test_node& node) const
+    {
+        return now + (now.time_since_epoch() * node.drift_permille) / 1000;
+    }
+
     test_node* find(incarnation_id id)
     {
         for (const auto& node : nodes) {
@@ -157,7 +166,7 @@
 
     void deliver(test_node& to, std::function<void()> handle)
     {
-        events.emplace(now + latency, [this, &to, handle = std::move(handle)] {
+        events.emplace(now + latency(), [this, &to, handle = std::move(handle)] {
             if (!to.running) {
                 return;
             }
@@ -179,7 +188,7 @@
                         out->to ? to->core->self() == out->to : to->address == out->address;
                     if (meant && !drop(node, *to, out->body)) {
                         deliver(*to, [this, &to = *to, from = node.core->self(), body = out->body] {
-                            to.core->on_message(now, from, body);
+                            to.core->on_message(clock(to), from, body);
                         });
                     }
                 }
@@ -188,7 +197,7 @@
                 const store::reply reply =
                     node.has_store ? store.run(request->request) : store::reply{};
                 deliver(node, [this, &node, id = request->id, reply] {
-                    node.core->on_store_reply(now, id, reply);
+                    node.core->on_store_reply(clock(node), id, reply);
                 });
             }
             else if (auto* change = std::get_if<serving_changed>(&each)) {
@@ -238,7 +247,7 @@
             now = next_tick;
             for (const auto& node : nodes) {
                 if (node->running && !node->paused) {
-                    node->core->on_tick(now);
+                    node->core->on_tick(clock(*node));
                     carry_out(*node);
                 }
             }
@@ -260,7 +269,7 @@
         std::vector<test_node*> result;
         for (const auto& node : nodes) {
             if (node->running && node->ended.empty() && !node->left &&
-                node->core->may_serve(now, service, range).allowed) {
+                node->core->may_serve(clock(*node), service, range).allowed) {
                 result.push_back(node.get());
             }
         }
--- /dev/null
+++ b/tests/ownership/directory_test.cpp
@@ -0,0 +1,155 @@
+#include "ownership/directory.h"
+#include "ownership/witness_choice.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::ownership;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr time_point now{100s};
+constexpr const char* service = "catalogue";
+
+member_row row_of(std::uint64_t id, const char* zone = "lk-a", std::uint32_t set_version = 1)
+{
+    member_row row;
+    row.incarnation = {id};
+    row.host = "host-" + std::to_string(id);
+    row.zone = zone;
+    row.service = service;
+    row.set_version = set_version;
+    return row;
+}
+
+placement record_of(std::uint64_t version, std::vector<weighted_member> members)
+{
+    placement record;
+    record.service = service;
+    record.ranges = 8;
+    record.current.version.value = version;
+    record.current.members = members;
+    record.previous = record.current;
+    record.previous.version.value = version - 1;
+    return record;
+}
+
+adoption adoption_of(std::uint64_t id, std::uint64_t version, std::vector<range_id> draining)
+{
+    return {incarnation_id{id}, service, placement_version{version}, std::move(draining)};
+}
+} // namespace
+
+TEST_GROUP(directory)
+{
+    directory shared;
+    void merge_all(directory & into, bool reversed)
+    {
+        std::vector<std::function<void()>> items{
+            [&] { into.merge(now, row_of(1)); },
+            [&] { into.merge(now, row_of(1, "lk-a", 3)); },
+            [&] {
+                into.merge(record_of(4, {{{1}, 1}, {{2}, 1}}));
+            },
+            [&] {
+                into.merge(record_of(5, {{{1}, 1}, {{2}, 1}}));
+            },
+            [&] {
+                into.merge(adoption_of(1, 5, {range_id{1}, range_id{2}}));
+            },
+            [&] { into.merge(adoption_of(1, 5, {range_id{2}})); },
+            [&] {
+                into.merge(certificate{{2}, placement_version{5}, "witnesses"});
+            },
+            [&] {
+                into.merge(seal{{2}, {3}, 1, {}, false});
+            },
+        };
+        if (reversed) {
+            std::reverse(items.begin(), items.end());
+        }
+        for (const auto& item : items) {
+            item();
+        }
+    }
+};
+
+// Guards against nodes that heard the same items in another order and disagree.
+TEST(directory, merging_does_not_depend_on_the_order)
+{
+    directory other;
+    merge_all(shared, false);
+    merge_all(other, true);
+    CHECK(shared.adoption_of({1})->draining == std::vector<range_id>{range_id{2}});
+    CHECK(*shared.adoption_of({1}) == *other.adoption_of({1}));
+    CHECK(shared.find({1})->set_version == 3 && other.find({1})->set_version == 3);
+    const digest left = shared.summary();
+    const digest right = other.summary();
+    CHECK(left.members == right.members && left.placements == right.placements);
+    CHECK(left.certificates == right.certificates && left.adoptions == right.adoptions);
+}
+
+// Guards against an end in the store that a row with a higher set version hides.
+TEST(directory, an_ended_row_beats_every_other)
+{
+    member_row ended = row_of(1);
+    ended.state = member_state::ended;
+    shared.merge(now, ended);
+    CHECK(!shared.merge(now, row_of(1, "lk-a", 9)));
+    CHECK(shared.find({1})->state == member_state::ended);
+}
+
+// Guards against state that grows with every incarnation that ever ran, and
+// against a late row of an ended one that brings it back.
+TEST(directory, ended_members_of_no_open_version_are_forgotten)
+{
+    shared.merge(record_of(5, {{{1}, 1}}));
+    shared.merge(now, row_of(1));
+    shared.merge(adoption_of(1, 5, {}));
+    for (std::uint64_t id = 2; id < 2000; ++id) {
+        shared.merge(now, row_of(id));
+        shared.merge(certificate{{id}, {}, "witnesses"});
+    }
+    shared.forget(now, {1});
+    CHECK(shared.certificates().size() <= directory::closed_limit);
+    CHECK(!shared.merge(now, row_of(1999)) || shared.certificate_of({1999}) == nullptr);
+    shared.forget(now + 20min, {1});
+    UNSIGNED_LONGS_EQUAL(0, shared.certificates().size());
+    UNSIGNED_LONGS_EQUAL(1, shared.members().size());
+    UNSIGNED_LONGS_EQUAL(1, shared.adoptions().size());
+}
+
+// Guards against endless exchanges between nodes that forget at other times.
+TEST(directory, digests_leave_out_what_may_be_forgotten)
+{
+    shared.merge(record_of(5, {{{1}, 1}}));
+    shared.merge(now, row_of(1));
+    const digest before = shared.summary();
+    shared.merge(now, row_of(7));
+    shared.merge(certificate{{7}, {}, "holder"});
+    const digest after = shared.summary();
+    CHECK(before.members == after.members && before.certificates == after.certificates);
+}
+
+// Guards against witnesses in the holder's own zone or both in one zone, and
+// against a pair that witness each other, when there is a choice.
+TEST(directory, witnesses_are_spread_over_zones)
+{
+    const member_row holder = row_of(1, "lk-a");
+    member_row mutual = row_of(2, "lk-b");
+    mutual.witnesses = {holder.incarnation};
+    const std::vector<member_row> rows{mutual, row_of(3, "lk-b"), row_of(4, "lk-c"),
+                                       row_of(5, "lk-a"), row_of(6, "lk-c")};
+    std::vector<const member_row*> live;
+    for (const member_row& row : rows) {
+        live.push_back(&row);
+    }
+    const member_row* first = choose_witness(holder, nullptr, live);
+    const member_row* second = choose_witness(holder, first, live);
+    CHECK(first->zone != holder.zone && second->zone != holder.zone);
+    CHECK(first->zone != second->zone);
+    CHECK(first->incarnation != mutual.incarnation && second->incarnation != mutual.incarnation);
+    live = {&rows[3]};
+    CHECK(choose_witness(holder, nullptr, live) == &rows[3]);
+    CHECK(choose_witness(holder, &rows[3], live) == nullptr);
+}
--- /dev/null
+++ b/tests/ownership/placement_test.cpp
@@ -0,0 +1,172 @@
+#include "ownership/candidates.h"
+#include "ownership/planner.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::ownership;
+
+namespace {
+constexpr const char* service = "orders";
+constexpr std::uint32_t ranges = 256;
+constexpr time_point now{std::chrono::seconds{100}};
+
+placement_list list_of(std::uint64_t version, std::size_t members, std::uint32_t weight = 12)
+{
+    placement_list list;
+    list.version.value = version;
+    for (std::uint64_t id = 1; id <= members; ++id) {
+        list.members.push_back({incarnation_id{id}, weight});
+    }
+    return list;
+}
+
+std::size_t owned(const placement_list& list, std::uint64_t id)
+{
+    std::size_t count = 0;
+    for (std::uint32_t range = 0; range < ranges; ++range) {
+        count += candidates(list, service, range_id{range}).front() == incarnation_id{id} ? 1 : 0;
+    }
+    return count;
+}
+} // namespace
+
+TEST_GROUP(placement)
+{
+    directory shared;
+    placement_view view{{service, ranges, list_of(4, 6), list_of(3, 6), {}, {}}};
+    plan_inputs inputs;
+
+    void setup() override
+    {
+        inputs.service = service;
+        inputs.ranges = ranges;
+        inputs.proposer = incarnation_id{1};
+        inputs.newest = &view;
+        inputs.shared = &shared;
+        inputs.now = now;
+        shared.merge(view.record);
+    }
+    void add_row(std::uint64_t id, member_state state = member_state::active)
+    {
+        member_row row;
+        row.incarnation = incarnation_id{id};
+        row.service = service;
+        row.slots = 12;
+        row.set_version = 1;
+        row.state = state;
+        shared.merge(now, row);
+        shared.on_heard(now, row.incarnation);
+    }
+    void adopt(std::uint64_t id, std::uint64_t version, std::vector<range_id> draining = {})
+    {
+        shared.merge(adoption{incarnation_id{id}, service, placement_version{version}, draining});
+    }
+};
+
+// Guards against nodes that disagree on the owner, and against a join that moves
+// ranges between the members that stay.
+TEST(placement, a_join_moves_ranges_only_to_the_new_member)
+{
+    const placement_list before = list_of(1, 6);
+    const placement_list after = list_of(2, 7);
+    for (std::uint32_t range = 0; range < ranges; ++range) {
+        const auto old_owner = candidates(before, service, range_id{range}).front();
+        const auto new_owner = candidates(after, service, range_id{range}).front();
+        CHECK(new_owner == old_owner || new_owner == incarnation_id{7});
+    }
+}
+
+// Guards against weights that have no effect. A member of twice the weight owns
+// about twice the ranges: 256 * 2 / 7 = 73.
+TEST(placement, ranges_follow_weights)
+{
+    placement_list list = list_of(1, 6);
+    list.members[2].weight *= 2;
+    const std::size_t count = owned(list, 3);
+    CHECK(count > 50 && count < 100);
+}
+
+// Guards against one proposal, and one wave of moves, for each of several hosts
+// that join together.
+TEST(placement, joins_share_one_proposal)
+{
+    add_row(10);
+    add_row(11);
+    const auto next = plan(inputs);
+    CHECK(next.has_value());
+    UNSIGNED_LONGS_EQUAL(8, next->current.members.size());
+    CHECK(next->current.version == placement_version{5});
+    CHECK(next->previous == view.record.current);
+}
+
+// Guards against a returning availability zone that moves many ranges at once.
+TEST(placement, a_returning_zone_comes_back_in_steps)
+{
+    for (std::uint64_t id = 10; id < 20; ++id) {
+        add_row(id);
+    }
+    UNSIGNED_LONGS_EQUAL(6 + join_limit(6), plan(inputs)->current.members.size());
+    UNSIGNED_LONGS_EQUAL(2, join_limit(6));
+    UNSIGNED_LONGS_EQUAL(32, join_limit(128));
+    inputs.may_add = false; // the pause between two steps
+    CHECK(!plan(inputs));
+}
+
+// Guards against joining a member that died before, whose ranges would wait.
+TEST(placement, silent_or_sealed_joiners_are_not_added)
+{
+    add_row(10);
+    shared.merge(seal{incarnation_id{10}, incarnation_id{2}, 1, {}, false});
+    add_row(11);
+    inputs.now = now + joiner_heard_age + std::chrono::milliseconds{1};
+    CHECK(!plan(inputs));
+}
+
+// Guards against churn by a weight that changes a little.
+TEST(placement, small_weight_changes_are_not_proposed)
+{
+    inputs.own_weight = 14;
+    CHECK(!plan(inputs));
+    inputs.own_weight = 16;
+    CHECK(plan(inputs).has_value());
+}
+
+// Guards against ended and leaving members that stay in the placement, and
+// against overrides to them.
+TEST(placement, departing_members_and_their_overrides_are_dropped)
+{
+    placement_list current = list_of(4, 6);
+    current.overrides[range_id{7}] = incarnation_id{2};
+    current.overrides[range_id{8}] = incarnation_id{3};
+    view = placement_view{{service, ranges, current, list_of(3, 6), {}, {}}};
+    shared.merge(certificate{incarnation_id{2}, placement_version{4}, "witnesses"});
+    add_row(5, member_state::leaving);
+    const auto next = plan(inputs);
+    UNSIGNED_LONGS_EQUAL(4, next->current.members.size());
+    UNSIGNED_LONGS_EQUAL(1, next->current.overrides.size());
+}
+
+// Guards against three open versions: a member that has not adopted, or still
+// drains what it lost, may run requests of a version that the next would close.
+TEST(placement, a_proposal_waits_for_adoption_and_draining)
+{
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        adopt(id, 4);
+    }
+    CHECK(!may_propose(view, shared));
+    adopt(6, 4, {range_id{9}});
+    CHECK(!may_propose(view, shared));
+    adopt(6, 4);
+    CHECK(may_propose(view, shared));
+}
+
+// Guards against a dead member that blocks all proposals.
+TEST(placement, an_ended_member_need_not_adopt)
+{
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        adopt(id, 4);
+    }
+    shared.merge(certificate{incarnation_id{6}, placement_version{3}, "witnesses"});
+    CHECK(may_propose(view, shared));
+}
--- /dev/null
+++ b/tests/ownership/witness_test.cpp
@@ -0,0 +1,164 @@
+#include "ownership/witness.h"
+
+#include "ownership/certificates.h"
+#include "ownership/holder_lease.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::ownership;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr incarnation_id holder{1};
+constexpr incarnation_id self{2};
+constexpr incarnation_id other{3};
+constexpr incarnation_id added{4};
+constexpr time_point start{100s};
+
+member_row row_with(std::uint32_t set_version, std::vector<incarnation_id> witnesses)
+{
+    member_row row;
+    row.incarnation = holder;
+    row.set_version = set_version;
+    row.witnesses = std::move(witnesses);
+    return row;
+}
+} // namespace
+
+TEST_GROUP(witness)
+{
+    lease_times times;
+    witness_table table{self, lease_times{}, false};
+
+    /// Ticks until `end`; returns the seals made.
+    std::vector<seal> tick_until(time_point from, time_point end)
+    {
+        std::vector<seal> made;
+        for (time_point now = from; now <= end; now += times.tick) {
+            for (const seal& item : table.on_tick(now)) {
+                made.push_back(item);
+            }
+        }
+        return made;
+    }
+    bool acks(time_point now, std::uint64_t adopted = 0)
+    {
+        const auto answer = table.on_renew(now, holder, {1, 1, placement_version{adopted}});
+        return answer && std::holds_alternative<renew_ack>(*answer);
+    }
+};
+
+// Guards against a seal while the holder's lease may still run.
+TEST(witness, no_seal_before_the_promise_ends)
+{
+    table.learn(start, row_with(1, {self, other}));
+    CHECK(acks(start + 100ms, 7));
+    CHECK(tick_until(start, start + 100ms + promise_of(times) - 1ms).empty());
+    const auto made = table.on_tick(start + 100ms + promise_of(times));
+    UNSIGNED_LONGS_EQUAL(1, made.size());
+    CHECK(made.front().adopted == placement_version{7});
+}
+
+// Guards against a holder that revives after its successors were admitted, also
+// through a later row.
+TEST(witness, a_seal_is_permanent)
+{
+    table.learn(start, row_with(1, {self, other}));
+    UNSIGNED_LONGS_EQUAL(1, tick_until(start, start + 2s).size());
+    CHECK(!acks(start + 3s));
+    CHECK(!table.learn(start + 3s, row_with(2, {self, added})));
+    CHECK(!acks(start + 4s));
+    UNSIGNED_LONGS_EQUAL(1, table.seal_of(holder)->set_version);
+}
+
+// Guards against sealing all holders after a pause of the witness itself, while
+// their renewals wait unread in its socket buffers.
+TEST(witness, a_paused_witness_starts_all_promises_again)
+{
+    table.learn(start, row_with(1, {self, other}));
+    tick_until(start, start + 1s);
+    const time_point woken = start + 10s;
+    CHECK(table.on_tick(woken).empty());
+    CHECK(tick_until(woken, woken + promise_of(times) - 1ms).empty());
+}
+
+// Guards against a witness whose promise is older than the newest set: the
+// holder's lease may rest on an acknowledgement of the replaced witness.
+TEST(witness, a_new_set_version_restarts_the_promise)
+{
+    table.learn(start, row_with(1, {self, other}));
+    CHECK(acks(start));
+    const time_point changed = start + 1200ms;
+    tick_until(start, changed);
+    CHECK(table.learn(changed, row_with(2, {self, added})));
+    CHECK(tick_until(changed + times.tick, changed + promise_of(times) - 1ms).empty());
+    const auto made = tick_until(changed + promise_of(times), changed + 2s);
+    UNSIGNED_LONGS_EQUAL(2, made.at(0).set_version);
+}
+
+// Guards against a replaced witness that seals late at its old set version
+// together with the peer that moved on.
+TEST(witness, a_replaced_witness_and_a_moved_one_make_no_certificate)
+{
+    witness_table replaced{other, times, false};
+    replaced.learn(start, row_with(1, {self, other}));
+    table.learn(start, row_with(1, {self, other}));
+    table.learn(start + 100ms, row_with(2, {self, added}));
+    seal_book book;
+    for (const seal& item : replaced.on_tick(start + 2s)) {
+        book.add(item);
+    }
+    for (const seal& item : tick_until(start + 100ms, start + 2s)) {
+        book.add(item);
+    }
+    UNSIGNED_LONGS_EQUAL(2, book.all().size());
+    CHECK(!book.prove(holder));
+}
+
+// Guards against a holder seal that changes what an own seal already says.
+TEST(witness, a_holder_seal_does_not_change_an_earlier_own_seal)
+{
+    table.learn(start, row_with(1, {self, other}));
+    acks(start, 4);
+    tick_until(start, start + 2s);
+    const auto answer = table.on_holder_seal(holder, {1, placement_version{5}});
+    CHECK(answer && !answer->with_holder && answer->adopted == placement_version{4});
+}
+
+// Guards against an end by the holder that has to wait for a promise.
+TEST(witness, a_holder_seal_is_joined_at_once_and_ends_renewals)
+{
+    table.learn(start, row_with(1, {self, other}));
+    acks(start, 4);
+    const auto answer = table.on_holder_seal(holder, {1, placement_version{5}});
+    CHECK(answer && answer->with_holder && answer->adopted == placement_version{5});
+    CHECK(!acks(start + 20ms));
+}
+
+// Guards against overlapping leases at the bound of the drift: the witness's
+// clock runs 1% fast and the holder's 1% slow, and the renewal takes no time.
+TEST(witness, the_lease_ends_before_a_seal_at_the_drift_bound)
+{
+    table.learn(start, row_with(1, {self, other}));
+    holder_lease lease{times};
+    lease.start(1, {self, other});
+    const auto body = lease.due(start);
+    const auto answer = table.on_renew(start, holder, *body);
+    lease.on_ack(start, self, std::get<renew_ack>(*answer));
+    const auto real = [](time_point clock, double rate) {
+        return std::chrono::duration<double>(clock - start).count() / rate;
+    };
+    const double lease_end = real(lease.end(), 0.99);
+    const double seal_time = real(start + promise_of(times), 1.01);
+    CHECK(lease_end < seal_time);
+}
+
+// Guards against an acknowledgement to a holder whose end was proven without
+// this witness's own seal.
+TEST(witness, no_acknowledgement_after_a_certificate)
+{
+    table.learn(start, row_with(1, {self, other}));
+    table.on_certificate(holder);
+    CHECK(!acks(start + 100ms));
+}
