--- a/tests/ownership/engine_test.cpp
+++ b/tests/ownership/engine_test.cpp
@@ -51,3 +51,216 @@
     CHECK(longest < 100ms);
     UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
 }
+
+// Guards against a paused holder that serves after its end, or that keeps its
+// ended incarnation.
+TEST(engine, a_paused_holder_that_wakes_after_its_end_refuses_and_ends)
+{
+    cluster.start(6);
+    test_node& paused = *cluster.nodes[1];
+    paused.paused = true;
+    cluster.run(5s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+    for (std::uint32_t i = 0; i < cluster.ranges; ++i) {
+        const auto decision =
+            paused.core->may_serve(cluster.now, test_cluster::service, range_id{i});
+        CHECK(!decision.allowed && decision.refusal == serve_refusal::lease_over);
+    }
+    cluster.resume(paused);
+    cluster.run(3s);
+    CHECK(!paused.ended.empty());
+}
+
+// Guards against a pause within the lease that costs an incarnation.
+TEST(engine, a_short_pause_changes_nothing)
+{
+    cluster.start(6);
+    cluster.nodes[1]->paused = true;
+    cluster.run(800ms);
+    cluster.resume(*cluster.nodes[1]);
+    cluster.run(3s);
+    CHECK(cluster.nodes[1]->ended.empty());
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+}
+
+// Guards against a join that is lost, or done twice, when the answers of the
+// store are lost after the writes.
+TEST(engine, lost_store_answers_are_resolved_by_reading_back)
+{
+    cluster.start(5);
+    cluster.store.lose_writes = 2;
+    test_node& joiner = cluster.add("nbo-c");
+    cluster.run(20s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.store.lose_writes);
+    const auto record = joiner.core->placement_of(test_cluster::service);
+    UNSIGNED_LONGS_EQUAL(6, record->current.members.size());
+    CHECK(!joiner.grants.empty());
+}
+
+// Guards against a bad row in the store that stops reading of the good ones.
+TEST(engine, bad_rows_are_skipped_and_reported_once)
+{
+    cluster.store.rows["members/zz"] = {"members/zz", 1, "{"};
+    cluster.store.rows["placements/other"] = {"placements/other", 1, "[1]"};
+    cluster.start(4);
+    cluster.run(20s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+    const auto& audits = cluster.nodes[0]->audits;
+    UNSIGNED_LONGS_EQUAL(2, std::count_if(audits.begin(), audits.end(), [](const auto& event) {
+                             return event.kind == audit_kind::refusal;
+                         }));
+}
+
+// Guards against fences that fall in a chain of takeovers, moves and joins; the
+// cluster compares every grant with the highest fence before it.
+TEST(engine, fences_rise_over_a_chain_of_takeovers_and_moves)
+{
+    cluster.start(6);
+    for (std::size_t round = 0; round < 3; ++round) {
+        cluster.nodes[round]->running = false;
+        cluster.run(3s);
+        cluster.add("nbo-a");
+        cluster.run(5s);
+        cluster.nodes[round + 3]->core->leave(cluster.now);
+        cluster.run(2s);
+        cluster.add("nbo-b");
+        cluster.run(5s);
+        UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+    }
+}
+
+// Guards against a node that can't start while the store is down, and against
+// one that then joins a placement nobody recorded.
+TEST(engine, a_node_without_the_store_learns_from_peers_and_does_not_join)
+{
+    cluster.start(4);
+    cluster.store.up = false;
+    test_node& late = cluster.add("nbo-b", 6, true, {cluster.nodes[0]->address});
+    cluster.run(5s);
+    CHECK(late.core->owner_of(test_cluster::service, range_id{1}).owner != incarnation_id{});
+    CHECK(late.core->is_informed(cluster.now));
+    CHECK(late.grants.empty());
+    UNSIGNED_LONGS_EQUAL(4, late.core->placement_of(test_cluster::service)->current.members.size());
+    cluster.store.up = true;
+    cluster.run(20s);
+    CHECK(!late.grants.empty());
+}
+
+// Guards against a start with too few hosts that serves without witnesses.
+TEST(engine, two_hosts_refuse_with_a_typed_reason)
+{
+    cluster.add("nbo-a");
+    cluster.add("nbo-b");
+    cluster.run(5s);
+    const auto decision =
+        cluster.nodes[0]->core->may_serve(cluster.now, test_cluster::service, range_id{0});
+    CHECK(decision.refusal == serve_refusal::too_few_witnesses);
+    cluster.add("nbo-c");
+    cluster.run(10s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+}
+
+// Guards against a holder that is lost with a witness it had time to replace.
+TEST(engine, a_lost_witness_is_replaced_before_the_holder_is_lost)
+{
+    cluster.start(6);
+    cluster.nodes[0]->running = false;
+    cluster.run(6s);
+    cluster.nodes[1]->running = false;
+    cluster.run(20ms);
+    CHECK(cluster.outage(5s) < 2s);
+}
+
+// Guards against ranges that wait for ever after a holder and both witnesses are
+// lost, and against an operator's word that takes effect without the store.
+TEST(engine, an_operator_can_assert_ends_when_two_voters_are_lost)
+{
+    cluster.start(7);
+    cluster.store.up = false;
+    for (std::size_t i = 0; i < 4; ++i) {
+        cluster.nodes[i]->running = false;
+    }
+    cluster.run(10s);
+    CHECK(cluster.unserved() > 0);
+    cluster.store.up = true;
+    cluster.run(12s);
+    for (std::size_t i = 0; i < 4; ++i) {
+        cluster.nodes[6]->core->assert_ended(cluster.now, cluster.nodes[i]->core->self(), "amina");
+    }
+    cluster.run(10s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+}
+
+// Guards against a range served by its new owner while the old one still runs a
+// request for it.
+TEST(engine, a_moved_range_waits_for_the_requests_in_flight)
+{
+    cluster.start(5);
+    test_node& old_owner = *cluster.nodes[0];
+    const range_id range = old_owner.grants.begin()->first;
+    old_owner.core->on_in_flight(cluster.now, test_cluster::service, range, 1);
+    old_owner.core->leave(cluster.now);
+    cluster.run(2s);
+    CHECK(!old_owner.left);
+    CHECK(cluster.owners(range).empty());
+    old_owner.core->on_in_flight(cluster.now, test_cluster::service, range, 0);
+    cluster.carry_out(old_owner);
+    cluster.run(100ms);
+    UNSIGNED_LONGS_EQUAL(1, cluster.owners(range).size());
+    cluster.run(3s);
+    CHECK(old_owner.left);
+}
+
+// Guards against a leave that waits for ever while the store is down.
+TEST(engine, a_leave_without_the_store_hands_over_by_the_end)
+{
+    cluster.start(6);
+    cluster.store.up = false;
+    cluster.nodes[2]->core->leave(cluster.now);
+    cluster.run(15s);
+    CHECK(cluster.nodes[2]->left);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+}
+
+// Guards against a target's death that costs a whole promise period.
+TEST(engine, an_end_by_the_holder_is_taken_over_at_once)
+{
+    cluster.start(6);
+    cluster.nodes[3]->core->end(cluster.now, "target died");
+    cluster.carry_out(*cluster.nodes[3]);
+    CHECK(cluster.unserved() > 0);
+    CHECK(cluster.outage(2s) < 200ms);
+    cluster.run(3s);
+    STRCMP_EQUAL("target died", cluster.nodes[3]->ended.c_str());
+}
+
+// Guards against a returning availability zone that joins in one step, and
+// against idle nodes that write to the store.
+TEST(engine, a_returning_zone_joins_in_steps_and_an_idle_cluster_does_not_write)
+{
+    cluster.start(9);
+    for (std::size_t i = 0; i < 9; i += 3) {
+        cluster.nodes[i]->running = false;
+    }
+    cluster.run(10s);
+    for (int i = 0; i < 5; ++i) {
+        cluster.add("nbo-a");
+    }
+    std::size_t largest = 0;
+    for (int i = 0; i < 600; ++i) {
+        cluster.run(50ms);
+        const auto record = cluster.nodes[1]->core->placement_of(test_cluster::service);
+        const std::size_t now = record->current.members.size();
+        const std::size_t before = record->previous.members.size();
+        largest = std::max(largest, now > before ? now - before : 0);
+    }
+    UNSIGNED_LONGS_EQUAL(2, largest);
+    UNSIGNED_LONGS_EQUAL(
+        11, cluster.nodes[1]->core->placement_of(test_cluster::service)->current.members.size());
+    cluster.run(60s);
+    const std::size_t writes = cluster.store.writes;
+    const std::size_t reads = cluster.store.reads;
+    cluster.run(60s);
+    UNSIGNED_LONGS_EQUAL(writes, cluster.store.writes);
+    CHECK(cluster.store.reads - reads < 60 * 11);
+}
