--- a/src/ownership/engine_store.cpp
+++ b/src/ownership/engine_store.cpp
@@ -144,11 +144,10 @@
         present.push_back(parsed->incarnation);
         accept_member(now, *parsed);
         const auto closed = shared.closed_since(parsed->incarnation);
-        if (closed && now - *closed > ended_row_age && old.size() < erased_rows) {
-            old.push_back(row);
-        }
-        else if (!closed && parsed->incarnation != self &&
-                 shared.probe_unplaced(now, parsed->incarnation) && old.size() < erased_rows) {
+        const bool is_closed = closed && now - *closed > ended_row_age;
+        const bool is_silent = !closed && parsed->incarnation != self &&
+                               shared.probe_unplaced(now, parsed->incarnation);
+        if ((is_closed || is_silent) && old.size() < erased_rows) {
             old.push_back(row);
         }
         const known_member* known = shared.find_known(parsed->incarnation);
--- a/tests/ownership/cluster.h
+++ b/tests/ownership/cluster.h
@@ -22,6 +22,7 @@
     std::map<std::string, store::row> rows;
     bool up = true;
     unsigned lose_writes = 0; ///< answers of the next writes that are lost
+    unsigned late_writes = 0; ///< next writes that run 3 s later, with a lost answer
     std::size_t writes = 0;
     std::size_t reads = 0;
 
@@ -108,6 +109,7 @@
     unsafe_switches unsafe;
     std::function<void(test_node&)> on_add = [](test_node&) {};
     std::function<milliseconds()> latency = [] { return milliseconds{2}; };
+    std::function<bool()> duplicate = [] { return false; };
     /// Drops a message when it returns true.
     std::function<bool(const test_node& from, const test_node& to, const message&)> drop =
         [](const test_node&, const test_node&, const message&) { return false; };
@@ -186,7 +188,9 @@
                 for (const auto& to : nodes) {
                     const bool meant =
                         out->to ? to->core->self() == out->to : to->address == out->address;
-                    if (meant && !drop(node, *to, out->body)) {
+                    const int copies =
+                        meant && !drop(node, *to, out->body) ? duplicate() ? 2 : 1 : 0;
+                    for (int i = 0; i < copies; ++i) {
                         deliver(*to, [this, &to = *to, from = node.core->self(), body = out->body] {
                             to.core->on_message(clock(to), from, body);
                         });
@@ -194,8 +198,17 @@
                 }
             }
             else if (auto* request = std::get_if<store_call>(&each)) {
-                const store::reply reply =
-                    node.has_store ? store.run(request->request) : store::reply{};
+                store::reply reply;
+                if (node.has_store && store.up && store.late_writes > 0 &&
+                    store::is_write(request->request)) {
+                    --store.late_writes;
+                    reply.result = store::status::unknown;
+                    events.emplace(now + std::chrono::seconds{3},
+                                   [this, late = request->request] { store.run(late); });
+                }
+                else if (node.has_store) {
+                    reply = store.run(request->request);
+                }
                 deliver(node, [this, &node, id = request->id, reply] {
                     node.core->on_store_reply(clock(node), id, reply);
                 });
--- a/tests/ownership/engine_test.cpp
+++ b/tests/ownership/engine_test.cpp
@@ -264,3 +264,24 @@
     UNSIGNED_LONGS_EQUAL(writes, cluster.store.writes);
     CHECK(cluster.store.reads - reads < 60 * 11);
 }
+
+// Guards against a witness replacement that a delayed write of the store undoes
+// or repeats, after the node read back that nothing was written.
+TEST(engine, a_write_that_runs_after_the_read_back_does_no_harm)
+{
+    cluster.start(6);
+    cluster.store.late_writes = 2;
+    cluster.nodes[0]->running = false;
+    cluster.run(15s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.store.late_writes);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+    for (std::size_t i = 1; i < 6; ++i) {
+        CHECK(cluster.nodes[i]->ended.empty());
+        for (const member_row& row : cluster.nodes[i]->core->members()) {
+            const bool names_lost =
+                std::find(row.witnesses.begin(), row.witnesses.end(),
+                          cluster.nodes[0]->core->self()) != row.witnesses.end();
+            CHECK(!names_lost || row.state == member_state::ended);
+        }
+    }
+}
