Test moves by load, settled weights and bounded gossip

A pair of nodes that witness each other now separates when there is another choice: only the one with the lower id looks for another witness.

--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -322,9 +322,15 @@
     }
     const auto try_replace = [&](const member_row* replaced, const member_row* stays) {
         const member_row* best = choose_witness(own, stays, live);
-        const bool better =
-            best != nullptr && best != replaced &&
-            fitness_of(own, *best, stays).zone < fitness_of(own, *replaced, stays).zone;
+        bool better = false;
+        if (best != nullptr && best != replaced) {
+            const witness_fitness now_fit = fitness_of(own, *replaced, stays);
+            const witness_fitness best_fit = fitness_of(own, *best, stays);
+            // Of a pair that witness each other only one looks for another.
+            const bool leaves_pair = best_fit.zone == now_fit.zone && now_fit.mutual &&
+                                     !best_fit.mutual && self < replaced->incarnation;
+            better = best_fit.zone < now_fit.zone || leaves_pair;
+        }
         if (better) {
             begin_witness_change(now, replaced->incarnation, *best);
         }
--- a/tests/ownership/engine_test.cpp
+++ b/tests/ownership/engine_test.cpp
@@ -285,3 +285,88 @@
         }
     }
 }
+
+// Guards against a hot member that keeps its load, against moves that go back
+// and forth, and against moves beyond the budget of the service.
+TEST(engine, a_hot_member_moves_ranges_within_the_budget)
+{
+    cluster.start(5);
+    const auto version = [&] {
+        return cluster.nodes[0]->core->placement_of(test_cluster::service)->current.version.value;
+    };
+    const std::uint64_t before = version();
+    test_node& hot = *std::max_element(cluster.nodes.begin(), cluster.nodes.end(),
+                                       [](const auto& left, const auto& right) {
+                                           return left->grants.size() < right->grants.size();
+                                       })
+                          ->get();
+    std::set<range_id> hot_ranges;
+    for (const auto& [range, token] : hot.grants) {
+        hot_ranges.insert(range);
+    }
+    for (int second = 0; second < 120; ++second) {
+        for (const auto& node : cluster.nodes) {
+            std::vector<range_load> loads;
+            for (const auto& [range, token] : node->grants) {
+                loads.push_back({range, hot_ranges.contains(range) ? 40.0 : 10.0});
+            }
+            node->core->on_load(cluster.clock(*node), test_cluster::service, loads);
+        }
+        cluster.run(1s);
+    }
+    CHECK(hot.grants.size() < hot_ranges.size());
+    CHECK(version() > before);
+    // A member's share is 60 / 5 moves an hour, of which half may come at once.
+    CHECK(version() - before <= 5 * 6);
+    const std::uint64_t settled = version();
+    cluster.run(60s);
+    CHECK(version() - settled <= 1);
+}
+
+// Guards against a proposal for each announcement of a target whose slots flicker.
+TEST(engine, a_weight_changes_only_after_it_settled)
+{
+    cluster.start(4);
+    const auto weight = [&] {
+        const auto record = cluster.nodes[0]->core->placement_of(test_cluster::service);
+        for (const weighted_member& member : record->current.members) {
+            if (member.incarnation == cluster.nodes[1]->core->self()) {
+                return member.weight;
+            }
+        }
+        return 0U;
+    };
+    for (std::uint32_t i = 0; i < 20; ++i) {
+        cluster.nodes[1]->core->on_target(cluster.now,
+                                          {test_cluster::service, i % 2 == 0 ? 12U : 6U, true});
+        cluster.run(1s);
+    }
+    UNSIGNED_LONGS_EQUAL(6, weight());
+    cluster.nodes[1]->core->on_target(cluster.now, {test_cluster::service, 9, true});
+    cluster.run(15s);
+    UNSIGNED_LONGS_EQUAL(9, weight());
+}
+
+// Guards against gossip messages that grow with the number of members.
+TEST(engine, gossip_is_sent_in_bounded_batches)
+{
+    engine core{engine_settings{}, 1, cluster.now};
+    for (std::uint64_t id = 1; id <= 2000; ++id) {
+        member_row row;
+        row.incarnation = {id};
+        row.host = "host-" + std::to_string(id);
+        core.on_message(cluster.now, {1}, gossip{{row}});
+    }
+    core.take_effects();
+    core.on_message(cluster.now, {1}, digest{});
+    std::size_t items = 0;
+    for (const effect& each : core.take_effects()) {
+        if (const auto* out = std::get_if<send>(&each)) {
+            if (const auto* batch = std::get_if<gossip>(&out->body)) {
+                CHECK(batch->items.size() <= 64);
+                items += batch->items.size();
+            }
+        }
+    }
+    CHECK(items > 0 && items <= 512);
+}
