--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -12,8 +12,6 @@
 /// Waited after two possible witnesses are known, so that hosts which start
 /// together see witnesses in other availability zones.
 constexpr milliseconds choice_delay{300};
-/// A witness without an answer for this long is replaced.
-constexpr milliseconds witness_silence{1000};
 /// A silent witness is not chosen again for this long if there is another one.
 constexpr std::chrono::seconds silent_memory{30};
 /// A witness is chosen from the members that were heard this recently, if there
@@ -22,15 +20,8 @@
 /// How many known members a joining node asks whether they live, and how often.
 constexpr std::size_t asked_members = 16;
 constexpr milliseconds asking_interval{100};
-/// A new incarnation is cheaper than a rescue when no witness answers at first.
-constexpr std::chrono::seconds first_ack_limit{3};
-/// After both witnesses were silent for this long the node ends its incarnation.
-constexpr std::chrono::seconds cut_off_limit{10};
 /// Interval of reading the members while this node lacks witnesses.
 constexpr milliseconds reading_while_alone{300};
-constexpr milliseconds set_change_retry{200};
-/// Pause between replacements that only improve the spread over zones.
-constexpr std::chrono::seconds improvement_pause{15};
 
 } // namespace
 
@@ -244,134 +235,4 @@
     }
 }
 
-bool engine::state::is_lost_witness(time_point now, incarnation_id id) const
-{
-    const time_point heard = lease.last_heard(id);
-    return lease.refused_by(id) || shared.certificate_of(id) != nullptr ||
-           (heard != time_point{} && now - heard > witness_silence);
-}
-
-void engine::state::tend_witnesses(time_point now)
-{
-    if (!lease.started()) {
-        return;
-    }
-    if (lease.change()) {
-        const incarnation_id stays = lease.change()->stays;
-        if (lease.refused_by(stays)) {
-            end(now, "the witness that stays sealed this incarnation");
-        }
-        else if (now - lease.last_heard(stays) > cut_off_limit && !schedule.is_failing()) {
-            end(now, "the witness that stays is lost");
-        }
-        else if (!own_write && now >= next_set_change) {
-            send_set_change(now);
-        }
-        return;
-    }
-    const std::vector<incarnation_id>& witnesses = lease.witnesses();
-    std::vector<incarnation_id> lost;
-    std::copy_if(witnesses.begin(), witnesses.end(), std::back_inserter(lost),
-                 [&](incarnation_id id) { return is_lost_witness(now, id); });
-    if (lost.size() == witness_count) {
-        const auto refused = [&](incarnation_id id) { return lease.refused_by(id); };
-        const time_point heard =
-            std::max(lease.last_heard(lost.front()), lease.last_heard(lost.back()));
-        if (std::all_of(lost.begin(), lost.end(), refused)) {
-            end(now, "both witnesses sealed this incarnation");
-        }
-        else if (!lease.ever_ran() && now - heard > first_ack_limit) {
-            end(now, "no witness answered");
-        }
-        else if (now - heard > cut_off_limit && !schedule.is_failing() &&
-                 schedule.ever_answered()) {
-            end(now, "both witnesses are lost");
-        }
-        return;
-    }
-    if (own_write || schedule.is_failing() || !schedule.ever_answered() ||
-        now < schedule.blocked_until(true)) {
-        return;
-    }
-    const bool improve = lost.empty();
-    if (improve && now < next_improvement) {
-        return;
-    }
-    next_improvement = now + random.between(improvement_pause, improvement_pause * 2);
-    std::vector<const member_row*> live = witness_candidates(now);
-    if (!improve) {
-        silent_witnesses[lost.front()] = now;
-        const incarnation_id stays =
-            witnesses.front() == lost.front() ? witnesses.back() : witnesses.front();
-        const member_row* other = shared.find(stays);
-        std::erase_if(live, [&](const member_row* row) {
-            return row->incarnation == lost.front() || row->incarnation == stays;
-        });
-        if (const member_row* added = choose_witness(own, other, live)) {
-            begin_witness_change(now, lost.front(), *added);
-        }
-        else {
-            next_improvement = now;
-        }
-        return;
-    }
-    const member_row* first = shared.find(witnesses.front());
-    const member_row* second = shared.find(witnesses.back());
-    if (first == nullptr || second == nullptr || !lease.is_running(now)) {
-        return;
-    }
-    const auto try_replace = [&](const member_row* replaced, const member_row* stays) {
-        const member_row* best = choose_witness(own, stays, live);
-        bool better = false;
-        if (best != nullptr && best != replaced) {
-            const witness_fitness now_fit = fitness_of(own, *replaced, stays);
-            const witness_fitness best_fit = fitness_of(own, *best, stays);
-            // Of a pair that witness each other only one looks for another.
-            const bool leaves_pair = best_fit.zone == now_fit.zone && now_fit.mutual &&
-                                     !best_fit.mutual && self < replaced->incarnation;
-            better = best_fit.zone < now_fit.zone || leaves_pair;
-        }
-        if (better) {
-            begin_witness_change(now, replaced->incarnation, *best);
-        }
-        return better;
-    };
-    if (!try_replace(second, first)) {
-        try_replace(first, second);
-    }
-}
-
-void engine::state::begin_witness_change(time_point now, incarnation_id lost,
-                                         const member_row& added)
-{
-    // The order matters: acknowledgements of the lost witness stop counting
-    // before the row can become known.
-    lease.begin_change(lost, added.incarnation, ++highest_set_version);
-    member_row row = own;
-    row.set_version = highest_set_version;
-    row.witnesses = {lease.change()->stays, added.incarnation};
-    row.adopted = lease.offered();
-    own_write = row_write{row, next_writer()};
-    write_own_row(now);
-}
-
-void engine::state::send_set_change(time_point now)
-{
-    next_set_change = now + set_change_retry;
-    send_to(lease.change()->stays, set_change{own});
-    send_items(lease.change()->added, {own});
-}
-
-void engine::state::on_set_change_ack(time_point now, incarnation_id from,
-                                      const set_change_ack& ack)
-{
-    const auto& change = lease.change();
-    if (ending || !change || from != change->stays || ack.set_version != change->set_version) {
-        return;
-    }
-    audit(audit_kind::witness_replaced, change->added, "instead of " + to_string(change->lost));
-    lease.confirm_change();
-    static_cast<void>(now);
-}
-
 } // namespace bulrushgw::ownership
--- a/src/ownership/engine_serving.cpp
+++ b/src/ownership/engine_serving.cpp
@@ -137,56 +137,75 @@
     }
 }
 
+std::map<range_id, range_verdict> engine::state::owned_ranges() const
+{
+    std::map<range_id, range_verdict> owned;
+    const std::uint32_t ranges = adopted_view ? adopted_view->record.ranges : 0;
+    for (std::uint32_t i = 0; i < ranges; ++i) {
+        const range_id range{i};
+        const range_verdict verdict = judge(*adopted_view, self, shared, range, settings.unsafe);
+        if (verdict.owner) {
+            owned.emplace(range, verdict);
+        }
+    }
+    return owned;
+}
+
 void engine::state::update_serving(time_point now)
 {
-    const bool running =
-        (holds_lease(now) || (settings.unsafe.skip_lease_check && !ending && !over)) &&
-        !(leaving && leaving->without_store);
+    const bool ignores_lease = settings.unsafe.skip_lease_check && !ending && !over;
+    const bool handing_over = leaving && leaving->without_store;
+    const bool running = (holds_lease(now) || ignores_lease) && !handing_over;
     if (!serving_dirty && running == lease_was_running) {
         return;
     }
     serving_dirty = false;
     lease_was_running = running;
-    std::map<range_id, fence> next;
-    std::map<range_id, std::size_t> positions;
-    const std::uint32_t ranges = adopted_view ? adopted_view->record.ranges : 0;
-    for (std::uint32_t i = 0; running && i < ranges; ++i) {
-        const range_id range{i};
-        const range_verdict verdict = judge(*adopted_view, self, shared, range, settings.unsafe);
-        if (verdict.owner) {
-            next[range] = verdict.token;
-            positions[range] = verdict.position;
-        }
+    const std::map<range_id, range_verdict> next =
+        running ? owned_ranges() : std::map<range_id, range_verdict>{};
+    const std::size_t drained_before = draining.size();
+    std::erase_if(draining, [&](range_id range) { return next.contains(range); });
+    if (draining.size() != drained_before) {
+        publish_adoption(); // this member owns the range again
     }
+    change_grants(next, running ? "another member owns it" : "lease over");
+}
+
+void engine::state::change_grants(const std::map<range_id, range_verdict>& next,
+                                  const std::string& release_cause)
+{
+    const auto audit_range = [&](audit_kind kind, range_id range, fence token, std::string cause) {
+        audit(kind, self, std::move(cause));
+        auto& event = std::get<audit_event>(effects.back());
+        event.range = range;
+        event.token = token;
+    };
     serving_changed change;
     change.service = own.service;
     for (const auto& [range, token] : serving) {
         if (!next.contains(range)) {
             change.releases.push_back(range);
-            audit(audit_kind::release, self, running ? "another member owns it" : "lease over");
-            std::get<audit_event>(effects.back()).range = range;
+            audit_range(audit_kind::release, range, token, release_cause);
         }
     }
-    for (const auto& [range, token] : next) {
-        const auto known = serving.find(range);
-        if (known != serving.end() && known->second == token) {
+    for (const range_id range : change.releases) {
+        serving.erase(range);
+    }
+    for (const auto& [range, verdict] : next) {
+        const auto [known, added] = serving.try_emplace(range, verdict.token);
+        if (!added && known->second == verdict.token) {
             continue;
         }
-        change.grants.push_back({range, token});
-        const bool took_over = positions[range] > 0;
-        audit(took_over ? audit_kind::takeover : audit_kind::grant, self,
-              took_over ? std::to_string(positions[range]) + " earlier candidates ended"
-                        : "first candidate");
-        auto& event = std::get<audit_event>(effects.back());
-        event.range = range;
-        event.token = token;
-    }
-    const std::size_t drained_before = draining.size();
-    std::erase_if(draining, [&](range_id range) { return next.contains(range); });
-    if (draining.size() != drained_before) {
-        publish_adoption(); // this member owns the range again
+        known->second = verdict.token;
+        change.grants.push_back({range, verdict.token});
+        if (verdict.position > 0) {
+            audit_range(audit_kind::takeover, range, verdict.token,
+                        std::to_string(verdict.position) + " earlier candidates ended");
+        }
+        else {
+            audit_range(audit_kind::grant, range, verdict.token, "first candidate");
+        }
     }
-    serving = std::move(next);
     if (!change.grants.empty() || !change.releases.empty()) {
         effects.emplace_back(std::move(change));
     }
--- a/src/ownership/engine_state.h
+++ b/src/ownership/engine_state.h
@@ -50,18 +50,24 @@
     void after_event(time_point now);
     void audit(audit_kind kind, incarnation_id subject, std::string cause);
 
-    // Own row, witnesses and renewal (engine_join.cpp).
+    // Own row, first witnesses and renewal (engine_join.cpp).
     void on_target(time_point now, const target_info& info);
     void tend_join(time_point now);
-    void tend_witnesses(time_point now);
-    void begin_witness_change(time_point now, incarnation_id lost, const member_row& added);
-    void send_set_change(time_point now);
-    void on_set_change_ack(time_point now, incarnation_id from, const set_change_ack& ack);
     void write_own_row(time_point now);
     void on_own_row_written(time_point now, const store::reply& reply);
     void on_own_row_read(time_point now, const store::reply& reply);
     void own_row_stored(time_point now, std::uint64_t version);
     void renew_lease(time_point now);
+
+    // Replacement of witnesses (engine_witnesses.cpp).
+    void tend_witnesses(time_point now);
+    void tend_witness_change(time_point now);
+    void tend_lost_lease(time_point now);
+    void replace_witness(time_point now, incarnation_id lost);
+    void improve_witnesses(time_point now);
+    void begin_witness_change(time_point now, incarnation_id lost, const member_row& added);
+    void send_set_change(time_point now);
+    void on_set_change_ack(time_point now, incarnation_id from, const set_change_ack& ack);
     [[nodiscard]] std::vector<const member_row*> witness_candidates(time_point now) const;
     [[nodiscard]] bool is_lost_witness(time_point now, incarnation_id id) const;
 
@@ -70,7 +76,10 @@
     [[nodiscard]] bool should_wait_for_gainers(time_point now, const placement_view& next) const;
     void complete_adoption(time_point now);
     void publish_adoption();
+    [[nodiscard]] std::map<range_id, range_verdict> owned_ranges() const;
     void update_serving(time_point now);
+    void change_grants(const std::map<range_id, range_verdict>& next,
+                       const std::string& release_cause);
     void on_in_flight(time_point now, const std::string& service, range_id range,
                       std::size_t count);
     [[nodiscard]] serve_decision may_serve(time_point now, const std::string& service,
