--- a/src/ownership/engine.cpp
+++ b/src/ownership/engine.cpp
@@ -135,6 +135,7 @@
                    [&](const digest& item) { on_digest(now, from, item); },
                },
                body);
+    shared.on_heard(now, from); // its row may have come with this message
     after_event(now);
 }
 
@@ -165,14 +166,13 @@
         renew_lease(now);
         consider_move(now);
         consider_proposal(now);
+        tend_stopped_holders(now);
         tend_leave(now);
     }
     if (ending) {
         tend_end(now);
     }
-    if (store_end && !store_end->busy && now >= store_end->next) {
-        start_store_end(now, store_end->target, store_end->by);
-    }
+    tend_store_end(now);
     exchange_digests(now);
     after_event(now);
 }
@@ -222,7 +222,7 @@
 
 void engine::assert_ended(time_point now, incarnation_id id, const std::string& operator_name)
 {
-    state_->start_store_end(now, id, operator_name);
+    state_->request_store_end(now, id, operator_name);
     state_->after_event(now);
 }
 
