--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -9,6 +9,10 @@
 
 constexpr std::uint32_t queue_per_slot = 4;
 constexpr std::uint32_t cold_divisor = 4; ///< a cold target starts with a quarter
+/// A load report lowers the share at most to half of the slots: with one slot
+/// left, a false report took the target's ranges out of service. A target that
+/// is truly busy with other work refuses what is too much as not-run.
+constexpr std::uint32_t report_divisor = 2;
 
 /// Weight of one answer in the mean answer time is one of these.
 constexpr int mean_samples = 16;
@@ -17,6 +21,11 @@
 /// target's answers may wait unread, so its silence proves nothing.
 constexpr milliseconds own_pause{500};
 
+std::uint32_t part_of(std::uint32_t slots, std::uint32_t divisor)
+{
+    return (slots + divisor - 1) / divisor;
+}
+
 } // namespace
 
 admission::admission(admission_settings settings, time_point now, bool cold)
@@ -49,16 +58,17 @@
     std::uint32_t limit = full;
     const auto elapsed = now - warm_since_;
     if (elapsed < settings_.slow_start) {
-        const std::uint32_t cold = (full + cold_divisor - 1) / cold_divisor;
+        const std::uint32_t cold = part_of(full, cold_divisor);
         const double progress =
             std::max(0.0, static_cast<double>(elapsed.count())) /
             static_cast<double>(boot_clock::duration{settings_.slow_start}.count());
         limit = cold + static_cast<std::uint32_t>(progress * (full - cold));
     }
     if (report_ && !report_->ready) {
-        return 1;
+        return std::min(limit, part_of(full, cold_divisor));
     }
-    return limit > excess_ ? limit - excess_ : 1;
+    const std::uint32_t least = std::min(limit, part_of(full, report_divisor));
+    return std::max(least, limit > excess_ ? limit - excess_ : 0);
 }
 
 void admission::refuse(ticket id, reason why)
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -34,7 +34,8 @@
 };
 
 /// The target's announced load. Reports lag and mislead, so they can only lower
-/// the number of concurrent requests, and never below one.
+/// the number of concurrent requests, and not below half of the slots (a quarter
+/// for a target that is not ready).
 struct load_report {
     std::uint32_t in_flight = 0;
     bool ready = true;
