--- a/bench/policy_report.cpp
+++ b/bench/policy_report.cpp
@@ -1,5 +1,7 @@
 #include "bench/policy_report.h"
 
+#include <array>
+#include <cmath>
 #include <cstdio>
 
 #include <nlohmann/json.hpp>
@@ -77,9 +79,19 @@
 
 std::string number(double value, int decimals)
 {
-    char text[64];
-    std::snprintf(text, sizeof text, "%.*f", decimals, value);
-    return text;
+    if (std::isnan(value)) {
+        return "-";
+    }
+    std::array<char, 64> text{};
+    std::snprintf(text.data(), text.size(), "%.*f", decimals, value);
+    return text.data();
+}
+
+/// Rounded as in the table, so that both show the same figures.
+nlohmann::json rounded(double value, int decimals)
+{
+    return std::isnan(value) ? nlohmann::json()
+                             : nlohmann::json(std::stod(number(value, decimals)));
 }
 
 std::string right(const std::string& text, std::size_t width)
@@ -92,6 +104,7 @@
     return text.size() >= width ? text : text + std::string(width - text.size(), ' ');
 }
 
+constexpr double overload_factor = 1.8;
 constexpr std::size_t name_width = 16;
 constexpr std::size_t number_width = 10;
 
@@ -131,6 +144,19 @@
                 {sizes.name, rules.name, simulation(rules, sizes, settings).run()});
         }
     }
+    // Without overload the budget of retries hardly matters, so it is also
+    // compared in a short run above the capacity.
+    if (only.empty()) {
+        auto overload = settings;
+        overload.length = std::chrono::minutes{6};
+        overload.load_factor = settings.load_factor * overload_factor;
+        for (const auto& rules : all_policies()) {
+            if (rules.name == "shipped" || rules.name == "no-retry-budget") {
+                report.results.push_back({"ladderdesk-overload", rules.name,
+                                          simulation(rules, ladderdesk(), overload).run()});
+            }
+        }
+    }
     report.spread = measure_spread(settings.seed);
     return report;
 }
@@ -143,7 +169,7 @@
         if (result.deployment != deployment) {
             deployment = result.deployment;
             text += (text.empty() ? "" : "\n") + deployment + ", " +
-                    std::to_string(report.settings.length.count()) + " virtual minutes, seed " +
+                    number(result.figures.hours * 60, 0) + " virtual minutes, seed " +
                     std::to_string(report.settings.seed) + "\n" + left("policy", name_width);
             for (const auto& field : columns()) {
                 text += right(field.title, number_width + 1);
@@ -170,8 +196,7 @@
         row["deployment"] = result.deployment;
         row["policy"] = result.policy;
         for (const auto& field : columns()) {
-            // Rounded as in the table, so that both show the same figures.
-            row[field.name] = std::stod(number(field.value(result.figures), field.decimals));
+            row[field.name] = rounded(field.value(result.figures), field.decimals);
         }
         for (const auto& [why, count] : result.figures.reasons) {
             row["reasons"][std::string(request::to_text(why))] = count;
@@ -182,12 +207,12 @@
         document["spread"].push_back(
             {{"lines", row.lines},
              {"file_bytes", row.file_bytes},
-             {"whole_bytes", std::stod(number(row.whole_bytes, 0))},
-             {"delta_bytes", std::stod(number(row.delta_bytes, 0))},
-             {"delta_after_10_bytes", std::stod(number(row.delta_after_10_bytes, 0))},
-             {"whole_bytes_per_second", std::stod(number(row.whole_bytes_per_second, 0))},
-             {"delta_bytes_per_second", std::stod(number(row.delta_bytes_per_second, 0))},
-             {"fallback_bytes_per_second", std::stod(number(row.fallback_bytes_per_second, 0))}});
+             {"whole_bytes", rounded(row.whole_bytes, 0)},
+             {"delta_bytes", rounded(row.delta_bytes, 0)},
+             {"delta_after_10_bytes", rounded(row.delta_after_10_bytes, 0)},
+             {"whole_bytes_per_second", rounded(row.whole_bytes_per_second, 0)},
+             {"delta_bytes_per_second", rounded(row.delta_bytes_per_second, 0)},
+             {"fallback_bytes_per_second", rounded(row.fallback_bytes_per_second, 0)}});
     }
     return document.dump(2) + "\n";
 }
--- a/bench/policy_simulation.cpp
+++ b/bench/policy_simulation.cpp
@@ -521,8 +521,10 @@
         sum += value;
         figures_.imbalance_worst = std::max(figures_.imbalance_worst, value);
     }
-    figures_.imbalance_mean =
-        imbalances_.empty() ? 0 : sum / static_cast<double>(imbalances_.size());
+    figures_.imbalance_mean = sum / static_cast<double>(imbalances_.size());
+    if (imbalances_.empty()) {
+        figures_.imbalance_worst = figures_.imbalance_mean = std::nan("");
+    }
     std::sort(figures_.latency_ms.begin(), figures_.latency_ms.end());
     return std::move(figures_);
 }
--- a/bench/policy_simulation.h
+++ b/bench/policy_simulation.h
@@ -41,10 +41,11 @@
     std::uint64_t sent = 0; ///< forwards, for attempts per request
     std::uint64_t retried = 0;
     std::uint64_t not_owner = 0;
-    double imbalance_mean = 0; ///< of the minutes in which no host came or went
+    /// Of the minutes in which no host came or went; not a number without one.
+    double imbalance_mean = 0;
     double imbalance_worst = 0;
     std::map<request::reason, std::uint64_t> reasons; ///< of not answered requests
-    std::vector<float> latency_ms; ///< of answered requests, sorted
+    std::vector<float> latency_ms;                    ///< of answered requests, sorted
     [[nodiscard]] double quantile(double part) const;
 };
 
@@ -54,6 +55,8 @@
     ~simulation();
     simulation(const simulation&) = delete;
     simulation& operator=(const simulation&) = delete;
+    simulation(simulation&&) = delete;
+    simulation& operator=(simulation&&) = delete;
 
     simulation_figures run();
 
--- a/bench/spread_bytes.cpp
+++ b/bench/spread_bytes.cpp
@@ -31,18 +31,17 @@
     return text;
 }
 
-void change(std::vector<std::string>& rules, random_engine& random)
+/// Edits, adds or removes one rule, so that the file keeps its size within a line.
+void change(std::vector<std::string>& rules, std::size_t lines, random_engine& random)
 {
-    const auto at = random() % rules.size();
-    const auto place = rules.begin() + static_cast<std::ptrdiff_t>(at);
-    switch (random() % 3) {
-    case 0:
-        rules.insert(place, random_rule(random));
-        return;
-    case 1:
+    const auto place = rules.begin() + static_cast<std::ptrdiff_t>(random() % rules.size());
+    if (rules.size() > lines) {
         rules.erase(place);
-        return;
-    default:
+    }
+    else if (random() % 2 == 0) {
+        rules.insert(place, random_rule(random));
+    }
+    else {
         *place = random_rule(random);
     }
 }
@@ -59,7 +58,7 @@
     std::string tenth = text;
     figures.file_bytes = text.size();
     for (int i = 1; i <= changes; ++i) {
-        change(rules, random);
+        change(rules, lines, random);
         const auto next = join(rules);
         const auto delta = rules::make_delta(text, next);
         const auto encoded = rules::encode_delta(delta);
@@ -90,7 +89,7 @@
 {
     random_engine random(seed);
     std::vector<spread_figures> all;
-    for (const std::size_t lines : {1, 3, 10, 100, 1000, 7000}) {
+    for (const std::size_t lines : {1, 2, 10, 100, 1000, 7000}) {
         all.push_back(measure_size(lines, random));
     }
     return all;
