--- a/tests/request/route_table_test.cpp
+++ b/tests/request/route_table_test.cpp
@@ -71,6 +71,8 @@
     CHECK(refused({"POST", challenge, "a b", {}, {}}) == reason::bad_request_id);
     CHECK(refused({"POST", challenge, "x", "0", {}}) == reason::bad_attempt);
     CHECK(refused({"POST", challenge, "x", "2x", {}}) == reason::bad_attempt);
+    const auto long_key = "/ladders/" + std::string(257, 'k') + "/standings";
+    CHECK(refused({"GET", long_key, {}, {}, {}}) == reason::bad_key);
     for (const auto* deadline : {"0", "-1", "60001", "1.5", "", "99999999999"}) {
         CHECK(refused({"POST", challenge, "x", {}, deadline}) == reason::bad_deadline);
     }
--- a/tests/rules/acceptance_test.cpp
+++ b/tests/rules/acceptance_test.cpp
@@ -128,6 +128,17 @@
     CHECK(submit(store, make("s1", 2, 3)).status == submission_status::id_reused);
 }
 
+// Guards against one submission id that is accepted twice, when two processes
+// with it run at once and the later one names the version of the first as base.
+TEST(acceptance, concurrent_use_of_one_id_is_accepted_once)
+{
+    constexpr int head_request = 1; // after the earlier result was looked for
+    const auto second =
+        submit(store, make("s1", 1, 1), head_request, [this] { submit(store, make("s1", 0, 1)); });
+    UNSIGNED_LONGS_EQUAL(1, second.record->version);
+    UNSIGNED_LONGS_EQUAL(1, parse_record(store.rows["rules/head"].value).version);
+}
+
 // Guards against a lost answer that is taken for a lost race or accepted twice.
 TEST(acceptance, lost_answer_of_the_commit_is_read_back)
 {
