Wait for the recording of an asserted end

The node takes up to 8 s to confirm an asserted end, and the command line gave up after 5 s. It waits 10 s now. The text of wall-clock times comes from package common, so that there is one function for it.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -180,11 +180,13 @@
         {"keys owner", "SERVICE KEY", 2, 2, remote(), "Print which host owns a key.", keys_owner},
         {"hosts list", "", 0, 0, remote(), "List the hosts that the node knows.", hosts_list},
         {"hosts drain", "[HOST]", 0, 1, remote({"operator"}),
-         "Hand the ranges of a host over and end its node. HOST is a host name or an incarnation; "
-         "the node that answers by default.",
+         "Hand the ranges of the host that answers over, and stop its node. HOST, a host name or "
+         "an "
+         "incarnation, guards against a wrong --node: the request is refused for another host.",
          hosts_drain},
         {"hosts assert-ended", "HOST", 1, 1, remote({"operator", "switched_off"}),
-         "Record that a lost host is switched off. Only for ranges that wait because two of the "
+         "Record that a lost host is switched off. HOST is a host name or an incarnation. Only for "
+         "ranges that wait because two of the "
          "three voters of a lease are lost; a host that still runs would serve them as well.",
          hosts_assert_ended},
         {"targets list", "", 0, 0, remote(), "List the targets that the node knows.", targets_list},
--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -8,7 +8,8 @@
 DEFINE_bool(check, false, "only check the settings");
 DEFINE_bool(print_settings, false, "print the settings in force, with defaults, and exit");
 DEFINE_string(node, "127.0.0.1:8001", "operator address of any node, IP:port");
-DEFINE_uint32(timeout_ms, 5000, "time to wait for one answer of the node, in ms");
+// The recording of an asserted end takes up to 8 s.
+DEFINE_uint32(timeout_ms, 10000, "time to wait for one answer of the node, in ms");
 DEFINE_bool(json, false, "print JSON for programs");
 DEFINE_string(operator, "", "name for the history and the audit trail; default: the login name");
 DEFINE_uint64(base, 0, "version of the rules that was edited; 0 if there were none");
--- a/src/node/audit_trail.cpp
+++ b/src/node/audit_trail.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <array>
-#include <ctime>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "common/wall_time.h"
+
 namespace bulrushgw::node {
 
 namespace {
@@ -27,9 +28,8 @@
 
 ordered_json to_object(const audit_record& record)
 {
-    ordered_json object{{"number", record.number},
-                        {"at", wall_clock_text(record.at)},
-                        {"kind", to_string(record.kind)}};
+    ordered_json object{
+        {"number", record.number}, {"at", rfc3339(record.at)}, {"kind", to_string(record.kind)}};
     if (!record.service.empty()) {
         object["service"] = record.service;
     }
@@ -67,19 +67,6 @@
 
 } // namespace
 
-std::string wall_clock_text(std::chrono::system_clock::time_point at)
-{
-    const auto since_epoch = std::chrono::duration_cast<milliseconds>(at.time_since_epoch());
-    const auto seconds = static_cast<std::time_t>(since_epoch.count() / 1000);
-    std::tm parts{};
-    gmtime_r(&seconds, &parts);
-    std::array<char, 40> text{};
-    const std::size_t size = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::string fraction = std::to_string(since_epoch.count() % 1000);
-    fraction.insert(0, 3 - std::min<std::size_t>(3, fraction.size()), '0');
-    return std::string(text.data(), size) + "." + fraction + "Z";
-}
-
 std::string_view to_string(audit_kind kind)
 {
     return kind_names.at(static_cast<std::size_t>(kind));
--- a/src/node/audit_trail.h
+++ b/src/node/audit_trail.h
@@ -124,9 +124,6 @@
     std::optional<time_point> last_write_;
 };
 
-/// RFC 3339 in UTC with milliseconds, for people.
-std::string wall_clock_text(std::chrono::system_clock::time_point at);
-
 /// JSON object of a record, as rows and the operator interface show it.
 std::string to_json(const audit_record& record);
 
