--- a/src/cli/host_commands.cpp
+++ b/src/cli/host_commands.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdlib>
 
 #include "cli/commands.h"
@@ -55,10 +56,11 @@
 void print_pairs(const invocation& call,
                  const std::vector<std::pair<std::string, std::string>>& pairs)
 {
-    constexpr std::size_t value_column = 20;
+    constexpr std::size_t value_column = 24;
     for (const auto& [name, value] : pairs) {
         std::string line = name;
-        line.resize(value_column, ' ');
+        std::ranges::replace(line, '_', ' ');
+        line.resize(std::max(value_column, line.size() + 2), ' ');
         call.out << line << printable(value) << "\n";
     }
 }
--- a/src/cli/rules_commands.cpp
+++ b/src/cli/rules_commands.cpp
@@ -17,8 +17,9 @@
 namespace {
 
 /// Times that one submission is sent, and the pause between two of them. The
-/// submission id makes a repeat safe.
-constexpr int submission_attempts = 5;
+/// submission id makes a repeat safe. With the default timeout an operator waits
+/// at most 31 s for a store that does not answer.
+constexpr int submission_attempts = 3;
 constexpr milliseconds submission_pause{500};
 
 std::string read_text(const std::string& file)
--- a/src/node/event_log.h
+++ b/src/node/event_log.h
@@ -83,7 +83,7 @@
     event_info{event_kind::witness_replaced, "witness-replaced", log_level::info,
         "a lost witness of this node was replaced through the store"},
     event_info{event_kind::too_few_witnesses, "too-few-witnesses", log_level::error,
-        "fewer than two other hosts can hold this node's lease; it refuses to serve"},
+        "fewer than two other hosts are known: no lease can begin, and the next loss of a witness ends this one"},
     event_info{event_kind::target_announced, "target-announced", log_level::info,
         "a target announced itself on this host"},
     event_info{event_kind::target_silent, "target-silent", log_level::warn,
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -121,6 +122,19 @@
     STRCMP_EQUAL("bulrushgw " BULRUSHGW_VERSION "\n", out.str().c_str());
 }
 
+// Guards against a command that the operators' page does not name.
+TEST(command, page_names_every_command)
+{
+    // Tests run in the root of the repository, or by ctest in the build folder.
+    const std::string name = "docs/operators.md";
+    std::ifstream file(std::filesystem::exists(name) ? name : "../" + name);
+    std::ostringstream page;
+    page << file.rdbuf();
+    for (const command& each : commands()) {
+        CHECK(contains(page.str(), "| `bulrushgw " + std::string(each.words)));
+    }
+}
+
 // Guards against a check that stops at the first problem or that accepts a file
 // which the acceptance refuses.
 TEST(command, rules_check_works_offline)
