--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -80,7 +80,7 @@
     if (!body.empty()) {
         request.headers.push_back({"Content-Type", "application/json"});
     }
-    client.send(node_, std::move(request), timeout_,
+    client.send(node_, request, timeout_,
                 [&result](net::http_result received) { result = std::move(received); });
     loop.run_until([&result] { return result.has_value(); }, timeout_ + wait_grace);
     if (!result || !result->response) {
