--- a/fakes/driver.cpp
+++ b/fakes/driver.cpp
@@ -285,6 +285,15 @@
     }
 }
 
+void driver::assert_ended(std::size_t index, incarnation_id node)
+{
+    host_state& host = state(index);
+    if (host.acts()) {
+        host.engine->assert_ended(host.clock.local(now_), node, "operator");
+        after(host);
+    }
+}
+
 void driver::accept_rules(std::size_t index, std::uint64_t version)
 {
     record_.rules.push_back({now_, {}, version, version});
--- a/fakes/driver.h
+++ b/fakes/driver.h
@@ -94,6 +94,8 @@
     void leave(std::size_t host);
     void end_incarnation(std::size_t host, const std::string& cause);
     void set_load(std::size_t host, std::vector<ownership::range_load> loads);
+    /// An operator declares at `host` that `node` is switched off.
+    void assert_ended(std::size_t host, incarnation_id node);
     /// The rules acceptance gave this version to one node.
     void accept_rules(std::size_t host, std::uint64_t version);
 
--- a/fakes/driver_records.cpp
+++ b/fakes/driver_records.cpp
@@ -5,6 +5,7 @@
 
 #include "common/hash.h"
 #include "fakes/driver_state.h"
+#include "ownership/rows.h"
 
 namespace bulrushgw::fakes {
 
@@ -182,6 +183,20 @@
     }
 }
 
+void driver::record_write(const store::row& row, bool erased)
+{
+    if (row.key != ownership::placement_key(service_name)) {
+        return;
+    }
+    version_event event{now_, {}, 0, 0};
+    if (!erased) {
+        const ownership::placement placement = ownership::parse_placement(row.key, row.value);
+        event.version = placement.current.version.value;
+        event.content = content_hash(placement);
+    }
+    record_.placements.push_back(event);
+}
+
 std::size_t encoded_size(const ownership::message& body)
 {
     constexpr std::size_t frame = 40;
--- /dev/null
+++ b/fakes/random_run.cpp
@@ -0,0 +1,248 @@
+#include "fakes/random_run.h"
+
+#include <algorithm>
+#include <atomic>
+#include <set>
+#include <thread>
+
+namespace bulrushgw::fakes {
+
+namespace {
+
+/// Time in which hosts that start together share the ranges out.
+constexpr milliseconds join_time{8000};
+/// Quiet time after the last fault: two of the longest backoffs of the store
+/// client (10 s), within which every waiting write is made.
+constexpr milliseconds quiet_time{20'000};
+/// Time after the quiet time in which every range must stay served.
+constexpr milliseconds served_time{4000};
+constexpr std::uint64_t fewest_faults = 3;
+constexpr std::uint64_t fault_spread = 8;
+
+std::string time_text(true_time at)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count());
+}
+
+milliseconds span_of(driver& world, fault_kind kind)
+{
+    constexpr std::uint64_t short_pause = 900;
+    constexpr std::uint64_t lease_pause = 1100;
+    if (kind == fault_kind::process_paused) {
+        switch (world.draw(3)) {
+        case 0:
+            return milliseconds{100 + world.draw(short_pause)};
+        case 1:
+            return milliseconds{lease_pause + world.draw(300)};
+        default:
+            return milliseconds{1500 + world.draw(3500)};
+        }
+    }
+    if (kind == fault_kind::planned_leave || kind == fault_kind::operators_race) {
+        return milliseconds{7000};
+    }
+    return milliseconds{200 + world.draw(4800)};
+}
+
+fault draw_fault(driver& world, fault_kind kind)
+{
+    fault next;
+    next.kind = kind;
+    next.host = world.draw(world.host_count());
+    next.other = (next.host + 1 + world.draw(world.host_count() - 1)) % world.host_count();
+    next.span = span_of(world, next.kind);
+    return next;
+}
+
+fault_kind draw_kind(driver& world)
+{
+    const auto kinds = static_cast<std::uint64_t>(fault_kind::count) - 1;
+    return static_cast<fault_kind>(1 + world.draw(kinds));
+}
+
+/// An operator sees members that own something, cannot be ended by their
+/// witnesses and run on no host, and declares them switched off.
+void assert_lost_members(driver& world)
+{
+    std::size_t speaker = world.host_count();
+    for (std::size_t i = 0; i < world.host_count(); ++i) {
+        const ownership::engine* engine = world.engine_of(i);
+        if (engine != nullptr && engine->placement_of(service_name)) {
+            speaker = i;
+        }
+    }
+    if (speaker == world.host_count()) {
+        return;
+    }
+    const ownership::engine* engine = world.engine_of(speaker);
+    std::set<incarnation_id> ended;
+    for (const auto& certificate : engine->certificates()) {
+        ended.insert(certificate.holder);
+    }
+    const auto placement = engine->placement_of(service_name);
+    std::set<incarnation_id> lost;
+    for (const auto* list : {&placement->current, &placement->previous}) {
+        for (const auto& member : list->members) {
+            if (!ended.contains(member.incarnation) && !world.host_of(member.incarnation)) {
+                lost.insert(member.incarnation);
+            }
+        }
+    }
+    if (!lost.empty()) {
+        world.assert_ended(speaker, *lost.begin());
+    }
+}
+
+void run_many(driver& world, run_result& result)
+{
+    const std::uint64_t faults = fewest_faults + world.draw(fault_spread);
+    for (std::uint64_t i = 0; i < faults; ++i) {
+        const fault next = draw_fault(world, draw_kind(world));
+        result.faults.push_back(time_text(world.now()) + ": " + to_string(next));
+        inject(world, next);
+        world.run_for(milliseconds{50 + world.draw(2500)});
+    }
+}
+
+/// The bound that the stated targets give to a fault that comes alone, or none
+/// (zero) for a fault that does not take a key's owner away.
+milliseconds bound_of(fault_kind kind)
+{
+    switch (kind) {
+    case fault_kind::planned_leave:
+    case fault_kind::false_load:
+        return planned_bound;
+    default:
+        return loss_bound;
+    }
+}
+
+void run_single(driver& world, run_result& result)
+{
+    // These concern all hosts or two: the targets are stated for a single loss.
+    static const std::set<fault_kind> excluded{fault_kind::messages_lost,
+                                               fault_kind::operators_race};
+    constexpr std::uint64_t faults = 2;
+    for (std::uint64_t i = 0; i < faults; ++i) {
+        fault next = draw_fault(world, draw_kind(world));
+        while (excluded.contains(next.kind)) {
+            next = draw_fault(world, draw_kind(world));
+        }
+        // A planned stop needs the store, which records the hand-over.
+        const bool store_down = world.chance(0.5) && next.kind != fault_kind::planned_leave &&
+                                next.kind != fault_kind::false_load;
+        constexpr milliseconds lead{500};
+        if (store_down) {
+            inject(world, {fault_kind::store_down, 0, 0, next.span + 2 * lead + loss_bound});
+            world.run_for(lead);
+        }
+        result.faults.push_back(time_text(world.now()) + ": " + to_string(next) +
+                                (store_down ? ", store down" : ""));
+        const true_time begin = world.now();
+        inject(world, next);
+        world.run_for(next.span + loss_bound);
+        world.record().must_serve.push_back({begin, world.now(), bound_of(next.kind)});
+        world.run_for(quiet_time);
+    }
+}
+
+} // namespace
+
+run_result run_seed(std::uint64_t seed, run_mode mode, const ownership::unsafe_switches& unsafe)
+{
+    driver_settings settings;
+    settings.seed = seed;
+    settings.unsafe = unsafe;
+    constexpr std::array<std::size_t, 4> sizes{4, 6, 7, 9};
+    settings.hosts = sizes.at(seed / 2 % sizes.size());
+    settings.drift_at_bound = seed % 3 == 0;
+    driver world(settings);
+    run_result result;
+    result.seed = seed;
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        world.start(host);
+    }
+    world.run_for(join_time);
+    if (!world.all_served()) {
+        result.violations.push_back(
+            {violation_kind::unavailable, world.now(), "not every range is served after the join"});
+    }
+    std::uint64_t rules_version = 0;
+    const auto submit_rules = [&] { world.accept_rules(0, ++rules_version); };
+    submit_rules();
+    if (mode == run_mode::single) {
+        run_single(world, result);
+    }
+    else {
+        run_many(world, result);
+    }
+    heal(world);
+    submit_rules();
+    for (int round = 0; round < 4; ++round) {
+        world.run_for(quiet_time / 4);
+        assert_lost_members(world);
+    }
+    const true_time quiet = world.now();
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        if (world.is_running(host)) {
+            world.record().must_know_rules.push_back(
+                {quiet, world.engine_of(host)->self(), rules_version});
+        }
+    }
+    world.run_for(served_time);
+    world.record().must_serve.push_back({quiet, world.now(), planned_bound});
+    const history& record = world.finish();
+    const std::vector<violation> found = check(record);
+    result.violations.insert(result.violations.end(), found.begin(), found.end());
+    result.owner_changes = record.served.size();
+    result.executions = record.executions.size();
+    return result;
+}
+
+std::vector<run_result> run_seeds(std::uint64_t first, std::size_t count,
+                                  const ownership::unsafe_switches& unsafe)
+{
+    constexpr unsigned most_threads = 10;
+    std::vector<run_result> results(count);
+    std::atomic<std::size_t> next{0};
+    std::vector<std::thread> threads;
+    const unsigned wanted = std::clamp(std::thread::hardware_concurrency(), 1U, most_threads);
+    for (unsigned i = 0; i < wanted; ++i) {
+        threads.emplace_back([&] {
+            for (std::size_t at = next++; at < count; at = next++) {
+                const std::uint64_t seed = first + at;
+                const run_mode mode = seed % 2 == 0 ? run_mode::single : run_mode::many;
+                try {
+                    results[at] = run_seed(seed, mode, unsafe);
+                }
+                catch (const std::exception& failure) {
+                    results[at].seed = seed;
+                    results[at].violations.push_back({violation_kind::unavailable,
+                                                      {},
+                                                      std::string{"exception: "} + failure.what()});
+                }
+            }
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    return results;
+}
+
+std::string describe(const run_result& result)
+{
+    std::string text = "seed " + std::to_string(result.seed) + "\n";
+    for (const std::string& fault : result.faults) {
+        text += "  " + fault + "\n";
+    }
+    constexpr std::size_t most = 6;
+    for (std::size_t i = 0; i < std::min(most, result.violations.size()); ++i) {
+        const violation& found = result.violations[i];
+        text +=
+            "  " + to_string(found.kind) + " at " + time_text(found.at) + ": " + found.text + "\n";
+    }
+    return text;
+}
+
+} // namespace bulrushgw::fakes
