--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds first_ack_limit{3};
 /// After both witnesses were silent for this long the node ends its incarnation.
 constexpr std::chrono::seconds cut_off_limit{10};
+/// Interval of reading the members while this node lacks witnesses.
+constexpr milliseconds reading_while_alone{300};
 constexpr milliseconds set_change_retry{200};
 /// Pause between replacements that only improve the spread over zones.
 constexpr std::chrono::seconds improvement_pause{15};
@@ -50,6 +52,7 @@
     }
     else {
         wanted_weight = std::max<std::uint32_t>(info.slots, 1);
+        wanted_weight_since = now;
     }
 }
 
@@ -76,7 +79,7 @@
         write_own_row(now);
         return;
     }
-    if (!target || leaving || !members_known || lease.started()) {
+    if (!target || leaving || !members_known || now < first_write || lease.started()) {
         return;
     }
     const std::vector<const member_row*> live = witness_candidates(now);
@@ -85,6 +88,7 @@
     too_few_witnesses = second == nullptr;
     if (too_few_witnesses) {
         witnesses_found.reset();
+        next_members_read = std::min(next_members_read, now + reading_while_alone);
         if (own_row_version == 0) { // lets the others find this node
             own_write = row_write{own, next_writer()};
             write_own_row(now);
@@ -262,7 +266,8 @@
         }
         return;
     }
-    if (own_write || schedule.is_failing() || !schedule.ever_answered()) {
+    if (own_write || schedule.is_failing() || !schedule.ever_answered() ||
+        now < schedule.blocked_until(true)) {
         return;
     }
     const bool improve = lost.empty();
--- a/src/ownership/engine_store.cpp
+++ b/src/ownership/engine_store.cpp
@@ -13,10 +13,11 @@
 /// their bytes do not grow with the square of the number of nodes.
 constexpr milliseconds reading_share{200};
 constexpr milliseconds reading_low{5000};
-/// Interval of readings while this node lacks witnesses.
-constexpr milliseconds reading_while_alone{500};
 /// Rows of ended members stay this long, so that every node learns of the end.
 constexpr std::chrono::seconds ended_row_age{30};
+/// Each known node lengthens the random delay of a new node's first write by
+/// this much, which keeps the writes of all nodes below 250 a second.
+constexpr milliseconds first_write_share{4};
 constexpr std::size_t erased_rows = 16;
 constexpr std::size_t remembered_bad_rows = 64;
 
@@ -46,8 +47,9 @@
         return;
     }
     const continuation done = std::move(found->second.done);
+    const bool is_write = found->second.is_write;
     calls.erase(found);
-    schedule.on_result(now, reply.result, random);
+    schedule.on_result(now, is_write, reply.result, random);
     done(now, reply);
 }
 
@@ -70,9 +72,7 @@
 {
     const auto nodes = static_cast<std::int64_t>(shared.members().size());
     const milliseconds regular = std::max(reading_low, reading_share * nodes);
-    const milliseconds interval = too_few_witnesses && target
-                                      ? reading_while_alone
-                                      : random.between(regular * 3 / 4, regular);
+    const milliseconds interval = random.between(regular * 3 / 4, regular);
     if (!reading_members && now >= next_members_read) {
         reading_members = call(now, store::read_prefix{member_prefix},
                                [this, began = now](time_point at, const store::reply& reply) {
@@ -125,9 +125,14 @@
 {
     reading_members = false;
     if (reply.result != store::status::ok) {
-        next_members_read = schedule.blocked_until();
+        next_members_read = schedule.blocked_until(false);
         return;
     }
+    if (!members_known) {
+        // Hosts that start together in a large system spread their first writes.
+        const auto nodes = static_cast<std::int64_t>(reply.rows.size());
+        first_write = now + random.between(milliseconds{0}, first_write_share * nodes);
+    }
     members_known = true;
     std::vector<incarnation_id> present;
     std::vector<store::row> old;
@@ -151,7 +156,7 @@
 {
     reading_placements = false;
     if (reply.result != store::status::ok) {
-        next_placements_read = schedule.blocked_until();
+        next_placements_read = schedule.blocked_until(false);
         return;
     }
     placements_known = true;
