--- a/fakes/driver.cpp
+++ b/fakes/driver.cpp
@@ -170,6 +170,8 @@
     host.granted.clear();
     host.in_flight.clear();
     host.announced = false;
+    host.stopping = false;
+    host.grants_end = {};
     host.next_poll = local;
     host.unanswered_polls = 0;
     host.placement_seen = 0;
@@ -271,8 +273,7 @@
 {
     host_state& host = state(index);
     if (host.acts()) {
-        host.engine->end(host.clock.local(now_), cause);
-        after(host);
+        stop_and_end(host, cause);
     }
 }
 
@@ -372,6 +373,11 @@
         for (const auto& grant : change->grants) {
             host.granted[grant.range] = grant.token;
         }
+        if (!host.engine->lease_end(host.clock.local(now_))) {
+            // Not a planned move, which drains: the lease is over.
+            host.server->advance(now_);
+            host.server->cancel_all(now_);
+        }
         send_grants(host);
     }
     else if (std::holds_alternative<ownership::incarnation_ended>(effect)) {
--- a/fakes/driver.h
+++ b/fakes/driver.h
@@ -146,6 +146,7 @@
     void schedule_tick(host_state& host, true_time at);
     void on_tick(std::size_t host);
     void poll_target(host_state& host);
+    void stop_and_end(host_state& host, const std::string& cause);
     void send_grants(host_state& host);
     void start_requests(host_state& host);
     void on_finished(std::size_t host, const target_request& request);
--- a/fakes/driver_state.h
+++ b/fakes/driver_state.h
@@ -29,6 +29,10 @@
     std::map<range_id, fence> granted;
     std::map<range_id, std::size_t> in_flight;
     bool announced = false;
+    /// Set while the node stops admitting and waits for the grants of a silent
+    /// target to expire, before it ends its incarnation.
+    bool stopping = false;
+    time_point grants_end{}; ///< latest end of a grant, on the node's clock
     int unanswered_polls = 0;
     time_point next_poll{};
     time_point answer_at{}; ///< on the node's clock
