--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::seconds first_ack_limit{3};
 /// After both witnesses were silent for this long the node ends its incarnation.
 constexpr std::chrono::seconds cut_off_limit{10};
+/// A holder whose renewals arrive while the acknowledgements do not keeps its
+/// witnesses from sealing. It ends itself this long after its lease.
+constexpr milliseconds lapse_limit{200};
 /// Interval of reading the members while this node lacks witnesses.
 constexpr milliseconds reading_while_alone{300};
 constexpr milliseconds set_change_retry{200};
@@ -237,6 +240,16 @@
     if (!lease.started()) {
         return;
     }
+    if (!lease.ever_ran() || lease.is_running(now)) {
+        lapsed_since.reset();
+    }
+    else if (!lapsed_since) {
+        lapsed_since = now; // after a pause the next renewal may still be acknowledged
+    }
+    else if (now - *lapsed_since > lapse_limit) {
+        end(now, "no witness acknowledged a renewal");
+        return;
+    }
     if (lease.change()) {
         if (lease.refused_by(lease.change()->stays)) {
             end(now, "the witness that stays sealed this incarnation");
--- a/src/ownership/engine_state.h
+++ b/src/ownership/engine_state.h
@@ -172,6 +172,7 @@
     std::optional<row_write> own_write;
     std::uint64_t own_row_version = 0;
     std::uint32_t highest_set_version = 0;
+    std::optional<time_point> lapsed_since;    ///< first tick at which the lease was over
     std::optional<time_point> witnesses_found; ///< since when two are known
     bool too_few_witnesses = false;
     time_point next_set_change{};
