--- a/src/ownership/planner.h
+++ b/src/ownership/planner.h
@@ -26,7 +26,8 @@
 /// Proposing condition: to the caller's knowledge every member of the previous
 /// and the current version has adopted the current one and drained what it lost
 /// before, or ended. `except` is not checked.
-bool may_propose(const placement_view& view, const directory& shared, incarnation_id except = {});
+bool may_propose(const placement_view& view, const directory& shared,
+                 const std::vector<incarnation_id>& except = {});
 
 struct plan_inputs {
     std::string service;
@@ -34,11 +35,16 @@
     incarnation_id proposer;
     const placement_view* newest = nullptr; ///< null: no placement yet
     const directory* shared = nullptr;
+    time_point now;      ///< for the ages of what the proposer heard
     bool may_add = true; ///< the pause after the last addition is over
     std::optional<std::uint32_t> own_weight;
     std::map<range_id, incarnation_id> overrides; ///< to add
 };
 
+/// A joining member other than the proposer must have been heard this recently.
+/// A member that died before its joining would wait for its certificate, and
+/// for ever if its witnesses died too.
+inline constexpr std::chrono::seconds joiner_heard_age{5};
 /// Members that are ready and not in the placement, ascending.
 std::vector<incarnation_id> waiting_members(const plan_inputs& inputs);
 /// Members of the current version that ended or asked to leave.
