--- a/src/ownership/engine_end.cpp
+++ b/src/ownership/engine_end.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::seconds stopped_holder_low{3};
 constexpr std::chrono::seconds stopped_holder_high{6};
 /// A leaving node waits this long for the store, then hands over by its end.
-constexpr std::chrono::seconds leave_store_limit{5};
+constexpr std::chrono::seconds leave_store_limit{2};
 /// Bound on the wait for requests in flight at a leave. Requests have shorter
 /// deadlines.
 constexpr std::chrono::seconds leave_drain_limit{30};
