--- a/fakes/random_run.cpp
+++ b/fakes/random_run.cpp
@@ -252,6 +252,38 @@
     }
 }
 
+bool carries_placement(const ownership::message& body)
+{
+    const auto* items = std::get_if<ownership::gossip>(&body);
+    return items != nullptr &&
+           std::any_of(items->items.begin(), items->items.end(), [](const auto& item) {
+               return std::holds_alternative<ownership::placement>(item);
+           });
+}
+
+void run_stale_member(driver& world, run_result& result)
+{
+    const std::size_t stale = world.draw(world.host_count());
+    const std::size_t leaver =
+        (stale + 1 + world.draw(world.host_count() - 1)) % world.host_count();
+    std::size_t lost = stale;
+    while (lost == stale || lost == leaver) {
+        lost = world.draw(world.host_count());
+    }
+    result.faults.push_back("host " + std::to_string(stale) + " misses that host " +
+                            std::to_string(leaver) + " leaves, host " + std::to_string(lost) +
+                            " is lost");
+    world.block_store(stale, true);
+    world.set_filter([stale](std::size_t, std::size_t to, const ownership::message& body) {
+        return to != stale || !carries_placement(body);
+    });
+    world.leave(leaver);
+    world.run_for(milliseconds{200 + world.draw(800)});
+    world.kill(lost);
+    world.run_for(milliseconds{4000});
+    world.set_filter({});
+}
+
 } // namespace
 
 run_result run_seed(std::uint64_t seed, run_mode mode, const ownership::unsafe_switches& unsafe)
@@ -290,9 +322,12 @@
     if (mode == run_mode::single) {
         run_single(world, seals, result);
     }
-    else {
+    else if (mode == run_mode::many) {
         run_many(world, result);
     }
+    else {
+        run_stale_member(world, result);
+    }
     heal(world);
     submit_rules();
     wait_until_served(world);
@@ -316,7 +351,8 @@
 }
 
 std::vector<run_result> run_seeds(std::uint64_t first, std::size_t count,
-                                  const ownership::unsafe_switches& unsafe)
+                                  const ownership::unsafe_switches& unsafe,
+                                  std::optional<run_mode> mode)
 {
     constexpr unsigned most_threads = 10;
     std::vector<run_result> results(count);
@@ -327,9 +363,9 @@
         threads.emplace_back([&] {
             for (std::size_t at = next++; at < count; at = next++) {
                 const std::uint64_t seed = first + at;
-                const run_mode mode = seed % 2 == 0 ? run_mode::single : run_mode::many;
+                const run_mode alternate = seed % 2 == 0 ? run_mode::single : run_mode::many;
                 try {
-                    results[at] = run_seed(seed, mode, unsafe);
+                    results[at] = run_seed(seed, mode.value_or(alternate), unsafe);
                 }
                 catch (const std::exception& failure) {
                     results[at].seed = seed;
--- a/fakes/random_run.h
+++ b/fakes/random_run.h
@@ -3,6 +3,7 @@
 /// One run of several nodes with a random series of faults and a quiet end.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
 enum class run_mode {
     single, ///< one fault at a time; the stated bounds hold
     many,   ///< faults overlap; only safety and the quiet end are checked
+    /// One member misses a placement change that the others adopt, then another
+    /// member is lost. A certificate's version matters only then.
+    stale_member,
 };
 
 struct run_result {
@@ -35,9 +39,10 @@
                     const ownership::unsafe_switches& unsafe = {});
 
 /// Runs the seeds [first, first + count) on several threads; the results are in
-/// the order of the seeds. Even seeds use `single`, odd ones `many`.
+/// the order of the seeds. Without a mode even seeds use `single`, odd ones `many`.
 std::vector<run_result> run_seeds(std::uint64_t first, std::size_t count,
-                                  const ownership::unsafe_switches& unsafe = {});
+                                  const ownership::unsafe_switches& unsafe = {},
+                                  std::optional<run_mode> mode = {});
 
 /// Seed, faults and violations, for a failed check.
 std::string describe(const run_result& result);
