--- a/fakes/matrix.h
+++ b/fakes/matrix.h
@@ -64,6 +64,7 @@
 struct cell_result {
     std::string step;
     std::string fault;
+    std::uint64_t seed = 0;
     std::string impossible; ///< why the cell cannot occur, otherwise empty
     bool reached = false;   ///< the step's trigger was seen
     milliseconds unavailable{0};
@@ -75,8 +76,9 @@
 cell_result run_cell(const matrix_step& step, const matrix_fault& first, const matrix_fault* second,
                      std::uint64_t seed);
 
-/// All cells, then the pairs of faults, run on several threads.
-std::vector<cell_result> run_matrix();
+/// All cells, and the pairs of faults, run on several threads. The seeds of the
+/// cells count from `seed`.
+std::vector<cell_result> run_matrix(std::uint64_t seed);
 
 /// "step, fault, result, unavailable ms" of one cell.
 std::string line_of(const cell_result& result);
