--- a/src/ownership/engine_witnesses.cpp
+++ b/src/ownership/engine_witnesses.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::seconds first_ack_limit{3};
 /// After both witnesses were silent for this long the node ends its incarnation.
 constexpr std::chrono::seconds cut_off_limit{10};
+/// A holder whose renewals arrive while the acknowledgements do not keeps its
+/// witnesses from sealing. It ends itself this long after its lease.
+constexpr milliseconds lapse_limit{200};
 constexpr milliseconds set_change_retry{200};
 /// Pause between replacements that only improve the spread over zones.
 constexpr std::chrono::seconds improvement_pause{15};
@@ -33,6 +36,16 @@
     if (!lease.started()) {
         return;
     }
+    if (!lease.ever_ran() || lease.is_running(now)) {
+        lapsed_since.reset();
+    }
+    else if (!lapsed_since) {
+        lapsed_since = now; // after a pause the next renewal may still be acknowledged
+    }
+    else if (now - *lapsed_since > lapse_limit) {
+        end(now, "no witness acknowledged a renewal");
+        return;
+    }
     if (lease.change()) {
         tend_witness_change(now);
         return;
