--- a/fakes/recovery.cpp
+++ b/fakes/recovery.cpp
@@ -49,12 +49,13 @@
 bool is_settled(const driver& world)
 {
     std::set<incarnation_id> running;
+    const ownership::engine* first = nullptr;
     for (std::size_t host = 0; host < world.host_count(); ++host) {
         if (world.is_running(host)) {
-            running.insert(world.engine_of(host)->self());
+            first = world.engine_of(host);
+            running.insert(first->self());
         }
     }
-    const ownership::engine* first = world.engine_of(0);
     const auto placement = first == nullptr ? std::nullopt : first->placement_of(service_name);
     std::set<incarnation_id> placed;
     if (placement) {
--- /dev/null
+++ b/fakes/store_lease.cpp
@@ -0,0 +1,26 @@
+#include "fakes/store_lease.h"
+
+#include <algorithm>
+
+namespace bulrushgw::fakes {
+
+milliseconds store_lease_takeover(const store_lease_times& times, milliseconds after_renewal,
+                                  milliseconds until_watch, milliseconds outage_left)
+{
+    const milliseconds seen = times.promise - after_renewal + until_watch;
+    // The watcher reads the expired lease and then writes its own.
+    return std::max(seen, outage_left) + 2 * times.store_way;
+}
+
+milliseconds store_lease_outage(const store_lease_times& times, milliseconds outage)
+{
+    const milliseconds without_lease = outage - (times.lease - times.renewal);
+    return std::max(without_lease, milliseconds{0});
+}
+
+double store_lease_writes(const store_lease_times& times, std::size_t nodes)
+{
+    return static_cast<double>(nodes) * 1000.0 / static_cast<double>(times.renewal.count());
+}
+
+} // namespace bulrushgw::fakes
