Bound what callers and peers can make an engine keep or allocate

owner_of with a range beyond the service grew a table to that range, and acks of other nodes and silent witnesses were remembered for ever.

--- a/src/ownership/engine.h
+++ b/src/ownership/engine.h
@@ -92,7 +92,10 @@
 };
 
 /// This incarnation ended. The node cancels requests in flight, creates an
-/// engine with a new incarnation and announces the target to it again.
+/// engine with a new incarnation and announces the target to it again. It comes
+/// up to some seconds after the ranges were released, because the engine first
+/// proves its end and stays a witness until it is replaced; until then the
+/// caller goes on passing messages and ticks.
 struct incarnation_ended {
     std::string cause;
 };
--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -12,8 +12,6 @@
 /// Waited after two possible witnesses are known, so that hosts which start
 /// together see witnesses in other availability zones.
 constexpr milliseconds choice_delay{300};
-/// A silent witness is not chosen again for this long if there is another one.
-constexpr std::chrono::seconds silent_memory{30};
 /// A witness is chosen from the members that were heard this recently, if there
 /// are enough: rows of dead members remain when their witnesses died with them.
 constexpr std::chrono::seconds witness_heard_age{10};
@@ -61,10 +59,8 @@
         if (row->state == member_state::leaving || lease.refused_by(row->incarnation)) {
             continue;
         }
-        const auto found = silent_witnesses.find(row->incarnation);
-        const bool is_silent =
-            (found != silent_witnesses.end() && now - found->second < silent_memory) ||
-            !shared.is_heard(now, row->incarnation, witness_heard_age);
+        const bool is_silent = silent_witnesses.contains(row->incarnation) ||
+                               !shared.is_heard(now, row->incarnation, witness_heard_age);
         (is_silent ? silent : fit).push_back(row);
     }
     return fit.size() >= witness_count ? fit
--- a/src/ownership/engine_witnesses.cpp
+++ b/src/ownership/engine_witnesses.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::seconds first_ack_limit{3};
 /// After both witnesses were silent for this long the node ends its incarnation.
 constexpr std::chrono::seconds cut_off_limit{10};
+/// A silent witness is not chosen again for this long if there is another one.
+constexpr std::chrono::seconds silent_memory{30};
 constexpr milliseconds set_change_retry{200};
 /// Pause between replacements that only improve the spread over zones.
 constexpr std::chrono::seconds improvement_pause{15};
@@ -33,6 +35,8 @@
     if (!lease.started()) {
         return;
     }
+    std::erase_if(silent_witnesses,
+                  [&](const auto& entry) { return now - entry.second >= silent_memory; });
     if (lease.change()) {
         tend_witness_change(now);
         return;
--- a/src/ownership/holder_lease.cpp
+++ b/src/ownership/holder_lease.cpp
@@ -56,8 +56,9 @@
     if (ack.sequence == 0 || sent.sequence != ack.sequence) {
         return false;
     }
-    auto& heard = heard_[from];
-    heard = std::max(heard, now);
+    if (const auto heard = heard_.find(from); heard != heard_.end()) {
+        heard->second = std::max(heard->second, now);
+    }
     if (!counts(from)) {
         return false;
     }
--- a/src/ownership/serve_rule.cpp
+++ b/src/ownership/serve_rule.cpp
@@ -96,6 +96,11 @@
     };
     owner_view result;
     result.version = view.record.current.version;
+    if (range.value >= view.record.ranges) {
+        result.reason = view.record.ranges == 0 ? "any member of a balanced service may serve"
+                                                : "the service has no such range";
+        return result;
+    }
     for (const std::uint16_t index : view.current.of(range)) {
         const incarnation_id id = view.current.member(index);
         if (shared.certificate_of(id) == nullptr) {
--- a/src/ownership/types.h
+++ b/src/ownership/types.h
@@ -33,7 +33,7 @@
 enum class member_state { joining, active, leaving, ended };
 
 /// One incarnation of a node, as stored in `members/<incarnation>`. Merged by
-/// the higher `set_version`, then the later `state`.
+/// an end first, then the higher `set_version`, then the later `state`.
 struct member_row {
     incarnation_id incarnation;
     std::string host;
--- a/tests/ownership/engine_test.cpp
+++ b/tests/ownership/engine_test.cpp
@@ -370,3 +370,33 @@
     }
     CHECK(items > 0 && items <= 512);
 }
+
+// Guards against a balanced service whose members refuse for want of a range.
+TEST(engine, every_member_of_a_balanced_service_serves)
+{
+    cluster.ranges = 0;
+    cluster.start(4);
+    for (const auto& node : cluster.nodes) {
+        CHECK(node->core->may_serve(cluster.now, test_cluster::service, range_id{0}).allowed);
+    }
+    UNSIGNED_LONGS_EQUAL(4, cluster.nodes[0]->core->live_members(test_cluster::service).size());
+    CHECK(cluster.nodes[0]->core->owner_of(test_cluster::service, range_id{0}).owner ==
+          incarnation_id{});
+    cluster.nodes[1]->core->leave(cluster.now);
+    CHECK(cluster.nodes[1]
+              ->core->may_serve(cluster.now, test_cluster::service, range_id{0})
+              .refusal == serve_refusal::leaving);
+    cluster.run(5s);
+    CHECK(cluster.nodes[1]->left);
+}
+
+// Guards against a caller's wrong range that makes the node allocate without bound.
+TEST(engine, a_range_beyond_the_service_has_no_owner)
+{
+    cluster.start(4);
+    const auto view = cluster.nodes[0]->core->owner_of(test_cluster::service, range_id{0xffffffff});
+    CHECK(view.owner == incarnation_id{});
+    CHECK(!cluster.nodes[0]
+               ->core->may_serve(cluster.now, test_cluster::service, range_id{0xffffffff})
+               .allowed);
+}
