End by the holder only when its target is idle

A holder seal let successors serve at once, while a frozen target could still hold a valid grant and a buffered request. end() now waits for the lease end, or for the time that the caller passes as idle_from.

--- a/src/ownership/engine.cpp
+++ b/src/ownership/engine.cpp
@@ -208,9 +208,9 @@
     state_->after_event(now);
 }
 
-void engine::end(time_point now, const std::string& cause)
+void engine::end(time_point now, const std::string& cause, std::optional<time_point> idle_from)
 {
-    state_->end(now, cause);
+    state_->end(now, cause, idle_from);
     state_->after_event(now);
 }
 
--- a/src/ownership/engine.h
+++ b/src/ownership/engine.h
@@ -170,8 +170,13 @@
     void set_services(time_point now, std::vector<keyed_service> services);
     void set_rules(time_point now, rules_stamp stamp);
     void on_target(time_point now, const target_info& target);
-    /// The target stopped answering or restarted beyond repair: end this incarnation.
-    void end(time_point now, const std::string& cause);
+    /// The target stopped answering or restarted beyond repair: end this
+    /// incarnation. It stops serving at once. Successors may serve from
+    /// `idle_from` on, the time from which the target certainly runs nothing of
+    /// this incarnation: now when its process is gone, the latest expiry of its
+    /// grants when it may be frozen. The default is the end of the lease.
+    void end(time_point now, const std::string& cause,
+             std::optional<time_point> idle_from = std::nullopt);
     /// Planned stop or drain: hand all ranges over, then emit `left`.
     void leave(time_point now);
     /// Records the end of a switched-off host through the store, on behalf of the
@@ -183,6 +188,8 @@
     /// Call at least every `times.tick`.
     void on_tick(time_point now);
     /// Requests in flight for a range; a released range drains until it is 0.
+    /// Report a request before its first byte goes to the target, in the same
+    /// turn of the loop as `may_serve`: an adoption in between would not drain it.
     void on_in_flight(time_point now, const std::string& service, range_id range,
                       std::size_t count);
     void on_load(time_point now, const std::string& service, std::vector<range_load> loads);
--- a/src/ownership/engine_end.cpp
+++ b/src/ownership/engine_end.cpp
@@ -30,12 +30,16 @@
 
 } // namespace
 
-void engine::state::end(time_point now, const std::string& cause)
+void engine::state::end(time_point now, const std::string& cause,
+                        std::optional<time_point> idle_from)
 {
     if (ending || over) {
         return;
     }
-    ending = end_state{cause, now, now, {}};
+    // Until the lease ends, grants of the target may be valid: a target that is
+    // frozen with a request in its buffers would run it beside a successor.
+    const time_point seal_from = std::max(now, idle_from.value_or(lease.end()));
+    ending = end_state{cause, seal_from, seal_from, {}};
     serving_dirty = true;
     audit(audit_kind::end, self, cause);
     update_serving(now);
@@ -43,8 +47,6 @@
         finish(now, cause);
         return;
     }
-    // Any member may record the end through the store on the strength of this.
-    accept_seal(now, {self, self, lease.set_version(), lease.offered(), false});
     tend_end(now);
 }
 
@@ -92,6 +94,8 @@
     }
     if (now >= ending->next_seal) {
         ending->next_seal = now + holder_seal_retry;
+        // Any member may record the end through the store on the strength of this.
+        accept_seal(now, {self, self, lease.set_version(), lease.offered(), false});
         for (const incarnation_id id : lease.holder_seal_targets()) {
             send_items(id, {own});
             send_to(id, holder_seal{lease.set_version(), lease.offered()});
@@ -140,8 +144,9 @@
     const bool handed_over = adopted_view && !adopted_view->current.contains(self);
     const bool drained =
         (draining.empty() && total_in_flight() == 0) || now - leaving->since > leave_drain_limit;
+    const auto idle_from = total_in_flight() == 0 ? std::optional{now} : std::nullopt;
     if ((handed_over || (!placed && !adopted_view)) && drained) {
-        end(now, "planned leave");
+        end(now, "planned leave", idle_from);
         return;
     }
     if (placed && now - leaving->since > leave_store_limit) {
@@ -150,7 +155,7 @@
             serving_dirty = true;
         }
         if (drained) {
-            end(now, "planned leave without the store");
+            end(now, "planned leave without the store", idle_from);
         }
     }
 }
--- a/src/ownership/engine_state.h
+++ b/src/ownership/engine_state.h
@@ -106,7 +106,8 @@
     [[nodiscard]] std::size_t moves_of(const plan_inputs& inputs) const;
 
     // End and leave (engine_end.cpp).
-    void end(time_point now, const std::string& cause);
+    void end(time_point now, const std::string& cause,
+             std::optional<time_point> idle_from = std::nullopt);
     void leave(time_point now);
     void tend_leave(time_point now);
     void tend_end(time_point now);
@@ -229,7 +230,7 @@
     std::optional<leave_state> leaving;
     struct end_state {
         std::string cause;
-        time_point since;
+        time_point since; ///< when the holder seal may be sent
         time_point next_seal{};
         /// Since when the end is proven or given up. The engine remains a witness
         /// until its holders replaced it, for a bounded time.
--- a/tests/ownership/engine_test.cpp
+++ b/tests/ownership/engine_test.cpp
@@ -222,11 +222,25 @@
     UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
 }
 
+// Guards against a frozen target that runs a buffered request under a grant that
+// is still valid, while a successor serves.
+TEST(engine, an_end_waits_for_the_lease_unless_the_target_is_known_to_be_idle)
+{
+    cluster.start(6);
+    test_node& ending = *cluster.nodes[3];
+    const time_point lease_end = *ending.core->lease_end(cluster.now);
+    ending.core->end(cluster.now, "target silent");
+    cluster.carry_out(ending);
+    cluster.run(lease_end - cluster.now - 20ms);
+    CHECK(cluster.unserved() > 0);
+    CHECK(cluster.outage(2s) < 200ms);
+}
+
 // Guards against a target's death that costs a whole promise period.
 TEST(engine, an_end_by_the_holder_is_taken_over_at_once)
 {
     cluster.start(6);
-    cluster.nodes[3]->core->end(cluster.now, "target died");
+    cluster.nodes[3]->core->end(cluster.now, "target died", cluster.now);
     cluster.carry_out(*cluster.nodes[3]);
     CHECK(cluster.unserved() > 0);
     CHECK(cluster.outage(2s) < 200ms);
