--- a/tests/ownership/engine_test.cpp
+++ b/tests/ownership/engine_test.cpp
@@ -222,11 +222,25 @@
     UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
 }
 
+// Guards against a frozen target that runs a buffered request under a grant that
+// is still valid, while a successor serves.
+TEST(engine, an_end_waits_for_the_lease_unless_the_target_is_known_to_be_idle)
+{
+    cluster.start(6);
+    test_node& ending = *cluster.nodes[3];
+    const time_point lease_end = *ending.core->lease_end(cluster.now);
+    ending.core->end(cluster.now, "target silent");
+    cluster.carry_out(ending);
+    cluster.run(lease_end - cluster.now - 20ms);
+    CHECK(cluster.unserved() > 0);
+    CHECK(cluster.outage(2s) < 200ms);
+}
+
 // Guards against a target's death that costs a whole promise period.
 TEST(engine, an_end_by_the_holder_is_taken_over_at_once)
 {
     cluster.start(6);
-    cluster.nodes[3]->core->end(cluster.now, "target died");
+    cluster.nodes[3]->core->end(cluster.now, "target died", cluster.now);
     cluster.carry_out(*cluster.nodes[3]);
     CHECK(cluster.unserved() > 0);
     CHECK(cluster.outage(2s) < 200ms);
@@ -264,3 +278,139 @@
     UNSIGNED_LONGS_EQUAL(writes, cluster.store.writes);
     CHECK(cluster.store.reads - reads < 60 * 11);
 }
+
+// Guards against a witness replacement that a delayed write of the store undoes
+// or repeats, after the node read back that nothing was written.
+TEST(engine, a_write_that_runs_after_the_read_back_does_no_harm)
+{
+    cluster.start(6);
+    cluster.store.late_writes = 2;
+    cluster.nodes[0]->running = false;
+    cluster.run(15s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.store.late_writes);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+    for (std::size_t i = 1; i < 6; ++i) {
+        CHECK(cluster.nodes[i]->ended.empty());
+        for (const member_row& row : cluster.nodes[i]->core->members()) {
+            const bool names_lost =
+                std::find(row.witnesses.begin(), row.witnesses.end(),
+                          cluster.nodes[0]->core->self()) != row.witnesses.end();
+            CHECK(!names_lost || row.state == member_state::ended);
+        }
+    }
+}
+
+// Guards against a hot member that keeps its load, against moves that go back
+// and forth, and against moves beyond the budget of the service.
+TEST(engine, a_hot_member_moves_ranges_within_the_budget)
+{
+    cluster.start(5);
+    const auto version = [&] {
+        return cluster.nodes[0]->core->placement_of(test_cluster::service)->current.version.value;
+    };
+    const std::uint64_t before = version();
+    test_node& hot = *std::max_element(cluster.nodes.begin(), cluster.nodes.end(),
+                                       [](const auto& left, const auto& right) {
+                                           return left->grants.size() < right->grants.size();
+                                       })
+                          ->get();
+    std::set<range_id> hot_ranges;
+    for (const auto& [range, token] : hot.grants) {
+        hot_ranges.insert(range);
+    }
+    for (int second = 0; second < 120; ++second) {
+        for (const auto& node : cluster.nodes) {
+            std::vector<range_load> loads;
+            for (const auto& [range, token] : node->grants) {
+                loads.push_back({range, hot_ranges.contains(range) ? 40.0 : 10.0});
+            }
+            node->core->on_load(cluster.clock(*node), test_cluster::service, loads);
+        }
+        cluster.run(1s);
+    }
+    CHECK(hot.grants.size() < hot_ranges.size());
+    CHECK(version() > before);
+    // A member's share is 60 / 5 moves an hour, of which half may come at once.
+    CHECK(version() - before <= 5 * 6);
+    const std::uint64_t settled = version();
+    cluster.run(60s);
+    CHECK(version() - settled <= 1);
+}
+
+// Guards against a proposal for each announcement of a target whose slots flicker.
+TEST(engine, a_weight_changes_only_after_it_settled)
+{
+    cluster.start(4);
+    const auto weight = [&] {
+        const auto record = cluster.nodes[0]->core->placement_of(test_cluster::service);
+        for (const weighted_member& member : record->current.members) {
+            if (member.incarnation == cluster.nodes[1]->core->self()) {
+                return member.weight;
+            }
+        }
+        return 0U;
+    };
+    for (std::uint32_t i = 0; i < 20; ++i) {
+        cluster.nodes[1]->core->on_target(cluster.now,
+                                          {test_cluster::service, i % 2 == 0 ? 12U : 6U, true});
+        cluster.run(1s);
+    }
+    UNSIGNED_LONGS_EQUAL(6, weight());
+    cluster.nodes[1]->core->on_target(cluster.now, {test_cluster::service, 9, true});
+    cluster.run(15s);
+    UNSIGNED_LONGS_EQUAL(9, weight());
+}
+
+// Guards against gossip messages that grow with the number of members.
+TEST(engine, gossip_is_sent_in_bounded_batches)
+{
+    engine core{engine_settings{}, 1, cluster.now};
+    for (std::uint64_t id = 1; id <= 2000; ++id) {
+        member_row row;
+        row.incarnation = {id};
+        row.host = "host-" + std::to_string(id);
+        core.on_message(cluster.now, {1}, gossip{{row}});
+    }
+    core.take_effects();
+    core.on_message(cluster.now, {1}, digest{});
+    std::size_t items = 0;
+    for (const effect& each : core.take_effects()) {
+        if (const auto* out = std::get_if<send>(&each)) {
+            if (const auto* batch = std::get_if<gossip>(&out->body)) {
+                CHECK(batch->items.size() <= 64);
+                items += batch->items.size();
+            }
+        }
+    }
+    CHECK(items > 0 && items <= 512);
+}
+
+// Guards against a balanced service whose members refuse for want of a range.
+TEST(engine, every_member_of_a_balanced_service_serves)
+{
+    cluster.ranges = 0;
+    cluster.start(4);
+    for (const auto& node : cluster.nodes) {
+        CHECK(node->core->may_serve(cluster.now, test_cluster::service, range_id{0}).allowed);
+    }
+    UNSIGNED_LONGS_EQUAL(4, cluster.nodes[0]->core->live_members(test_cluster::service).size());
+    CHECK(cluster.nodes[0]->core->owner_of(test_cluster::service, range_id{0}).owner ==
+          incarnation_id{});
+    cluster.nodes[1]->core->leave(cluster.now);
+    CHECK(cluster.nodes[1]
+              ->core->may_serve(cluster.now, test_cluster::service, range_id{0})
+              .refusal == serve_refusal::leaving);
+    cluster.run(5s);
+    CHECK(cluster.nodes[1]->left);
+}
+
+// Guards against a caller's wrong range that makes the node allocate without bound.
+TEST(engine, a_range_beyond_the_service_has_no_owner)
+{
+    cluster.start(4);
+    const auto view = cluster.nodes[0]->core->owner_of(test_cluster::service, range_id{0xffffffff});
+    CHECK(view.owner == incarnation_id{});
+    CHECK(!cluster.nodes[0]
+               ->core->may_serve(cluster.now, test_cluster::service, range_id{0xffffffff})
+               .allowed);
+}
