--- a/src/ownership/engine_witnesses.cpp
+++ b/src/ownership/engine_witnesses.cpp
@@ -18,6 +18,8 @@
 /// A holder whose renewals arrive while the acknowledgements do not keeps its
 /// witnesses from sealing. It ends itself this long after its lease.
 constexpr milliseconds lapse_limit{200};
+/// A silent witness is not chosen again for this long if there is another one.
+constexpr std::chrono::seconds silent_memory{30};
 constexpr milliseconds set_change_retry{200};
 /// Pause between replacements that only improve the spread over zones.
 constexpr std::chrono::seconds improvement_pause{15};
@@ -36,6 +38,8 @@
     if (!lease.started()) {
         return;
     }
+    std::erase_if(silent_witnesses,
+                  [&](const auto& entry) { return now - entry.second >= silent_memory; });
     if (!lease.ever_ran() || lease.is_running(now)) {
         lapsed_since.reset();
     }
