--- a/tests/ownership/engine_test.cpp
+++ b/tests/ownership/engine_test.cpp
@@ -414,3 +414,18 @@
                ->core->may_serve(cluster.now, test_cluster::service, range_id{0xffffffff})
                .allowed);
 }
+
+// Guards against a node without a store that is of no use to the others, or that
+// takes part in a placement it can't propose for.
+TEST(engine, a_node_without_a_store_witnesses_and_routes)
+{
+    test_node& first = cluster.add("nbo-a");
+    cluster.add("nbo-b");
+    test_node& storeless = cluster.add("nbo-c", 6, false, {first.address});
+    cluster.run(15s);
+    UNSIGNED_LONGS_EQUAL(0, cluster.unserved());
+    CHECK(storeless.grants.empty());
+    CHECK(storeless.core->owner_of(test_cluster::service, range_id{2}).owner != incarnation_id{});
+    const auto& witnesses = first.core->find_member(first.core->self())->witnesses;
+    CHECK(std::find(witnesses.begin(), witnesses.end(), storeless.core->self()) != witnesses.end());
+}
