--- a/fakes/driver_records.cpp
+++ b/fakes/driver_records.cpp
@@ -50,7 +50,7 @@
     }
     host.next_poll = local + target_poll;
     if (host.server->is_frozen()) {
-        if (host.announced && ++host.unanswered_polls >= silent_polls) {
+        if (host.announced && !host.stopping && ++host.unanswered_polls >= silent_polls) {
             stop_and_end(host, "target silent");
         }
         return;
@@ -67,23 +67,20 @@
 
 // A holder seal lets a successor serve at once, but a frozen target still holds
 // grants and executes what waits in its socket buffer when it resumes. So the
-// node ends its incarnation when the target has read the release, or when the
-// last grant has expired.
+// engine seals when the target has read the release, or when the last grant has
+// expired.
 void driver::stop_and_end(host_state& host, const std::string& cause)
 {
     const time_point local = host.clock.local(now_);
+    const bool frozen = host.server->is_frozen();
     host.stopping = true;
-    if (host.server->is_frozen() && local < host.grants_end) {
-        const std::size_t index = host.index;
-        post(index, host.generation, host.clock.when(host.grants_end),
-             [this, index, cause] { stop_and_end(state(index), cause); });
-        return;
-    }
     host.granted.clear();
-    host.server->grant(now_, {});
-    host.server->advance(now_);
-    host.server->cancel_all(now_);
-    host.engine->end(local, cause);
+    if (!frozen) {
+        host.server->grant(now_, {});
+        host.server->advance(now_);
+        host.server->cancel_all(now_);
+    }
+    host.engine->end(local, cause, frozen ? std::max(local, host.grants_end) : local);
     after(host);
 }
 
