--- a/src/ownership/engine_witnesses.cpp
+++ b/src/ownership/engine_witnesses.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds set_change_retry{200};
 /// Pause between replacements that only improve the spread over zones.
 constexpr std::chrono::seconds improvement_pause{15};
+/// Interval of looking for a better spread. It costs no call to the store; a
+/// zone that holds both witnesses of a member would take it along.
+constexpr std::chrono::seconds improvement_look{1};
 
 } // namespace
 
@@ -70,8 +73,9 @@
         replace_witness(now, lost.front());
     }
     else if (now >= next_improvement) {
-        next_improvement = now + random.between(improvement_pause, improvement_pause * 2);
         improve_witnesses(now);
+        const milliseconds pause = lease.change() ? improvement_pause : improvement_look;
+        next_improvement = now + random.between(pause, pause * 2);
     }
 }
 
