--- a/fakes/matrix.cpp
+++ b/fakes/matrix.cpp
@@ -40,6 +40,8 @@
     }
     trigger_watch(const trigger_watch&) = delete;
     trigger_watch& operator=(const trigger_watch&) = delete;
+    trigger_watch(trigger_watch&&) = delete;
+    trigger_watch& operator=(trigger_watch&&) = delete;
     ~trigger_watch()
     {
         world_.set_filter({});
