Follow pins, move hot ranges, and tell unsent forwards from lost ones

Cause: pins were accepted without effect; nodes did not report the load of their ranges, so that hot ranges never moved; a forward to a dead host whose connection was refused ended as unknown, although it certainly did not run. Change: proposals put overrides for pinned ranges, digests carry the request rate, and the transport tells from when on frames were not sent.

--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -27,6 +27,13 @@
 
 } // namespace
 
+namespace {
+// The caller takes its time of sending shortly before the connection begins. No
+// frame can have left over an earlier connection in this margin: it broke at
+// least a reconnect delay ago, or had been idle.
+constexpr milliseconds begin_margin{5};
+} // namespace
+
 struct peer_transport::state {
     enum class phase {
         connecting,
@@ -39,6 +46,7 @@
         state* owner = nullptr;
         std::string address;
         phase now = phase::connecting;
+        time_point begun;
         h2o_socket_t* socket = nullptr;
         std::string pending; ///< frames that wait for the current write
         std::uint64_t pending_frames = 0;
@@ -105,6 +113,7 @@
     }
     auto& to = *peers.emplace(address, std::make_unique<peer>()).first->second;
     to.owner = this;
+    to.begun = owner.now() - begin_margin;
     to.address = address;
     ++counters.connects;
     to.socket = h2o_socket_connect(owner.evloop(), reinterpret_cast<sockaddr*>(&target.bytes),
@@ -175,12 +184,13 @@
     counters.frames_lost += std::exchange(to.writing_frames, 0);
     to.pending = {};
     to.writing = {};
+    const auto unsent_since = to.now == phase::connecting ? std::optional{to.begun} : std::nullopt;
     to.now = phase::broken;
     to.timer =
         owner.after(limits.reconnect_delay, [this, address = to.address] { peers.erase(address); });
-    owner.defer([this, is_alive = alive, address = to.address] {
+    owner.defer([this, is_alive = alive, address = to.address, unsent_since] {
         if (*is_alive && on_disconnect) {
-            on_disconnect(address);
+            on_disconnect(address, unsent_since);
         }
     });
 }
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/boot_clock.h"
@@ -56,8 +57,11 @@
 public:
     using receiver = std::function<void(const wire::frame&)>;
     /// Called when the outgoing connection to `address` breaks: frames that were
-    /// sent and not answered may or may not have arrived.
-    using disconnect_hook = std::function<void(const std::string& address)>;
+    /// sent and not answered may or may not have arrived. When the connection was
+    /// never established, `unsent_since` is the time at which it was begun: frames
+    /// sent from then on certainly did not arrive.
+    using disconnect_hook =
+        std::function<void(const std::string& address, std::optional<time_point> unsent_since)>;
 
     /// Throws `listen_error` when the address cannot be bound.
     peer_transport(loop& loop, const endpoint& address, receiver on_frame,
--- a/src/node/client_entry.cpp
+++ b/src/node/client_entry.cpp
@@ -225,9 +225,14 @@
     run_effects(&reply);
 }
 
-void client_entry::on_disconnect(incarnation_id peer)
+void client_entry::on_disconnect(incarnation_id peer, std::optional<time_point> unsent_since)
 {
-    tracker_.on_disconnect(loop_.now(), peer);
+    if (unsent_since) {
+        tracker_.on_unreachable(loop_.now(), peer, *unsent_since);
+    }
+    else {
+        tracker_.on_disconnect(loop_.now(), peer);
+    }
     run_effects(nullptr);
 }
 
--- a/src/node/client_entry.h
+++ b/src/node/client_entry.h
@@ -45,8 +45,8 @@
 
     void on_request(net::http_exchange exchange);
     void on_reply(incarnation_id peer, const wire::forward_reply& reply);
-    /// The outgoing connection to this peer broke.
-    void on_disconnect(incarnation_id peer);
+    /// The outgoing connection to this peer broke; see `net::peer_transport`.
+    void on_disconnect(incarnation_id peer, std::optional<time_point> unsent_since);
     /// The view of owners may have changed.
     void on_view_changed();
     void on_tick();
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -87,7 +87,9 @@
 {
     transport_ = std::make_unique<net::peer_transport>(
         loop_, settings_.addresses.inner, [this](const wire::frame& frame) { on_frame(frame); },
-        [this](const std::string& address) { on_disconnect(address); });
+        [this](const std::string& address, std::optional<time_point> unsent_since) {
+            on_disconnect(address, unsent_since);
+        });
     net::http_server_limits client_limits;
     client_limits.max_body_bytes = settings_.limits.body_bytes;
     client_limits.max_header_bytes = settings_.limits.header_bytes;
@@ -307,11 +309,11 @@
     }
 }
 
-void process::on_disconnect(const std::string& address)
+void process::on_disconnect(const std::string& address, std::optional<time_point> unsent_since)
 {
     for (const auto& member : ownership_.engine().members()) {
         if (member.address == address) {
-            entry_.on_disconnect(member.incarnation);
+            entry_.on_disconnect(member.incarnation, unsent_since);
         }
     }
 }
@@ -351,6 +353,11 @@
         keyed.ranges = service.ranges;
         keyed.moves_per_hour =
             rules_.routes()->limits_of(service.name).moves_per_hour.value_or(keyed.moves_per_hour);
+        for (const auto& pin : current->rules.pins) {
+            if (pin.service == service.name) {
+                keyed.pinned_zones[range_of(pin.key, service.ranges)] = pin.zone;
+            }
+        }
         services.push_back(std::move(keyed));
     }
     ownership_.set_services(std::move(services));
@@ -444,6 +451,9 @@
         rules_.on_news();
     }
     store_.set_nodes(std::max(settings_.store_nodes, engine.members().size()));
+    if (const auto& target = gateway_.target()) {
+        ownership_.on_load(target->service, gateway_.update_loads());
+    }
     audit_.on_tick(now);
     log_.on_tick(now);
     update_metrics();
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -46,7 +46,7 @@
     void on_frame(const wire::frame& frame);
     void on_forward(const wire::frame& frame, const wire::forward& request);
     void on_rules_pull(const wire::frame& frame, const wire::rules_pull& pull);
-    void on_disconnect(const std::string& address);
+    void on_disconnect(const std::string& address, std::optional<time_point> unsent_since);
     bool send_to(incarnation_id peer, const wire::body& content);
     bool ask_peer(const wire::body& content);
     void on_announce(const net::http_exchange& exchange);
--- a/src/node/target_gateway.cpp
+++ b/src/node/target_gateway.cpp
@@ -12,10 +12,13 @@
 
 constexpr std::size_t max_target_connections = 100;
 constexpr std::size_t max_response_bytes = 768 * 1024;
-// A request to a target that does not check fences must be over before the
-// lease is, with time left for the cancellation to arrive.
+// A request of a keyed service must be over before the lease is, with time left
+// for the cancellation to arrive: a target that checks fences refuses what it
+// reads too late, but would finish what it began before it froze.
 constexpr milliseconds lease_margin{50};
 constexpr milliseconds min_time_for_target{5};
+// Ranges with fewer requests a second are not kept.
+constexpr double least_load = 0.01;
 
 using request::reason;
 
@@ -96,6 +99,9 @@
         entry.recorded = true;
     }
     entry.on_reply = std::move(on_reply);
+    if (entry.keyed) {
+        ++arrivals_[entry.request.range];
+    }
     const request::ticket id = next_ticket_++;
     const request::queued_request offered{id, entry.request.worth, entry.deadline};
     recount(entry.request.service, entry.request.range, 1);
@@ -179,7 +185,7 @@
 {
     const time_point now = loop_.now();
     time_point end = entry.deadline;
-    if (entry.keyed && !link_.target()->checks_fences) {
+    if (entry.keyed) {
         const auto decision = hooks_.may_serve(entry.request.service, entry.request.range);
         end = std::min(end, decision.lease_end - lease_margin);
     }
@@ -521,6 +527,24 @@
     draining_ = true;
 }
 
+std::vector<ownership::range_load> target_gateway::update_loads()
+{
+    constexpr double kept = 0.9;
+    for (const auto& [range, count] : arrivals_) {
+        loads_.try_emplace(range, 0);
+    }
+    std::vector<ownership::range_load> result;
+    for (auto& [range, rate] : loads_) {
+        const auto found = arrivals_.find(range);
+        const double count = found == arrivals_.end() ? 0 : static_cast<double>(found->second);
+        rate = rate * kept + count * (1 - kept);
+        result.push_back({range, rate});
+    }
+    arrivals_.clear();
+    std::erase_if(loads_, [](const auto& entry) { return entry.second < least_load; });
+    return result;
+}
+
 std::size_t target_gateway::in_flight() const
 {
     return admission_ ? admission_->in_flight() : 0;
--- a/src/node/target_gateway.h
+++ b/src/node/target_gateway.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "common/boot_clock.h"
 #include "common/ids.h"
@@ -73,6 +74,8 @@
     /// Queue length that the rules give this service.
     void set_queue_limit(std::optional<std::uint32_t> queue);
     void on_tick();
+    /// Requests a second of each range, smoothed over about 10 s. Call once a second.
+    std::vector<ownership::range_load> update_loads();
     /// Planned stop: refuse new work of balanced services. Keyed ranges go on
     /// until they are handed over.
     void drain();
@@ -137,6 +140,8 @@
     pending_map pending_;
     std::map<forward_key, request::ticket> tickets_;
     std::map<std::pair<std::string, range_id>, std::size_t> counts_;
+    std::map<range_id, double> loads_;           ///< requests a second
+    std::map<range_id, std::uint64_t> arrivals_; ///< since the last update of the loads
     request::ticket next_ticket_ = 1;
     time_point runs_end_; ///< latest deadline of a keyed request that was written
     bool draining_ = false;
--- a/src/ownership/engine.h
+++ b/src/ownership/engine.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +58,8 @@
     /// Upper bound on planned moves of ranges in an hour; moves that follow the
     /// end or the leaving of a member are not counted.
     std::uint32_t moves_per_hour = 60;
+    /// Availability zone of pinned ranges, if it has a live member.
+    std::map<range_id, std::string> pinned_zones{};
 };
 
 /// Load measured by the node itself, for placement weights and overrides.
--- a/src/ownership/engine_gossip.cpp
+++ b/src/ownership/engine_gossip.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "ownership/engine_state.h"
 
@@ -209,7 +210,7 @@
 {
     digest result = shared.summary();
     result.rules = rules;
-    result.requests_per_second = own_rate();
+    result.requests_per_second = static_cast<std::uint32_t>(std::lround(own_rate()));
     result.reply_wanted = reply_wanted;
     return result;
 }
--- a/src/ownership/engine_proposals.cpp
+++ b/src/ownership/engine_proposals.cpp
@@ -29,6 +29,7 @@
     inputs.service = own.service;
     if (const auto service = services.find(own.service); service != services.end()) {
         inputs.ranges = service->second.ranges;
+        inputs.pinned_zones = service->second.pinned_zones;
     }
     inputs.proposer = self;
     inputs.now = now;
@@ -43,7 +44,8 @@
         inputs.may_add = members.size() < unbounded_join_members;
     }
     inputs.own_weight = settled_weight(now);
-    if (wanted_move && serving.contains(wanted_move->range)) {
+    if (wanted_move && serving.contains(wanted_move->range) &&
+        !inputs.pinned_zones.contains(wanted_move->range)) {
         inputs.overrides[wanted_move->range] = wanted_move->to;
     }
     if (!moves.allows(now, moves_of(inputs), moves_share())) {
--- a/src/ownership/messages.h
+++ b/src/ownership/messages.h
@@ -59,7 +59,7 @@
     std::uint64_t adoptions = 0;
     rules_stamp rules;
     /// Load of the ranges that the sender owns, 0 when it is not known.
-    double requests_per_second = 0;
+    std::uint32_t requests_per_second = 0;
     bool reply_wanted = false;
 };
 
--- a/src/ownership/planner.cpp
+++ b/src/ownership/planner.cpp
@@ -57,6 +57,34 @@
     });
 }
 
+bool is_live_in(const plan_inputs& inputs, incarnation_id id, const std::string& zone)
+{
+    const member_row* row = inputs.shared->find(id);
+    return row != nullptr && row->zone == zone && inputs.shared->certificate_of(id) == nullptr;
+}
+
+/// A pinned range that is first elsewhere gets an override to the first live
+/// candidate in its zone. Without one it stays where it is, since a key that is
+/// served in another zone is better than one that is not served.
+void apply_pins(const plan_inputs& inputs, placement& next)
+{
+    for (const auto& [range, zone] : inputs.pinned_zones) {
+        if (range.value >= next.ranges) {
+            continue;
+        }
+        const auto order = candidates(next.current, inputs.service, range);
+        const auto first = std::find_if(order.begin(), order.end(), [&](incarnation_id id) {
+            return inputs.shared->certificate_of(id) == nullptr;
+        });
+        const auto wanted = std::find_if(order.begin(), order.end(), [&](incarnation_id id) {
+            return is_live_in(inputs, id, zone);
+        });
+        if (wanted != order.end() && !is_live_in(inputs, *first, zone)) {
+            next.current.overrides[range] = *wanted;
+        }
+    }
+}
+
 } // namespace
 
 std::size_t join_limit(std::size_t live_members)
@@ -159,6 +187,7 @@
         next.current.overrides[range] = id;
     }
     drop_dangling_overrides(next.current);
+    apply_pins(inputs, next);
 
     if (!added.empty()) {
         add_reason(next.reason, std::to_string(added.size()) + " joined");
--- a/src/ownership/planner.h
+++ b/src/ownership/planner.h
@@ -39,6 +39,8 @@
     bool may_add = true; ///< the pause after the last addition is over
     std::optional<std::uint32_t> own_weight;
     std::map<range_id, incarnation_id> overrides; ///< to add
+    /// Ranges that the rules pin to an availability zone.
+    std::map<range_id, std::string> pinned_zones;
 };
 
 /// A joining member other than the proposer must have been heard this recently.
--- a/src/request/forward_tracker.cpp
+++ b/src/request/forward_tracker.cpp
@@ -68,6 +68,7 @@
     }
     entry.number = next_number_++;
     entry.peer = choice->peer;
+    entry.sent_at = now;
     ++entry.sends;
     ++counters_.sent;
     ++in_flight_[entry.peer];
@@ -220,6 +221,25 @@
     }
 }
 
+void forward_tracker::on_unreachable(time_point now, incarnation_id peer, time_point unsent_since)
+{
+    const auto unsent = select([&](const record& entry) {
+        return entry.number != 0 && entry.peer == peer && entry.sent_at >= unsent_since;
+    });
+    // Those sent over an earlier connection. They go first, because an unsent one
+    // may be sent to the same peer again.
+    const auto earlier = select([&](const record& entry) {
+        return entry.number != 0 && entry.peer == peer && entry.sent_at < unsent_since;
+    });
+    for (const auto id : earlier) {
+        ++counters_.broken;
+        failed(now, id, reason::connection_lost, false);
+    }
+    for (const auto id : unsent) {
+        failed(now, id, reason::peer_unreachable, false);
+    }
+}
+
 void forward_tracker::on_placement(time_point now, const std::string& service)
 {
     const auto ids = select([&service](const record& entry) {
--- a/src/request/forward_tracker.h
+++ b/src/request/forward_tracker.h
@@ -123,6 +123,9 @@
     /// The connection to the peer broke, or the peer is known to have ended:
     /// what was sent and not answered may or may not have run.
     void on_disconnect(time_point now, incarnation_id peer);
+    /// No connection to the peer could be established: forwards sent since
+    /// `unsent_since` certainly did not arrive.
+    void on_unreachable(time_point now, incarnation_id peer, time_point unsent_since);
     /// Ownership state of a service changed: requests that wait try again.
     void on_placement(time_point now, const std::string& service);
     /// The client went away. No end effect follows.
@@ -148,6 +151,7 @@
         std::uint32_t resends = 0;
         std::uint64_t number = 0; ///< 0: not sent, waits
         incarnation_id peer;
+        time_point sent_at; ///< of the current number
         time_point next_try;
         placement_version needed;                ///< not_owner named this version
         reason last = reason::deadline_not_sent; ///< why it waits
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -44,7 +44,7 @@
 BULRUSHGW_FIELDS(ownership::set_change_ack, m.set_version)
 BULRUSHGW_FIELDS(ownership::gossip, m.items)
 BULRUSHGW_FIELDS(ownership::digest, m.members, m.placements, m.certificates, m.adoptions, m.rules,
-                 m.reply_wanted)
+                 m.reply_wanted, m.requests_per_second)
 BULRUSHGW_FIELDS(forward, m.number, m.service, m.range, m.key, m.request_id, m.attempt,
                  m.idempotent, m.worth, m.deadline, m.method, m.path, m.headers, m.body)
 BULRUSHGW_FIELDS(forward_reply, m.number, m.request_id, m.outcome, m.reason, m.version, m.status,
--- a/tests/net/peer_transport_test.cpp
+++ b/tests/net/peer_transport_test.cpp
@@ -20,13 +20,18 @@
 struct test_peer {
     std::vector<wire::frame> frames;
     std::vector<std::string> broken;
+    int unsent = 0; ///< breaks of connections that were never established
     std::optional<peer_transport> transport;
 
     void open(net::loop& loop, const endpoint& address = any_port, peer_limits limits = {})
     {
         transport.emplace(
             loop, address, [this](const wire::frame& frame) { frames.push_back(frame); },
-            [this](const std::string& at) { broken.push_back(at); }, limits);
+            [this](const std::string& at, std::optional<time_point> unsent_since) {
+                broken.push_back(at);
+                unsent += unsent_since ? 1 : 0;
+            },
+            limits);
     }
     [[nodiscard]] std::string at() const { return to_string(transport->address()); }
     bool send(const std::string& to, wire::body content)
@@ -120,6 +125,7 @@
     CHECK(a.send(address, wire::cancel{1}));
     CHECK(wait([&] { return a.broken.size() == 1; }));
     LONGS_EQUAL(1, a.transport->counters().frames_lost);
+    LONGS_EQUAL(1, a.unsent);
 }
 
 // Guards against memory that a slow reader makes grow, and against a write to it
--- a/tests/ownership/placement_test.cpp
+++ b/tests/ownership/placement_test.cpp
@@ -170,3 +170,31 @@
     shared.merge(certificate{incarnation_id{6}, placement_version{3}, "witnesses"});
     CHECK(may_propose(view, shared));
 }
+
+// Guards against a pin that is accepted and has no effect, and against one that
+// moves a range again and again or leaves it without an owner.
+TEST(placement, pinned_range_moves_to_its_zone_once)
+{
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        member_row row;
+        row.incarnation = incarnation_id{id};
+        row.service = service;
+        row.zone = id <= 3 ? "zone-a" : "zone-b";
+        row.state = member_state::active;
+        shared.merge(now, row);
+    }
+    range_id range;
+    while (candidates(view.record.current, service, range).front().value > 3) {
+        ++range.value;
+    }
+    inputs.pinned_zones[range] = "zone-c";
+    CHECK(!plan(inputs)); // no member is in that zone
+    inputs.pinned_zones[range] = "zone-b";
+    const auto next = plan(inputs);
+    CHECK(next.has_value());
+    const incarnation_id owner = candidates(next->current, service, range).front();
+    CHECK(owner.value > 3);
+    const placement_view placed{*next};
+    inputs.newest = &placed;
+    CHECK(!plan(inputs));
+}
--- a/tests/request/forward_tracker_test.cpp
+++ b/tests/request/forward_tracker_test.cpp
@@ -231,3 +231,19 @@
     reply(2, first, again.number, reply_kind::not_run, reason::none);
     CHECK(drain().ends.at(0).why == reason::connection_lost);
 }
+
+// Guards against "unknown" for a request that certainly did not leave: its peer's
+// host is dead and no connection could be established. What was sent over an
+// earlier connection stays unknown.
+TEST(forwards, unreachable_peer_leaves_only_earlier_sends_unknown)
+{
+    submit(repeat_kind::once);
+    tracker.submit(at(50),
+                   {"s", service_kind::keyed, range_id{1}, "id2", repeat_kind::once, at(800)});
+    UNSIGNED_LONGS_EQUAL(1, drain().sends.size());
+    tracker.on_unreachable(at(100), first, at(50));
+    const auto log = drain();
+    UNSIGNED_LONGS_EQUAL(1, log.ends.size());
+    CHECK(log.ends.front().why == reason::connection_lost);
+    UNSIGNED_LONGS_EQUAL(1, tracker.pending()); // waits to be sent again
+}
