--- a/fakes/driver.cpp
+++ b/fakes/driver.cpp
@@ -364,7 +364,11 @@
         send(host, *message);
     }
     else if (const auto* call = std::get_if<ownership::store_call>(&effect)) {
-        call_store(host, *call);
+        call_store(host, call->request,
+                   [this, index = host.index, id = call->id](const store::reply& reply) {
+                       host_state& receiver = state(index);
+                       receiver.engine->on_store_reply(receiver.clock.local(now_), id, reply);
+                   });
     }
     else if (const auto* change = std::get_if<ownership::serving_changed>(&effect)) {
         for (const range_id range : change->releases) {
@@ -460,15 +464,27 @@
     });
 }
 
-void driver::call_store(host_state& host, const ownership::store_call& call)
+void driver::ask_store(std::size_t host, const store::request& request, const store_hook& done)
+{
+    call_store(state(host), request, done);
+}
+
+void driver::announce_rules(std::size_t index, const ownership::rules_stamp& stamp)
+{
+    host_state& host = state(index);
+    if (host.acts()) {
+        host.rules = stamp;
+        host.engine->set_rules(host.clock.local(now_), stamp);
+        after(host);
+    }
+}
+
+void driver::call_store(host_state& host, const store::request& request, const store_hook& done)
 {
     const std::size_t index = host.index;
-    const auto answer = [this, index, id = call.id,
+    const auto answer = [this, index, done,
                          generation = host.generation](true_time at, const store::reply& reply) {
-        post(index, generation, at, [this, index, id, reply] {
-            host_state& receiver = state(index);
-            receiver.engine->on_store_reply(receiver.clock.local(now_), id, reply);
-        });
+        post(index, generation, at, [done, reply] { done(reply); });
     };
     store::reply lost;
     lost.result = store::status::unknown;
@@ -489,10 +505,10 @@
     const bool answer_lost = store_mode_ == store_mode::answers_lost && chance(0.5);
     if (way >= store_timeout) {
         answer(now_ + store_timeout, lost);
-        schedule(now_ + way, [this, request = call.request] { store_.apply(request); });
+        schedule(now_ + way, [this, request] { store_.apply(request); });
         return;
     }
-    schedule(now_ + way / 2, [this, request = call.request, answer, answer_lost, lost, way] {
+    schedule(now_ + way / 2, [this, request, answer, answer_lost, lost, way] {
         const store::reply reply = store_.apply(request);
         if (answer_lost) {
             answer(now_ + store_timeout, lost);
--- a/fakes/driver.h
+++ b/fakes/driver.h
@@ -108,6 +108,12 @@
     void block_store(std::size_t host, bool blocked);
     void set_store(store_mode mode) { store_mode_ = mode; }
     void set_network(const network_faults& faults) { network_ = faults; }
+    /// A store call of the process on `host` beside its engine's own calls; the
+    /// reply is dropped when the process is killed or its engine replaced.
+    using store_hook = std::function<void(const store::reply& reply)>;
+    void ask_store(std::size_t host, const store::request& request, const store_hook& done);
+    /// Tells the engine of a host the version that the store accepted.
+    void announce_rules(std::size_t host, const ownership::rules_stamp& stamp);
     /// Sees every message before it is sent; returning false loses it.
     using message_filter =
         std::function<bool(std::size_t from, std::size_t to, const ownership::message& body)>;
@@ -142,7 +148,7 @@
     void send(host_state& from, const ownership::send& effect);
     void deliver(std::size_t from, std::size_t to, incarnation_id sender,
                  const ownership::send& effect, milliseconds::rep extra_ms);
-    void call_store(host_state& host, const ownership::store_call& call);
+    void call_store(host_state& host, const store::request& request, const store_hook& done);
     void schedule_tick(host_state& host, true_time at);
     void on_tick(std::size_t host);
     void poll_target(host_state& host);
--- a/fakes/driver_records.cpp
+++ b/fakes/driver_records.cpp
@@ -6,6 +6,7 @@
 #include "common/hash.h"
 #include "fakes/driver_state.h"
 #include "ownership/rows.h"
+#include "rules/acceptance.h"
 
 namespace bulrushgw::fakes {
 
@@ -207,6 +208,10 @@
 
 void driver::record_write(const store::row& row, bool erased)
 {
+    if (row.key == rules::head_row) {
+        const std::uint64_t version = erased ? 0 : rules::parse_record(row.value).version;
+        record_.rules.push_back({now_, {}, version, version});
+    }
     if (row.key != ownership::placement_key(service_name)) {
         return;
     }
