Connect the remaining events and metrics, and bound the queue by the settings

The declared events member-ended, witness-replaced and internal-failure and the metrics for forwards and lost leases were never written. Refusals that the HTTP server makes by itself now carry an outcome.

--- a/bench/forward_main.cpp
+++ b/bench/forward_main.cpp
@@ -110,7 +110,7 @@
         request.path = FLAGS_path;
         request.headers = {{"Bulrush-Request-Id", "bench-" + std::to_string(++number_)}};
         client_.send(
-            address_, std::move(request), request_timeout,
+            address_, request, request_timeout,
             [this, begun = loop_.now()](const net::http_result& result) { finish(begun, result); });
     }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -9,6 +9,8 @@
 fi
 name="$1"
 shift
+# This measure starts processes of its own.
+if [ "$name" = forward ]; then exec scripts/bench_forward.sh "$@"; fi
 # The build reports to stderr, so that stdout holds only the figures.
 scripts/build.sh >&2
 exec "${BUILD_DIR:-build}/$name" "$@"
--- a/src/node/client_entry.cpp
+++ b/src/node/client_entry.cpp
@@ -301,6 +301,7 @@
     if (found == clients_.end()) {
         return;
     }
+    found->second.sent = loop_.now();
     wire::forward message = message_for(found->second, effect);
     const incarnation_id self = hooks_.engine().self();
     if (effect.peer == self) {
@@ -336,6 +337,10 @@
 
 void client_entry::accept(request::forward_id id, const wire::forward_reply& reply)
 {
+    if (const auto found = clients_.find(id); found != clients_.end()) {
+        metrics_.summary(metric::forward_seconds)
+            .observe(std::chrono::duration<double>(loop_.now() - found->second.sent).count());
+    }
     const reason why = reason_of(reply);
     if (reply.outcome != wire::forward_outcome::answered) {
         respond(id, refusal_response(why, "see Bulrush-Reason"), why);
--- a/src/node/client_entry.h
+++ b/src/node/client_entry.h
@@ -61,6 +61,7 @@
         net::http_exchange exchange;
         request::routed_request routed;
         time_point arrived;
+        time_point sent; ///< last forward
         time_point deadline;
     };
 
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -21,6 +21,7 @@
 // Nodes that route by older state may still send requests for a short time.
 // They get a truthful not_owner instead of a broken connection.
 constexpr milliseconds linger_after_leave{300};
+constexpr int exit_internal_failure = 1;
 
 std::uint64_t random_seed()
 {
@@ -57,6 +58,22 @@
     return out;
 }
 
+/// Refusals that the HTTP server makes by itself carry an outcome like any other.
+net::header_list refusal_headers(int status)
+{
+    constexpr int too_large = 413;
+    constexpr int headers_too_large = 431;
+    request::reason why = request::reason::bad_path;
+    if (status == too_large) {
+        why = request::reason::body_too_large;
+    }
+    else if (status == headers_too_large) {
+        why = request::reason::headers_too_large;
+    }
+    return {{"Bulrush-Outcome", std::string(request::to_text(request::outcome::not_run))},
+            {"Bulrush-Reason", std::string(request::to_text(why))}};
+}
+
 net::http_response json_error(int status, const std::string& message)
 {
     std::string escaped;
@@ -82,7 +99,12 @@
                      std::move(work), store::priority::background,
                      [done = std::move(done)](const store::reply& reply) { done(reply.result); });
              }),
-      watch_([this](const log_event& event) { log_.write(loop_.now(), event); }),
+      watch_([this](const log_event& event) {
+          if (event.kind == event_kind::lease_lost) {
+              metrics_.value(metric::lease_lost).add();
+          }
+          log_.write(loop_.now(), event);
+      }),
       operator_hooks_(make_operator_hooks()), next_tick_(loop_.now())
 {
     transport_ = std::make_unique<net::peer_transport>(
@@ -94,6 +116,7 @@
     client_limits.max_body_bytes = settings_.limits.body_bytes;
     client_limits.max_header_bytes = settings_.limits.header_bytes;
     client_limits.max_connections = settings_.limits.connections;
+    client_limits.refusal_headers = refusal_headers;
     client_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.clients,
         [this](net::http_exchange exchange) { entry_.on_request(std::move(exchange)); },
@@ -142,7 +165,12 @@
         metrics_.summary(metric::target_seconds)
             .observe(std::chrono::duration<double>(time).count());
     };
-    return {loop_, settings_.lease.drift_permille, duplicates, std::move(link), std::move(hooks)};
+    return {loop_,
+            settings_.lease.drift_permille,
+            settings_.limits.queue,
+            duplicates,
+            std::move(link),
+            std::move(hooks)};
 }
 
 ownership_host process::make_ownership()
@@ -398,9 +426,23 @@
     }
     else if (event.kind == ownership::audit_kind::witness_replaced) {
         metrics_.value(metric::witness_replacements).add();
+        write_event(event_kind::witness_replaced, event);
+    }
+    else if (event.kind == ownership::audit_kind::end &&
+             event.subject != ownership_.engine().self()) {
+        write_event(event_kind::member_ended, event);
     }
 }
 
+void process::write_event(event_kind kind, const ownership::audit_event& event)
+{
+    log_event line;
+    line.kind = kind;
+    line.subject = event.subject;
+    line.cause = event.cause;
+    log_.write(loop_.now(), line);
+}
+
 /// Waiting requests are tried again only when the view of owners changed, which
 /// a hash of its inputs tells.
 void process::on_view_input()
@@ -489,7 +531,17 @@
     log_event event;
     event.kind = event_kind::started;
     log_.write(loop_.now(), event);
-    loop_.run();
+    try {
+        loop_.run();
+    }
+    catch (const std::exception& failure) {
+        // The witnesses end this incarnation; going on in an unknown state could
+        // break a promise.
+        event.kind = event_kind::internal_failure;
+        event.cause = failure.what();
+        log_.write(loop_.now(), event);
+        return exit_internal_failure;
+    }
     event.kind = event_kind::stopped;
     event.cause = leave_complete_ ? "hand-over complete" : "hand-over not complete";
     log_.write(loop_.now(), event);
--- a/src/node/process.h
+++ b/src/node/process.h
@@ -53,6 +53,7 @@
     void on_rules_applied();
     void on_incarnation_ended(incarnation_id ended, const std::string& cause);
     void on_audit(const ownership::audit_event& event);
+    void write_event(event_kind kind, const ownership::audit_event& event);
     void on_view_input();
     void on_tick();
     void on_second();
--- a/src/node/store_access.cpp
+++ b/src/node/store_access.cpp
@@ -47,7 +47,7 @@
         request.method = due.message.method;
         request.path = due.message.path;
         request.body = std::move(due.message.body);
-        http_.send(address_, std::move(request), due.timeout,
+        http_.send(address_, request, due.timeout,
                    [this, id = due.id](const net::http_result& result) { on_result(id, result); });
     }
 }
--- a/src/node/target_gateway.cpp
+++ b/src/node/target_gateway.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds min_time_for_target{5};
 // Ranges with fewer requests a second are not kept.
 constexpr double least_load = 0.01;
+// Length of the queue for each slot where no rule states one.
+constexpr std::uint32_t queue_per_slot = 4;
 
 using request::reason;
 
@@ -48,7 +50,7 @@
 
 } // namespace
 
-target_gateway::target_gateway(net::loop& loop, unsigned drift_permille,
+target_gateway::target_gateway(net::loop& loop, unsigned drift_permille, std::size_t most_queued,
                                request::duplicate_settings duplicates,
                                target_link::hooks link_hooks, hooks hooks)
     : loop_(loop), hooks_(std::move(hooks)),
@@ -75,7 +77,7 @@
                 };
                 return std::move(link_hooks);
             }()),
-      duplicates_(duplicates)
+      duplicates_(duplicates), most_queued_(static_cast<std::uint32_t>(most_queued))
 {
 }
 
@@ -442,7 +444,7 @@
     request::admission_settings limits;
     limits.slots = news.slots;
     limits.max_connections = std::min<std::uint32_t>(news.connections, max_target_connections);
-    limits.queue = queue_limit_;
+    limits.queue = std::min(queue_limit_.value_or(queue_per_slot * news.slots), most_queued_);
     const bool other_run = link_.on_announcement(news);
     if (!admission_) {
         admission_.emplace(limits, loop_.now());
--- a/src/node/target_gateway.h
+++ b/src/node/target_gateway.h
@@ -59,8 +59,10 @@
         std::function<void(milliseconds)> on_target_time;
     };
 
-    target_gateway(net::loop& loop, unsigned drift_permille, request::duplicate_settings duplicates,
-                   target_link::hooks link_hooks, hooks hooks);
+    /// `most_queued` bounds the queue whatever the rules allow.
+    target_gateway(net::loop& loop, unsigned drift_permille, std::size_t most_queued,
+                   request::duplicate_settings duplicates, target_link::hooks link_hooks,
+                   hooks hooks);
 
     /// Calls back exactly once, at once or later.
     void run(forward_key key, wire::forward request, completion on_reply);
@@ -136,6 +138,7 @@
     target_link link_;
     request::duplicate_table duplicates_;
     std::optional<request::admission> admission_;
+    std::uint32_t most_queued_;
     std::optional<std::uint32_t> queue_limit_;
     pending_map pending_;
     std::map<forward_key, request::ticket> tickets_;
--- a/src/node/target_link.cpp
+++ b/src/node/target_link.cpp
@@ -225,7 +225,7 @@
     const auto sent = grants_valid ? wanted_ : std::map<range_id, fence>{};
     releases_sent_ = std::exchange(releases_, {});
     hooks_.on_probe_sent();
-    http_.send(target_->address, std::move(request), probe_timeout,
+    http_.send(target_->address, request, probe_timeout,
                [this, sent, generation = generation_](const net::http_result& result) {
                    on_grant_result(sent, generation, result);
                });
@@ -288,7 +288,7 @@
     net::http_request request;
     request.method = "POST";
     request.path = "/bulrush/v1/drain";
-    http_.send(target_->address, std::move(request), probe_timeout, [](const net::http_result&) {});
+    http_.send(target_->address, request, probe_timeout, [](const net::http_result&) {});
 }
 
 } // namespace bulrushgw::node
--- a/src/ownership/planner.cpp
+++ b/src/ownership/planner.cpp
@@ -68,7 +68,9 @@
 /// served in another zone is better than one that is not served.
 void apply_pins(const plan_inputs& inputs, placement& next)
 {
-    for (const auto& [range, zone] : inputs.pinned_zones) {
+    for (const auto& pin : inputs.pinned_zones) {
+        const range_id range = pin.first;
+        const std::string& zone = pin.second;
         if (range.value >= next.ranges) {
             continue;
         }
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -116,7 +116,7 @@
     const net::endpoint& node = options_.nodes[sent_ % options_.nodes.size()];
     const std::size_t index = sent_++;
     records_.push_back(std::move(record));
-    client_.send(node, std::move(request), options_.deadline + answer_allowance,
+    client_.send(node, request, options_.deadline + answer_allowance,
                  [this, index](const net::http_result& result) { finish(index, result); });
 }
 
