Read placement versions without a copy of the placement

Cause: every change of the requests in flight hashed the view of owners, for which the engine copied its certificates and the placement of each service; each reply copied the placement once more. The copies grow with the members.

--- a/scripts/bench_control.sh
+++ b/scripts/bench_control.sh
@@ -57,5 +57,5 @@
         printf "%6d %14.0f %14.0f %12.2f %10.1f %14.1f %14.1f\n", n, sent / n / s, received / n / s,
             cpu / hz / n / s * 100, rss / n / 1024, reads / s, writes / s }'
     stop_cluster
-    unset WORK
+    WORK=""
 done
--- a/src/node/client_entry.cpp
+++ b/src/node/client_entry.cpp
@@ -169,9 +169,9 @@
     const ownership::engine& engine = hooks_.engine();
     if (request.kind == rules::service_kind::balanced) {
         const auto node = choose_balanced(request.service, avoid);
-        const auto placed = engine.placement_of(request.service);
-        const auto version = placed ? placed->current.version : placement_version{};
-        return node ? std::optional(request::forward_choice{*node, version}) : std::nullopt;
+        return node ? std::optional(
+                          request::forward_choice{*node, engine.version_of(request.service)})
+                    : std::nullopt;
     }
     const auto view = engine.owner_of(request.service, request.range);
     if (!view.owner) {
--- a/src/node/ownership_host.cpp
+++ b/src/node/ownership_host.cpp
@@ -18,12 +18,14 @@
     }
     engine_.on_message(hooks_.now(), frame.from, message);
     run_effects();
+    hooks_.on_input();
 }
 
 void ownership_host::on_tick()
 {
     engine_.on_tick(hooks_.now());
     run_effects();
+    hooks_.on_input();
 }
 
 void ownership_host::set_services(std::vector<ownership::keyed_service> services)
@@ -97,7 +99,6 @@
         }
     }
     running_effects_ = false;
-    hooks_.on_input();
 }
 
 void ownership_host::run(const ownership::send& effect)
@@ -123,6 +124,7 @@
         }
         engine_.on_store_reply(hooks_.now(), id, reply);
         run_effects();
+        hooks_.on_input();
     });
 }
 
--- a/src/node/ownership_host.h
+++ b/src/node/ownership_host.h
@@ -32,7 +32,8 @@
         std::function<void(incarnation_id ended, const std::string& cause)> on_ended;
         std::function<void()> on_left;
         std::function<void(const ownership::audit_event&)> on_audit;
-        /// Called after every input: the view of owners may have changed.
+        /// Called after messages, ticks and store replies: the view of owners may
+        /// have changed.
         std::function<void()> on_input;
     };
 
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -144,8 +144,7 @@
         return ownership_.engine().may_serve(loop_.now(), service, range);
     };
     hooks.version_of = [this](const std::string& service) {
-        const auto placed = ownership_.engine().placement_of(service);
-        return placed ? placed->current.version : placement_version{};
+        return ownership_.engine().version_of(service);
     };
     hooks.is_balanced = [this](const std::string& service) {
         const auto* routes = rules_.routes();
@@ -448,11 +447,10 @@
 void process::on_view_input()
 {
     const ownership::engine& engine = ownership_.engine();
-    std::uint64_t hash = engine.certificates().size();
+    std::uint64_t hash = engine.certificate_count();
     if (const auto rules = rules_.current()) {
         for (const auto& service : rules->rules.services) {
-            const auto placed = engine.placement_of(service.name);
-            hash = hash_pair(hash, placed ? placed->current.version.value : 0);
+            hash = hash_pair(hash, engine.version_of(service.name).value);
         }
     }
     if (hash != view_hash_) {
--- a/src/node/process_operations.cpp
+++ b/src/node/process_operations.cpp
@@ -438,9 +438,8 @@
     set(metric::log_suppressed, static_cast<double>(log_.suppressed()));
     for (const auto& [service, ranges] : served_) {
         metrics_.value(metric::ranges_served, {service}).set(static_cast<double>(ranges.size()));
-        const auto placed = engine.placement_of(service);
         metrics_.value(metric::placement_version_known, {service})
-            .set(static_cast<double>(placed ? placed->current.version.value : 0));
+            .set(static_cast<double>(engine.version_of(service).value));
     }
     std::map<std::string_view, double> states;
     for (const auto& member : engine.members()) {
--- a/src/ownership/engine.cpp
+++ b/src/ownership/engine.cpp
@@ -331,6 +331,17 @@
     return view->record;
 }
 
+placement_version engine::version_of(const std::string& service) const
+{
+    const auto view = state_->shared.placement_of(service);
+    return view ? view->record.current.version : placement_version{};
+}
+
+std::size_t engine::certificate_count() const
+{
+    return state_->shared.certificates().size();
+}
+
 std::vector<certificate> engine::certificates() const
 {
     std::vector<certificate> result;
--- a/src/ownership/engine.h
+++ b/src/ownership/engine.h
@@ -211,7 +211,10 @@
     /// Live members of a service: not ended, in its newest placement.
     [[nodiscard]] std::vector<incarnation_id> live_members(const std::string& service) const;
     [[nodiscard]] std::optional<placement> placement_of(const std::string& service) const;
+    /// Version of the newest placement, without a copy of it; 0 for none.
+    [[nodiscard]] placement_version version_of(const std::string& service) const;
     [[nodiscard]] std::vector<certificate> certificates() const;
+    [[nodiscard]] std::size_t certificate_count() const;
     [[nodiscard]] rules_stamp newest_rules() const;
     /// True after the store or a peer answered within the last 30 s.
     [[nodiscard]] bool is_informed(time_point now) const;
