--- a/src/node/client_entry.cpp
+++ b/src/node/client_entry.cpp
@@ -81,11 +81,11 @@
     net::http_response response;
     response.status = request::info_of(why).status;
     response.headers = {{"Content-Type", "application/json"}};
-    response.body = nlohmann::json{{"outcome", request::to_text(request::info_of(why).result)},
-                                   {"reason", request::to_text(why)},
-                                   {"detail", detail}}
-                        .dump() +
-                    "\n";
+    const nlohmann::json body{{"outcome", request::to_text(request::info_of(why).result)},
+                              {"reason", request::to_text(why)},
+                              {"detail", detail}};
+    // The detail may quote bytes of the request that are not UTF-8.
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
     return response;
 }
 
--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -4,6 +4,8 @@
 #include <random>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "common/hash.h"
 #include "node/node.h"
 
@@ -12,15 +14,6 @@
 namespace {
 
 constexpr milliseconds second{1000};
-// A planned stop that cannot hand over within this time, because the store is
-// down, ends the incarnation through its witnesses instead.
-constexpr milliseconds leave_patience{10000};
-// Requests in flight may finish for this long after the hand-over.
-constexpr milliseconds finish_patience{5000};
-constexpr milliseconds idle_poll{20};
-// Nodes that route by older state may still send requests for a short time.
-// They get a truthful not_owner instead of a broken connection.
-constexpr milliseconds linger_after_leave{300};
 constexpr int exit_internal_failure = 1;
 
 std::uint64_t random_seed()
@@ -76,14 +69,10 @@
 
 net::http_response json_error(int status, const std::string& message)
 {
-    std::string escaped;
-    for (const char letter : message) {
-        if (letter == '"' || letter == '\\') {
-            escaped += '\\';
-        }
-        escaped += letter;
-    }
-    return {status, {{"Content-Type", "application/json"}}, "{\"error\":\"" + escaped + "\"}\n"};
+    const nlohmann::json body{{"error", message}};
+    return {status,
+            {{"Content-Type", "application/json"}},
+            body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"};
 }
 
 } // namespace
@@ -546,60 +535,6 @@
     return exit_code_;
 }
 
-void process::on_signal()
-{
-    if (stop_cause_) {
-        exit_code_ = 1;
-        loop_.stop();
-        return;
-    }
-    begin_leave("signal");
-}
-
-void process::begin_leave(const std::string& cause)
-{
-    if (stop_cause_) {
-        return;
-    }
-    stop_cause_ = cause;
-    log_event event;
-    event.kind = event_kind::stopping;
-    event.cause = cause;
-    log_.write(loop_.now(), event);
-    gateway_.drain();
-    ownership_.leave();
-    loop_.after(leave_patience, [this] {
-        if (!left_) {
-            ownership_.end_incarnation("planned stop without the store", std::nullopt);
-            on_left();
-        }
-    });
-}
-
-void process::on_left()
-{
-    if (left_) {
-        return;
-    }
-    left_ = true;
-    gateway_.drain_target();
-    loop_.after(linger_after_leave, [this] {
-        client_server_->stop_accepting();
-        finish_when_idle();
-    });
-    loop_.after(linger_after_leave + finish_patience, [this] { loop_.stop(); });
-}
-
-void process::finish_when_idle()
-{
-    if (gateway_.pending() == 0 && entry_.pending() == 0) {
-        leave_complete_ = true;
-        loop_.stop();
-        return;
-    }
-    loop_.after(idle_poll, [this] { finish_when_idle(); });
-}
-
 int run_node(const settings& values)
 {
     process node(values);
