Give up on forwards to a member whose end is certified

Cause: a paused node keeps its connections open, so that requests forwarded to it waited for the client's deadline of 2.5 s and ended as unknown.

--- a/src/node/process.cpp
+++ b/src/node/process.cpp
@@ -15,6 +15,8 @@
 
 constexpr milliseconds second{1000};
 constexpr int exit_internal_failure = 1;
+// Replies of a node that left may arrive a little after the news of its end.
+constexpr milliseconds reply_grace{200};
 
 std::uint64_t random_seed()
 {
@@ -419,6 +421,10 @@
     else if (event.kind == ownership::audit_kind::end &&
              event.subject != ownership_.engine().self()) {
         write_event(event_kind::member_ended, event);
+        // A paused node keeps its connections open. What was forwarded to it is
+        // not answered by this incarnation any more.
+        loop_.after(reply_grace,
+                    [this, ended = event.subject] { entry_.on_disconnect(ended, std::nullopt); });
     }
 }
 
