--- a/src/ownership/engine.cpp
+++ b/src/ownership/engine.cpp
@@ -159,20 +159,20 @@
     }
     expire_calls(now);
     schedule.set_node_count(shared.members().size());
-    tend_reading(now);
+    advance_reading(now);
     if (!ending) {
-        tend_join(now);
-        tend_witnesses(now);
+        advance_join(now);
+        advance_witnesses(now);
         renew_lease(now);
         consider_move(now);
         consider_proposal(now);
-        tend_stopped_holders(now);
-        tend_leave(now);
+        advance_stopped_holders(now);
+        advance_leave(now);
     }
     if (ending) {
-        tend_end(now);
+        advance_end(now);
     }
-    tend_store_end(now);
+    advance_store_end(now);
     exchange_digests(now);
     after_event(now);
 }
--- a/src/ownership/engine_end.cpp
+++ b/src/ownership/engine_end.cpp
@@ -47,7 +47,7 @@
         finish(now, cause);
         return;
     }
-    tend_end(now);
+    advance_end(now);
 }
 
 void engine::state::finish(time_point now, const std::string& cause)
@@ -68,10 +68,10 @@
         serving.clear();
         effects.emplace_back(std::move(change));
     }
-    tend_last_duties(now);
+    advance_after_end(now);
 }
 
-void engine::state::tend_last_duties(time_point now)
+void engine::state::advance_after_end(time_point now)
 {
     const auto limit = leaving ? leave_duties_limit : last_duties_limit;
     if (over || (witness.active() > 0 && now - *ending->done < limit)) {
@@ -86,10 +86,10 @@
     }
 }
 
-void engine::state::tend_end(time_point now)
+void engine::state::advance_end(time_point now)
 {
     if (ending->done) {
-        tend_last_duties(now);
+        advance_after_end(now);
         return;
     }
     if (now >= ending->next_seal) {
@@ -131,10 +131,10 @@
     publish(own);
     next_consideration = now;
     propose_at.reset();
-    tend_leave(now);
+    advance_leave(now);
 }
 
-void engine::state::tend_leave(time_point now)
+void engine::state::advance_leave(time_point now)
 {
     if (!leaving || ending) {
         return;
@@ -160,7 +160,7 @@
     }
 }
 
-void engine::state::tend_stopped_holders(time_point now)
+void engine::state::advance_stopped_holders(time_point now)
 {
     if (now < next_stopped_holder || schedule.is_failing() || !lease.is_running(now)) {
         return;
--- a/src/ownership/engine_join.cpp
+++ b/src/ownership/engine_join.cpp
@@ -67,7 +67,7 @@
                                        : (fit.insert(fit.end(), silent.begin(), silent.end()), fit);
 }
 
-void engine::state::tend_join(time_point now)
+void engine::state::advance_join(time_point now)
 {
     if (own_write) {
         write_own_row(now);
--- a/src/ownership/engine_state.h
+++ b/src/ownership/engine_state.h
@@ -52,7 +52,7 @@
 
     // Own row, first witnesses and renewal (engine_join.cpp).
     void on_target(time_point now, const target_info& info);
-    void tend_join(time_point now);
+    void advance_join(time_point now);
     void write_own_row(time_point now);
     void on_own_row_written(time_point now, const store::reply& reply);
     void on_own_row_read(time_point now, const store::reply& reply);
@@ -60,9 +60,9 @@
     void renew_lease(time_point now);
 
     // Replacement of witnesses (engine_witnesses.cpp).
-    void tend_witnesses(time_point now);
-    void tend_witness_change(time_point now);
-    void tend_lost_lease(time_point now);
+    void advance_witnesses(time_point now);
+    void advance_witness_change(time_point now);
+    void advance_lost_lease(time_point now);
     void replace_witness(time_point now, incarnation_id lost);
     void improve_witnesses(time_point now);
     void begin_witness_change(time_point now, incarnation_id lost, const member_row& added);
@@ -109,15 +109,15 @@
     void end(time_point now, const std::string& cause,
              std::optional<time_point> idle_from = std::nullopt);
     void leave(time_point now);
-    void tend_leave(time_point now);
-    void tend_end(time_point now);
+    void advance_leave(time_point now);
+    void advance_end(time_point now);
     void finish(time_point now, const std::string& cause);
-    void tend_last_duties(time_point now);
-    void tend_stopped_holders(time_point now);
+    void advance_after_end(time_point now);
+    void advance_stopped_holders(time_point now);
 
     // End through the store (engine_store_end.cpp).
     void request_store_end(time_point now, incarnation_id subject, const std::string& by);
-    void tend_store_end(time_point now);
+    void advance_store_end(time_point now);
     void on_end_placement_read(time_point now, const store::reply& reply);
     void on_end_members_read(time_point now, const store::reply& reply);
 
@@ -127,7 +127,7 @@
     bool call(time_point now, store::request request, continuation done);
     void on_store_reply(time_point now, std::uint64_t id, const store::reply& reply);
     void expire_calls(time_point now);
-    void tend_reading(time_point now);
+    void advance_reading(time_point now);
     void on_members_read(time_point now, time_point began, const store::reply& reply);
     void on_placements_read(time_point now, const store::reply& reply);
     void erase_rows(time_point now, const std::vector<store::row>& rows);
--- a/src/ownership/engine_store.cpp
+++ b/src/ownership/engine_store.cpp
@@ -68,7 +68,7 @@
     }
 }
 
-void engine::state::tend_reading(time_point now)
+void engine::state::advance_reading(time_point now)
 {
     const auto nodes = static_cast<std::int64_t>(shared.members().size());
     const milliseconds regular = std::max(reading_low, reading_share * nodes);
--- a/src/ownership/engine_store_end.cpp
+++ b/src/ownership/engine_store_end.cpp
@@ -37,7 +37,7 @@
     next_store_end = std::min(next_store_end, now);
 }
 
-void engine::state::tend_store_end(time_point now)
+void engine::state::advance_store_end(time_point now)
 {
     std::erase_if(wanted_ends,
                   [&](const auto& entry) { return shared.certificate_of(entry.first) != nullptr; });
--- a/src/ownership/engine_witnesses.cpp
+++ b/src/ownership/engine_witnesses.cpp
@@ -36,7 +36,7 @@
            (heard != time_point{} && now - heard > witness_silence);
 }
 
-void engine::state::tend_witnesses(time_point now)
+void engine::state::advance_witnesses(time_point now)
 {
     if (!lease.started()) {
         return;
@@ -54,7 +54,7 @@
         return;
     }
     if (lease.change()) {
-        tend_witness_change(now);
+        advance_witness_change(now);
         return;
     }
     const std::vector<incarnation_id>& witnesses = lease.witnesses();
@@ -62,7 +62,7 @@
     std::copy_if(witnesses.begin(), witnesses.end(), std::back_inserter(lost),
                  [&](incarnation_id id) { return is_lost_witness(now, id); });
     if (lost.size() == witnesses.size()) {
-        tend_lost_lease(now);
+        advance_lost_lease(now);
         return;
     }
     if (own_write || schedule.is_failing() || !schedule.ever_answered() ||
@@ -79,7 +79,7 @@
     }
 }
 
-void engine::state::tend_witness_change(time_point now)
+void engine::state::advance_witness_change(time_point now)
 {
     const incarnation_id stays = lease.change()->stays;
     if (lease.refused_by(stays)) {
@@ -93,7 +93,7 @@
     }
 }
 
-void engine::state::tend_lost_lease(time_point now)
+void engine::state::advance_lost_lease(time_point now)
 {
     const std::vector<incarnation_id>& witnesses = lease.witnesses();
     const time_point heard =
--- a/src/ownership/holder_lease.cpp
+++ b/src/ownership/holder_lease.cpp
@@ -17,7 +17,7 @@
 {
     set_version_ = set_version;
     witnesses_ = std::move(witnesses);
-    hurry();
+    renew_at_once();
 }
 
 std::optional<renew> holder_lease::due(time_point now)
@@ -81,7 +81,7 @@
 {
     if (version > offered_) {
         offered_ = version;
-        hurry();
+        renew_at_once();
     }
 }
 
--- a/src/ownership/holder_lease.h
+++ b/src/ownership/holder_lease.h
@@ -26,7 +26,7 @@
     std::optional<renew> due(time_point now);
     [[nodiscard]] std::vector<incarnation_id> renew_targets() const;
     /// Makes the next renewal due at once.
-    void hurry() { next_renewal_ = time_point{}; }
+    void renew_at_once() { next_renewal_ = time_point{}; }
 
     /// Counts an acknowledgement. Those of a witness that is being replaced, or
     /// not yet confirmed, do not count. Returns true when one extended the lease
--- a/tests/ownership/holder_lease_test.cpp
+++ b/tests/ownership/holder_lease_test.cpp
@@ -27,7 +27,7 @@
     /// Sends a renewal at `now`; `from` acknowledges it at `later`.
     void renew_by(incarnation_id from, time_point now, time_point later)
     {
-        lease.hurry();
+        lease.renew_at_once();
         const renew body = lease.due(now).value();
         lease.on_ack(later, from, {body.set_version, body.sequence, body.adopted});
     }
