--- a/tests/ownership/cluster.h
+++ b/tests/ownership/cluster.h
@@ -22,6 +22,7 @@
     std::map<std::string, store::row> rows;
     bool up = true;
     unsigned lose_writes = 0; ///< answers of the next writes that are lost
+    unsigned late_writes = 0; ///< next writes that run 3 s later, with a lost answer
     std::size_t writes = 0;
     std::size_t reads = 0;
 
@@ -90,6 +91,7 @@
     bool running = true; ///< false: killed
     bool paused = false; ///< messages wait, no ticks
     bool has_store = true;
+    int drift_permille = 0; ///< how much faster than true time its clock runs
     bool left = false;
     std::string ended; ///< cause of the end of the incarnation
     std::vector<audit_event> audits;
@@ -98,13 +100,16 @@
 };
 
 struct test_cluster {
-    static constexpr milliseconds latency{2};
     static constexpr const char* service = "ladder-front";
     std::uint32_t ranges = 16;
     time_point now{std::chrono::seconds{1000}};
     memory_store store;
     std::vector<std::unique_ptr<test_node>> nodes;
     std::multimap<time_point, std::function<void()>> events;
+    unsafe_switches unsafe;
+    std::function<void(test_node&)> on_add = [](test_node&) {};
+    std::function<milliseconds()> latency = [] { return milliseconds{2}; };
+    std::function<bool()> duplicate = [] { return false; };
     /// Drops a message when it returns true.
     std::function<bool(const test_node& from, const test_node& to, const message&)> drop =
         [](const test_node&, const test_node&, const message&) { return false; };
@@ -113,7 +118,7 @@
     std::size_t fence_regressions = 0;
 
     test_node& add(const std::string& zone, std::uint32_t slots = 6, bool has_store = true,
-                   std::vector<std::string> join_peers = {}, unsafe_switches unsafe = {})
+                   std::vector<std::string> join_peers = {})
     {
         nodes.push_back(std::make_unique<test_node>());
         test_node& node = *nodes.back();
@@ -126,10 +131,11 @@
         settings.address = node.address;
         settings.join_peers = std::move(join_peers);
         settings.unsafe = unsafe;
-        node.core = std::make_unique<engine>(settings, 7000 + nodes.size(), now);
-        node.core->set_services(now, {{service, ranges, 60}});
+        on_add(node);
+        node.core = std::make_unique<engine>(settings, 7000 + nodes.size(), clock(node));
+        node.core->set_services(clock(node), {{service, ranges, 60}});
         if (slots > 0) {
-            node.core->on_target(now, {service, slots, true});
+            node.core->on_target(clock(node), {service, slots, true});
         }
         carry_out(node);
         return node;
@@ -145,6 +151,11 @@
         run(std::chrono::seconds{8});
     }
 
+    [[nodiscard]] time_point clock(const test_node& node) const
+    {
+        return now + (now.time_since_epoch() * node.drift_permille) / 1000;
+    }
+
     test_node* find(incarnation_id id)
     {
         for (const auto& node : nodes) {
@@ -157,7 +168,7 @@
 
     void deliver(test_node& to, std::function<void()> handle)
     {
-        events.emplace(now + latency, [this, &to, handle = std::move(handle)] {
+        events.emplace(now + latency(), [this, &to, handle = std::move(handle)] {
             if (!to.running) {
                 return;
             }
@@ -177,18 +188,29 @@
                 for (const auto& to : nodes) {
                     const bool meant =
                         out->to ? to->core->self() == out->to : to->address == out->address;
-                    if (meant && !drop(node, *to, out->body)) {
+                    const int copies =
+                        meant && !drop(node, *to, out->body) ? duplicate() ? 2 : 1 : 0;
+                    for (int i = 0; i < copies; ++i) {
                         deliver(*to, [this, &to = *to, from = node.core->self(), body = out->body] {
-                            to.core->on_message(now, from, body);
+                            to.core->on_message(clock(to), from, body);
                         });
                     }
                 }
             }
             else if (auto* request = std::get_if<store_call>(&each)) {
-                const store::reply reply =
-                    node.has_store ? store.run(request->request) : store::reply{};
+                store::reply reply;
+                if (node.has_store && store.up && store.late_writes > 0 &&
+                    store::is_write(request->request)) {
+                    --store.late_writes;
+                    reply.result = store::status::unknown;
+                    events.emplace(now + std::chrono::seconds{3},
+                                   [this, late = request->request] { store.run(late); });
+                }
+                else if (node.has_store) {
+                    reply = store.run(request->request);
+                }
                 deliver(node, [this, &node, id = request->id, reply] {
-                    node.core->on_store_reply(now, id, reply);
+                    node.core->on_store_reply(clock(node), id, reply);
                 });
             }
             else if (auto* change = std::get_if<serving_changed>(&each)) {
@@ -238,7 +260,7 @@
             now = next_tick;
             for (const auto& node : nodes) {
                 if (node->running && !node->paused) {
-                    node->core->on_tick(now);
+                    node->core->on_tick(clock(*node));
                     carry_out(*node);
                 }
             }
@@ -260,7 +282,7 @@
         std::vector<test_node*> result;
         for (const auto& node : nodes) {
             if (node->running && node->ended.empty() && !node->left &&
-                node->core->may_serve(now, service, range).allowed) {
+                node->core->may_serve(clock(*node), service, range).allowed) {
                 result.push_back(node.get());
             }
         }
