Share the step loop of the lease models and the set-up of the fence tests

The loop stood in both models and the set-up in two tests. Static assertions now tie the two lists of audit kinds, whose common part is converted by position.

--- a/fakes/lease_model.h
+++ b/fakes/lease_model.h
@@ -14,6 +14,24 @@
 
 namespace bulrushgw::fakes {
 
+namespace detail {
+
+/// Emits the successors of a state with their labels. `take` applies one step and
+/// returns its label, or null when the step is not possible.
+template <typename State, typename Emit, typename Take>
+void emit_steps(const State& from, std::size_t step_count, Emit& emit, Take take)
+{
+    for (std::size_t step = 0; step < step_count; ++step) {
+        State next = from;
+        const char* label = take(next, step);
+        if (label != nullptr && !(next == from)) {
+            emit(next, label);
+        }
+    }
+}
+
+} // namespace detail
+
 /// What a witness keeps for one lease, and its decisions. A test compares them
 /// with the engine's; the exploration uses the same functions.
 struct witness_record {
@@ -82,13 +100,8 @@
     template <typename Emit>
     void steps(const state& from, Emit emit) const
     {
-        for (std::size_t step = 0; step < step_count; ++step) {
-            state next = from;
-            const char* label = take(next, step);
-            if (label != nullptr && !(next == from)) {
-                emit(next, label);
-            }
-        }
+        detail::emit_steps(from, step_count, emit,
+                           [this](state& next, std::size_t step) { return take(next, step); });
     }
     [[nodiscard]] std::string violation(const state& at) const;
 
@@ -129,13 +142,8 @@
     template <typename Emit>
     void steps(const state& from, Emit emit) const
     {
-        for (std::size_t step = 0; step < step_count; ++step) {
-            state next = from;
-            const char* label = take(next, step);
-            if (label != nullptr && !(next == from)) {
-                emit(next, label);
-            }
-        }
+        detail::emit_steps(from, step_count, emit,
+                           [this](state& next, std::size_t step) { return take(next, step); });
     }
     [[nodiscard]] std::string violation(const state& at) const;
 
--- a/src/cli/rules_commands.cpp
+++ b/src/cli/rules_commands.cpp
@@ -128,6 +128,7 @@
     std::string reason;
     for (int attempt = 1; attempt <= submission_attempts; ++attempt) {
         if (attempt > 1) {
+            // A one-shot command has no loop that a pause could hold up.
             std::this_thread::sleep_for(submission_pause);
         }
         try {
--- a/src/node/audit_trail.cpp
+++ b/src/node/audit_trail.cpp
@@ -83,6 +83,11 @@
 
 audit_kind from_engine(ownership::audit_kind kind)
 {
+    // The kinds of the engine come first here, in the same order.
+    static_assert(static_cast<int>(audit_kind::join) ==
+                  static_cast<int>(ownership::audit_kind::join));
+    static_assert(static_cast<int>(audit_kind::proposal) ==
+                  static_cast<int>(ownership::audit_kind::proposal));
     return static_cast<audit_kind>(static_cast<int>(kind));
 }
 
--- a/tests/proof/fence_window_test.cpp
+++ b/tests/proof/fence_window_test.cpp
@@ -34,6 +34,22 @@
         }));
 }
 
+constexpr range_id granted_range{1};
+constexpr true_time granted_at{milliseconds{1000}};
+
+/// A target with a grant of one range, fence 7, for 1200 ms.
+struct granted_target {
+    history record;
+    target server;
+    target_result last = target_result::executed;
+
+    explicit granted_target(bool checks_fences) : server(0, drifting_clock{}, checks_fences, record)
+    {
+        server.on_finish([this](const target_request&, target_result result) { last = result; });
+        server.grant(granted_at, {{{granted_range, fence{7}}}, granted_at + milliseconds{1200}});
+    }
+};
+
 } // namespace
 
 TEST_GROUP(fence_window){};
@@ -56,39 +72,27 @@
 TEST(fence_window, only_a_fenced_target_refuses_after_the_grant_expired)
 {
     for (const bool checks_fences : {true, false}) {
-        history record;
-        target server(0, drifting_clock{}, checks_fences, record);
-        target_result last = target_result::executed;
-        server.on_finish([&](const target_request&, target_result result) { last = result; });
-        const range_id range{1};
-        const true_time start{milliseconds{1000}};
-        server.grant(start, {{{range, fence{7}}}, start + milliseconds{1200}});
+        granted_target setup(checks_fences);
         target_request request;
-        request.range = range;
+        request.range = granted_range;
         request.token = fence{7};
         request.work = milliseconds{10};
         request.deadline = milliseconds{100};
-        const true_time late = start + milliseconds{1300};
-        server.run(late, request);
-        server.advance(late + milliseconds{20});
-        CHECK_EQUAL(checks_fences, last == target_result::no_grant);
-        LONGS_EQUAL(checks_fences ? 0 : 1, record.executions.size());
+        const true_time late = granted_at + milliseconds{1300};
+        setup.server.run(late, request);
+        setup.server.advance(late + milliseconds{20});
+        CHECK_EQUAL(checks_fences, setup.last == target_result::no_grant);
+        LONGS_EQUAL(checks_fences ? 0 : 1, setup.record.executions.size());
     }
 }
 
 // Guards against an older owner that overwrites the state of a newer one.
 TEST(fence_window, older_fence_is_refused)
 {
-    history record;
-    target server(0, drifting_clock{}, true, record);
-    target_result last = target_result::executed;
-    server.on_finish([&](const target_request&, target_result result) { last = result; });
-    const range_id range{1};
-    const true_time start{milliseconds{1000}};
-    server.grant(start, {{{range, fence{7}}}, start + milliseconds{1200}});
+    granted_target setup(true);
     target_request request;
-    request.range = range;
+    request.range = granted_range;
     request.token = fence{6};
-    server.run(start, request);
-    CHECK(last == target_result::stale_fence);
+    setup.server.run(granted_at, request);
+    CHECK(setup.last == target_result::stale_fence);
 }
