Report a node without rules as joining

Ruled out: the planned stop, all refusals came before it. Change: the state is "joining" until rules are in force at the node.

--- a/src/node/process_operations.cpp
+++ b/src/node/process_operations.cpp
@@ -301,6 +301,12 @@
         out.state = "not-serving";
         out.reason = "no target has announced itself";
     }
+    else if (!rules_.current()) {
+        // Others may admit this node before the text of the rules arrived here; it
+        // refuses clients until then.
+        out.state = "joining";
+        out.reason = "no rules are in force here yet";
+    }
     else if (!member) {
         out.state = "joining";
         out.reason = out.lease_running ? "not in the placement yet" : "the lease does not run yet";
