--- /dev/null
+++ b/src/assignment/leader.h
@@ -0,0 +1,133 @@
+#pragma once
+
+/// The leader of a term: gives leases to members and decides who holds which
+/// keys. Pure: no socket, clock or store.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "assignment/planner.h"
+#include "assignment/types.h"
+
+namespace bulrushgw::assignment {
+
+/// What a leader knows of itself.
+struct leader_identity {
+    incarnation_id node;
+    std::string host;
+    std::string address;
+};
+
+/// How the leader came to its term.
+struct term_start {
+    std::uint64_t term = 0;
+    /// The record that the claim replaced. None: no leader was ever before.
+    std::optional<leader_record> previous;
+    std::vector<leader_record::member> recorded; ///< members of the claim
+    time_point claimed;    ///< when the claim was confirmed
+    time_point claim_sent; ///< when it was sent; the store's confirmation counts from here
+};
+
+/// Not thread-safe.
+class leader {
+public:
+    leader(timing times, leader_identity self, term_start start);
+
+    /// Services whose keys are divided, from the manifest in force.
+    void set_sharded(std::set<std::string> services) { sharded_ = std::move(services); }
+    /// Keys move to even the load only while this is true.
+    void set_balancing(bool on) { balancing_ = on; }
+
+    /// Answers a report of this term, or of an earlier one by a member that joins.
+    report_reply on_report(time_point now, incarnation_id from, const report& body);
+    void on_tick(time_point now);
+
+    /// The record to write next, when one is due. The caller writes it under the
+    /// condition that the row is as the last confirmed write left it, and reports
+    /// the outcome. At most one write is under way.
+    std::optional<leader_record> take_record(time_point now);
+    /// `sent`: when the write was sent. `written` false: outcome not known or not
+    /// written; the same members are written again later.
+    void on_record_result(time_point sent, bool written);
+
+    /// True while leases may be extended.
+    [[nodiscard]] bool has_authority(time_point now) const;
+    /// True once after each change of the directory.
+    bool take_changed();
+    [[nodiscard]] const directory& view() const { return view_; }
+    /// Members to which a changed directory is sent.
+    [[nodiscard]] std::vector<std::string> addresses() const;
+
+private:
+    struct member_state {
+        report last;
+        time_point heard;
+        time_point acked;        ///< this member knew of this term then
+        time_point lease_bound;  ///< its lease is over then, by this clock
+        bool recorded = false;   ///< in the record that is in the store
+        bool leaving = false;
+    };
+    struct planned_move {
+        std::string service;
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        owner_candidate to;
+    };
+
+    void supersede(incarnation_id old, incarnation_id next);
+    void accept_holdings(incarnation_id from, const report& body);
+    void accept_released(const released_keys& keys, incarnation_id from);
+    void accept_loads(const report& body);
+    void match_target(incarnation_id node, bool new_life);
+    void disown(incarnation_id node);
+    void update_nodes(time_point now);
+    void begin_releases();
+    void assign_free(time_point now, const std::string& service);
+    void balance(time_point now, const std::string& service);
+    void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
+    void fill_gaps(const std::string& service);
+    void merge_neighbours();
+    void give(segment& item, const owner_candidate& to, std::string handover);
+    [[nodiscard]] std::vector<owner_candidate> candidates(const std::string& service) const;
+    [[nodiscard]] bool may_hold(incarnation_id node, const std::string& service) const;
+    [[nodiscard]] bool is_live(const member_state& member, time_point now) const;
+    [[nodiscard]] std::optional<time_point> majority_since(time_point now) const;
+    [[nodiscard]] time_point old_leases_end() const;
+    [[nodiscard]] leader_record make_record(time_point now) const;
+    [[nodiscard]] bool is_confirmed_by(const std::vector<leader_record::member>& members,
+                                       time_point now) const;
+    fence next_fence();
+    void change() { changed_ = true; ++view_.version; }
+
+    timing times_;
+    leader_identity self_;
+    term_start start_;
+    directory view_;
+    bool changed_ = true;
+    bool balancing_ = true;
+    std::set<std::string> sharded_;
+    std::map<incarnation_id, member_state> members_;
+    std::set<incarnation_id> superseded_;
+    std::map<std::string, key_load_table> loads_;
+    std::vector<planned_move> moves_;
+    std::optional<time_point> old_leader_over_; ///< it certainly extends no lease then
+    time_point store_confirmed_;
+    std::vector<leader_record::member> recorded_;
+    std::vector<leader_record::member> writing_;
+    /// Members of writes whose outcome is open; each may be in the store.
+    std::vector<std::vector<leader_record::member>> unresolved_;
+    bool write_under_way_ = false;
+    time_point last_write_{};
+    std::uint64_t beat_ = 0;
+    std::uint64_t fence_count_ = 0;
+    time_point last_decay_;
+    time_point next_balance_;
+    bool was_empty_start_ = false;
+};
+
+} // namespace bulrushgw::assignment
--- /dev/null
+++ b/src/assignment/member.h
@@ -0,0 +1,172 @@
+#pragma once
+
+/// The part of every node: reports to the leader, knows how long its lease runs,
+/// and says which grants and releases its target should get. Pure: no socket,
+/// clock or store.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "assignment/types.h"
+
+namespace bulrushgw::assignment {
+
+struct member_identity {
+    incarnation_id node;
+    std::string host;
+    std::string address;
+    std::string zone;
+};
+
+/// An order for the target on this host.
+struct grant_order {
+    std::uint64_t id = 0;
+    std::string service;
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    fence stamp;
+    milliseconds hold{0};
+    std::string handover; ///< empty: none
+};
+
+struct release_order {
+    std::uint64_t id = 0;
+    std::string service;
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    fence stamp;
+};
+
+enum class order_outcome : std::uint8_t {
+    done,
+    refused, ///< the target has seen a higher fence
+    unknown, ///< no answer; it may be carried out later
+};
+
+enum class serve_verdict : std::uint8_t {
+    serve,
+    pending,   ///< the keys are this target's, and the grant is under way
+    not_owner, ///< certainly not served here now
+};
+
+/// Who serves a key, to the knowledge of this node.
+struct key_owner {
+    incarnation_id node; ///< none: nobody at present
+    std::string address;
+    bool moving = false; ///< the owner stops; the next one is not known yet
+};
+
+/// Not thread-safe.
+class member {
+public:
+    member(timing times, member_identity self);
+
+    /// Where to send reports, from the store's record or a hint. Ignored when
+    /// `term` is not above the known one, unless the leader is silent.
+    void on_leader(time_point now, std::uint64_t term, incarnation_id leader,
+                   const std::string& address);
+    void on_reply(time_point now, const report_reply& reply);
+    void on_directory(time_point now, const directory& content);
+    void on_target(time_point now, const target_status& target);
+    void on_grant_result(time_point now, std::uint64_t id, order_outcome outcome);
+    /// Precondition: with `done`, nothing runs on the keys at the target any more.
+    void on_release_result(time_point now, std::uint64_t id, order_outcome outcome,
+                           std::string handover);
+    void on_load(const std::string& service, std::uint32_t key);
+    void set_manifest_version(std::uint64_t version) { manifest_version_ = version; }
+    void set_mean_work(std::chrono::microseconds mean) { mean_work_ = mean; }
+    /// Planned stop: the leader moves the keys away.
+    void leave() { leaving_ = true; report_now_ = true; }
+    void on_tick(time_point now);
+
+    /// The report to send now, if one is due, and the address for it.
+    struct outgoing_report {
+        std::string address;
+        incarnation_id leader;
+        report body;
+    };
+    std::optional<outgoing_report> take_report(time_point now);
+    std::vector<grant_order> take_grants(time_point now);
+    std::vector<release_order> take_releases(time_point now);
+    /// When `on_tick` is needed next.
+    [[nodiscard]] time_point next_due(time_point now) const;
+
+    [[nodiscard]] serve_verdict may_serve(time_point now, const std::string& service,
+                                          std::uint32_t key) const;
+    [[nodiscard]] key_owner owner_of(const std::string& service, std::uint32_t key) const;
+    [[nodiscard]] const directory& view() const { return view_; }
+    [[nodiscard]] std::uint64_t term() const { return term_; }
+    [[nodiscard]] bool holds_lease(time_point now) const { return now < lease_end_; }
+    [[nodiscard]] time_point lease_end() const { return lease_end_; }
+    /// True when no leader answered for `timing::leader_silence`.
+    [[nodiscard]] bool is_leader_silent(time_point now) const;
+    /// When the leader last answered, or a new one was named.
+    [[nodiscard]] time_point leader_heard() const { return leader_heard_; }
+    /// True when a later incarnation of this host is known: the process must go on
+    /// under a new incarnation.
+    [[nodiscard]] bool is_superseded() const { return superseded_; }
+    /// Keys that the target holds or may hold.
+    [[nodiscard]] std::vector<holding> holdings(time_point now) const;
+    /// True when this node has nothing left to hand over.
+    [[nodiscard]] bool is_empty(time_point now) const { return holdings(now).empty(); }
+
+private:
+    struct held {
+        std::string service;
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        fence stamp;
+        fence granted;          ///< of the last confirmed grant
+        std::string handover;
+        time_point served_until{};  ///< the target certainly holds the keys before
+        time_point exposed_until{}; ///< the target certainly holds them no more after
+        bool releasing = false;
+        std::uint64_t order = 0; ///< under way; 0: none
+        time_point next_try{};
+    };
+    struct sent_order {
+        time_point sent;
+        milliseconds hold{0};
+        std::string service;
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        fence stamp;
+    };
+
+    void adopt_term(time_point now, std::uint64_t term, incarnation_id leader,
+                    const std::string& address);
+    void adopt_directory(const directory& content);
+    void match_directory();
+    void cut_held(const std::string& service, std::uint32_t start);
+    void finish_release(const held& item, std::string handover);
+    [[nodiscard]] milliseconds hold_for(time_point now) const;
+
+    timing times_;
+    member_identity self_;
+    std::uint64_t term_ = 0;
+    incarnation_id leader_;
+    std::string leader_address_;
+    time_point leader_heard_{};
+    directory view_;
+    target_status target_;
+    std::vector<held> held_;
+    std::vector<released_keys> released_;
+    std::map<std::uint64_t, sent_order> orders_;
+    std::map<std::uint64_t, time_point> report_times_; ///< by sequence
+    std::map<std::string, std::map<std::uint32_t, std::uint32_t>> loads_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t echo_ = 0;
+    std::uint64_t next_order_ = 1;
+    std::uint64_t manifest_version_ = 0;
+    std::chrono::microseconds mean_work_{0};
+    time_point lease_end_{};
+    time_point next_report_{};
+    bool report_now_ = true;
+    bool leaving_ = false;
+    bool superseded_ = false;
+};
+
+} // namespace bulrushgw::assignment
--- /dev/null
+++ b/src/assignment/planner.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/// Which target should hold which keys. Pure functions over the measured load of
+/// each key. They answer two loads: keys that lie close together and are busier
+/// than the rest, and one key that takes more than the share of one target.
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "assignment/types.h"
+
+namespace bulrushgw::assignment {
+
+/// Requests per second of each key, with a decay that forgets old load.
+/// Not thread-safe.
+class key_load_table {
+public:
+    key_load_table();
+
+    void add(std::uint32_t key, double requests);
+    /// Halves the weight of what was measured `half_life` ago.
+    void decay(milliseconds elapsed);
+    /// Load of the keys `first` to `last`. Every key has a small load of its own,
+    /// so that keys without requests are spread too.
+    [[nodiscard]] double sum(std::uint32_t first, std::uint32_t last) const;
+    [[nodiscard]] double of(std::uint32_t key) const;
+    [[nodiscard]] double total() const { return sum(0, key_count - 1); }
+    /// The key at which the load from `first` on reaches `load`, at most `last`.
+    [[nodiscard]] std::uint32_t cut(std::uint32_t first, std::uint32_t last, double load) const;
+
+private:
+    std::vector<double> requests_;
+};
+
+/// A target that may hold keys. `capacity` is relative: slots by speed.
+struct owner_candidate {
+    incarnation_id node;
+    std::string target;
+    double capacity = 1;
+};
+
+/// Cuts the keys `first` to `last` into one piece for each candidate that has
+/// room, in proportion to the room. `loads` holds the present load of each
+/// candidate and is brought up to date. Precondition: candidates is not empty.
+std::vector<segment> spread(const key_load_table& keys, std::uint32_t first, std::uint32_t last,
+                            std::span<const owner_candidate> candidates, std::vector<double>& loads);
+
+/// Keys that should move to even the load.
+struct key_move {
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    incarnation_id from;
+    owner_candidate to;
+};
+
+struct balance_limits {
+    /// Load of a target over the mean of all, by capacity, from which keys move.
+    double overload = 1.3;
+    /// Load of a target over the mean from below which it gets keys: one that has
+    /// just joined must not wait for an overload.
+    double underload = 0.5;
+    /// Part of the overloaded target's excess that a move must remove to be worth
+    /// the time in which nobody serves the keys.
+    double least_gain = 0.15;
+};
+
+/// The one move that evens the load most, or none when it is even enough. A key
+/// that alone overloads its target stays alone there, or goes to a faster one.
+std::optional<key_move> find_move(const key_load_table& keys, std::span<const segment> segments,
+                                  std::span<const owner_candidate> candidates,
+                                  const balance_limits& limits = {});
+
+} // namespace bulrushgw::assignment
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -156,6 +156,14 @@
          "Run a node beside a target. Stops on SIGTERM after it handed its ranges over; a second "
          "signal ends it at once.",
          run_node_command},
+        {"sidecar",
+         "",
+         0,
+         0,
+         {"config", "check"},
+         "Run a node on the users' platform, beside a target. Stops on SIGTERM after its keys "
+         "moved to other targets.",
+         run_sidecar_command},
         {"rules check",
          "FILE",
          1,
--- /dev/null
+++ b/src/dispatch/retry_allowance.cpp
@@ -0,0 +1,42 @@
+#include "dispatch/retry_allowance.h"
+
+#include <algorithm>
+
+namespace bulrushgw::dispatch {
+
+namespace {
+/// Part of the allowance that is used: nodes count windows at other moments than
+/// the one who judges, and a repeat may make the target's own calls repeat too.
+constexpr double margin = 0.5;
+} // namespace
+
+void retry_allowance::forget(time_point now)
+{
+    while (!requests_.empty() && now - requests_.front() > settings_.window) {
+        requests_.pop_front();
+    }
+    while (!repeats_.empty() && now - repeats_.front() > settings_.window) {
+        repeats_.pop_front();
+    }
+}
+
+void retry_allowance::on_request(time_point now)
+{
+    forget(now);
+    requests_.push_back(now);
+}
+
+bool retry_allowance::try_spend(time_point now)
+{
+    forget(now);
+    const double part = settings_.slack / std::max<std::uint32_t>(settings_.nodes, 1);
+    const double allowed =
+        margin * (settings_.ratio * static_cast<double>(requests_.size()) + part);
+    if (static_cast<double>(repeats_.size()) + 1 > allowed) {
+        return false;
+    }
+    repeats_.push_back(now);
+    return true;
+}
+
+} // namespace bulrushgw::dispatch
--- /dev/null
+++ b/src/dispatch/slot_queue.cpp
@@ -0,0 +1,152 @@
+#include "dispatch/slot_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushgw::dispatch {
+
+namespace {
+
+/// Weight of one answer in the mean.
+constexpr double sample_weight = 0.1;
+/// Assumed before the first answer.
+constexpr double initial_work_ms = 50;
+/// A run may be this much shorter than the mean: a request is refused for lack of
+/// time only when even a short run would be late.
+constexpr double short_run = 0.5;
+/// Kinds that are remembered; the names come from the manifest, which may be large.
+constexpr std::size_t max_kinds = 256;
+
+milliseconds to_ms(double value)
+{
+    return milliseconds{static_cast<milliseconds::rep>(value + 0.5)};
+}
+
+} // namespace
+
+milliseconds slot_queue::expected(const std::string& kind) const
+{
+    const auto found = work_ms_.find(kind);
+    if (found != work_ms_.end()) {
+        return to_ms(found->second);
+    }
+    return to_ms(mean_ms_ > 0 ? mean_ms_ : initial_work_ms);
+}
+
+std::chrono::microseconds slot_queue::mean_work() const
+{
+    return std::chrono::microseconds{static_cast<std::int64_t>(mean_ms_ * 1000)};
+}
+
+slot_decisions slot_queue::offer(time_point now, waiting_request request)
+{
+    slot_decisions result;
+    queue_.push_back(std::move(request));
+    decide(now, result);
+    return result;
+}
+
+slot_decisions slot_queue::finish(time_point now, ticket id, bool answered)
+{
+    slot_decisions result;
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return result;
+    }
+    if (answered) {
+        const double took = std::chrono::duration<double, std::milli>(now - found->second.started)
+                                .count();
+        mean_ms_ += mean_ms_ > 0 ? sample_weight * (took - mean_ms_) : took;
+        if (work_ms_.size() >= max_kinds && !work_ms_.contains(found->second.kind)) {
+            work_ms_.clear();
+        }
+        const auto [kind, is_new] = work_ms_.emplace(found->second.kind, took);
+        if (!is_new) {
+            kind->second += sample_weight * (took - kind->second);
+        }
+    }
+    running_.erase(found);
+    decide(now, result);
+    return result;
+}
+
+bool slot_queue::cancel_queued(ticket id)
+{
+    return std::erase_if(queue_, [id](const auto& item) { return item.id == id; }) > 0;
+}
+
+slot_decisions slot_queue::on_tick(time_point now)
+{
+    slot_decisions result;
+    decide(now, result);
+    return result;
+}
+
+std::vector<ticket> slot_queue::clear()
+{
+    std::vector<ticket> result;
+    for (const auto& item : std::exchange(queue_, {})) {
+        result.push_back(item.id);
+    }
+    return result;
+}
+
+bool slot_queue::is_late(time_point now, const waiting_request& request) const
+{
+    return now + expected(request.kind) > request.aim;
+}
+
+void slot_queue::sort(time_point now)
+{
+    std::stable_sort(queue_.begin(), queue_.end(),
+                     [&](const waiting_request& a, const waiting_request& b) {
+                         const bool a_late = is_late(now, a);
+                         const bool b_late = is_late(now, b);
+                         if (a_late != b_late) {
+                             return b_late;
+                         }
+                         return std::tie(a.rank, a.deadline) < std::tie(b.rank, b.deadline);
+                     });
+}
+
+void slot_queue::start(time_point now, const waiting_request& request, slot_decisions& into)
+{
+    running_[request.id] = {request.kind, now};
+    into.start.push_back(request.id);
+}
+
+// Goes through the queue in the order of service and adds up the work ahead.
+void slot_queue::decide(time_point now, slot_decisions& into)
+{
+    if (queue_.empty()) {
+        return;
+    }
+    sort(now);
+    double ahead_ms = 0;
+    for (const auto& [id, item] : running_) {
+        const double total = static_cast<double>(expected(item.kind).count());
+        const double done = std::chrono::duration<double, std::milli>(now - item.started).count();
+        // A run that takes longer than the mean is about to end, or is a long one.
+        ahead_ms += std::max(total - done, total / 4);
+    }
+    std::vector<waiting_request> left;
+    for (auto& request : queue_) {
+        const auto work = static_cast<double>(expected(request.kind).count());
+        const bool has_slot = running_.size() < slots_;
+        const double wait = has_slot || slots_ == 0 ? 0 : ahead_ms / slots_;
+        if (slots_ == 0 || now + to_ms(wait + work * short_run) >= request.deadline) {
+            into.refuse.push_back({request.id, to_ms(std::max(wait, work))});
+            continue;
+        }
+        ahead_ms += work;
+        if (has_slot) {
+            start(now, request, into);
+        }
+        else {
+            left.push_back(std::move(request));
+        }
+    }
+    queue_ = std::move(left);
+}
+
+} // namespace bulrushgw::dispatch
--- /dev/null
+++ b/src/dispatch/target_picker.h
@@ -0,0 +1,73 @@
+#pragma once
+
+/// Choice of a target for a request to a service without keys: the least expected
+/// time by what this node has seen of each target itself, since reported loads may
+/// mislead. It answers targets of different speed, slow and failing ones, and the
+/// price of bytes between availability zones: another zone is used when it is
+/// faster by more than the crossing is worth.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "common/boot_clock.h"
+#include "common/ids.h"
+
+namespace bulrushgw::dispatch {
+
+struct pick_candidate {
+    incarnation_id node;
+    std::uint32_t slots = 1;
+    bool same_zone = false;
+    bool same_host = false;
+};
+
+struct pick_settings {
+    /// Expected time that another zone must save.
+    milliseconds zone_crossing{25};
+    /// Answers slower than this part of the fastest target's are not believed to
+    /// be the last word: such a target gets a request now and then.
+    milliseconds retry_bad_after{1000};
+};
+
+/// Not thread-safe.
+class target_picker {
+public:
+    explicit target_picker(pick_settings settings = {}) : settings_(settings) {}
+
+    /// The best candidate that is not in `avoid`; none when all are.
+    std::optional<incarnation_id> pick(time_point now, std::span<const pick_candidate> candidates,
+                                       const std::vector<incarnation_id>& avoid,
+                                       std::mt19937_64& random) const;
+    void on_sent(incarnation_id node) { ++seen_[node].in_flight; }
+    /// `load`: requests at the target, running and queued, as its node said with
+    /// the answer; -1: not told.
+    void on_answer(time_point now, incarnation_id node, milliseconds took, int load);
+    /// The target refused, failed or did not answer.
+    void on_failure(time_point now, incarnation_id node);
+    /// The request ended without telling anything about the target.
+    void on_end(incarnation_id node);
+    /// Forgets nodes that are not among `live`.
+    void keep(std::span<const incarnation_id> live);
+
+private:
+    struct seen_target {
+        std::uint32_t in_flight = 0; ///< of this node
+        std::uint32_t others = 0;    ///< of other nodes, as of the last answer
+        double mean_ms = 0;
+        double failures = 0; ///< decaying share of failed requests
+        time_point last_failure{};
+    };
+
+    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate) const;
+    void end_one(incarnation_id node);
+
+    pick_settings settings_;
+    std::map<incarnation_id, seen_target> seen_;
+};
+
+} // namespace bulrushgw::dispatch
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -145,9 +145,13 @@
     /// `connect` or `not_sent`. `before_write`, when set, is called immediately before
     /// the first byte is written, which may be within this function; when it returns
     /// false, the call ends as `not_sent`. It must not destroy the client. Throws
-    /// `address_error` when the address is not an IP number.
+    /// `address_error` when the address is not an IP number. `accept_head`, when set,
+    /// sees the status and headers of the answer; when it returns false, the call
+    /// ends as `malformed` and its connection is closed, because what else comes on
+    /// it belongs to another call. It must not call this client.
     call_id send(const endpoint& address, const http_request& request, milliseconds timeout,
-                 callback on_result, std::function<bool()> before_write = {});
+                 callback on_result, std::function<bool()> before_write = {},
+                 std::function<bool(const http_response&)> accept_head = {});
     /// Closes the connection of the call, which cancels it at the server.
     void cancel(call_id call);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -88,6 +88,7 @@
         http_response response;
         callback on_result;
         std::function<bool()> before_write;
+        std::function<bool(const http_response&)> accept_head;
     };
 
     net::loop& owner;
@@ -119,6 +120,7 @@
     void fail(call& entry, http_failure failure) { finish(entry, {std::nullopt, failure}); }
     void abort(call& entry, http_failure after_write);
     bool append_body(call& entry);
+    static bool accepts_head(const call& entry);
     void start_size_check();
     void check_sizes();
 
@@ -277,6 +279,10 @@
         entry.owner->fail(entry, http_failure::malformed);
         return nullptr;
     }
+    if (entry.accept_head && !accepts_head(entry)) {
+        entry.owner->fail(entry, http_failure::malformed);
+        return nullptr;
+    }
     if (is_end(failure)) {
         entry.owner->finish(entry, {std::move(entry.response), http_failure::closed});
         return nullptr;
@@ -284,6 +290,17 @@
     return on_body;
 }
 
+bool http_client::state::accepts_head(const call& entry)
+{
+    try {
+        return entry.accept_head(entry.response);
+    }
+    catch (const std::exception&) {
+        // An exception must not cross h2o's C frames.
+        return false;
+    }
+}
+
 void http_client::state::start_size_check()
 {
     if (size_check == 0) {
@@ -359,7 +376,8 @@
 
 http_client::call_id http_client::send(const endpoint& address, const http_request& request,
                                        milliseconds timeout, callback on_result,
-                                       std::function<bool()> before_write)
+                                       std::function<bool()> before_write,
+                                       std::function<bool(const http_response&)> accept_head)
 {
     auto& self = *state_;
     auto& to = self.find_destination(address);
@@ -371,6 +389,7 @@
     entry.head_only = request.method == "HEAD";
     entry.on_result = std::move(on_result);
     entry.before_write = std::move(before_write);
+    entry.accept_head = std::move(accept_head);
     const auto id = entry.id;
     self.calls.emplace(id, std::move(created));
     if (!is_writable(request) || to.waiting.size() >= max_waiting_per_address) {
--- /dev/null
+++ b/src/routing/route_index.cpp
@@ -0,0 +1,76 @@
+#include "routing/route_index.h"
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+#include <utility>
+
+namespace bulrushgw::routing {
+
+namespace {
+
+std::string host_key(std::string_view host)
+{
+    const auto colon = host.rfind(':');
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos) {
+        host = host.substr(0, colon);
+    }
+    std::string key(host);
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](unsigned char letter) { return std::tolower(letter); });
+    return key;
+}
+
+} // namespace
+
+route_index::route_index(manifest content) : content_(std::move(content))
+{
+    for (const auto& item : content_.routes) {
+        hosts_[host_key(item.host)].emplace(item.prefix, &item);
+    }
+}
+
+const route* route_index::find(std::string_view host, std::string_view path) const
+{
+    const auto routes = hosts_.find(host_key(host));
+    if (routes == hosts_.end()) {
+        return nullptr;
+    }
+    path = path.substr(0, path.find_first_of("?#"));
+    // Every prefix ends with a slash, so only those ends are tried.
+    for (auto end = path.rfind('/'); end != std::string_view::npos;
+         end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+        const auto found = routes->second.find(path.substr(0, end + 1));
+        if (found != routes->second.end()) {
+            return found->second;
+        }
+    }
+    return nullptr;
+}
+
+const service* route_index::find_service(std::string_view name) const
+{
+    for (const auto& item : content_.services) {
+        if (item.name == name) {
+            return &item;
+        }
+    }
+    return nullptr;
+}
+
+const destination& choose_destination(const route& from, double point)
+{
+    const std::uint64_t total = std::accumulate(
+        from.destinations.begin(), from.destinations.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const destination& item) { return sum + item.weight; });
+    double left = point * static_cast<double>(total);
+    for (const auto& item : from.destinations) {
+        left -= item.weight;
+        if (left < 0) {
+            return item;
+        }
+    }
+    return from.destinations.back();
+}
+
+} // namespace bulrushgw::routing
--- /dev/null
+++ b/src/routing/route_index.h
@@ -0,0 +1,35 @@
+#pragma once
+
+/// Finds the route of a request: by host, then by the longest prefix of the path.
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "routing/manifest.h"
+
+namespace bulrushgw::routing {
+
+/// Immutable after construction; const methods are thread-safe.
+class route_index {
+public:
+    explicit route_index(manifest content);
+
+    /// The route for a Host header, without regard to case or port, and a path,
+    /// with or without a query. Null when there is none.
+    [[nodiscard]] const route* find(std::string_view host, std::string_view path) const;
+    [[nodiscard]] const service* find_service(std::string_view name) const;
+    [[nodiscard]] const manifest& content() const { return content_; }
+
+private:
+    manifest content_;
+    /// Routes of each host by prefix.
+    std::map<std::string, std::map<std::string, const route*, std::less<>>, std::less<>> hosts_;
+};
+
+/// The destination for a request. `point` is uniform in [0, 1). Precondition: the
+/// route has a destination.
+const destination& choose_destination(const route& from, double point);
+
+} // namespace bulrushgw::routing
--- /dev/null
+++ b/src/sidecar/coordination.cpp
@@ -0,0 +1,390 @@
+#include "sidecar/coordination.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sidecar/record_text.h"
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+/// Jitter of a claim, so that nodes which miss the leader together seldom race.
+constexpr milliseconds claim_jitter{100};
+/// Between two reads of the record while there is none, or the store is away.
+constexpr milliseconds read_pause{150};
+
+} // namespace
+
+coordination::coordination(assignment::timing times, assignment::member_identity self,
+                           store_session& store, std::uint64_t seed, hooks with)
+    : times_(times), self_(std::move(self)), store_(store), random_(seed),
+      hooks_(std::move(with)), member_(times, self_)
+{
+}
+
+void coordination::on_report(const wire::frame& frame, const assignment::report& body)
+{
+    const auto now = hooks_.now();
+    hooks_.on_peer_manifest(body.address, body.manifest_version);
+    if (leader_ && body.term > leader_->view().term) {
+        step_down("a member knows a later term");
+    }
+    if (leader_) {
+        auto reply = leader_->on_report(now, frame.from, body);
+        reply.manifest_version = manifest_version_;
+        hooks_.send(body.address, frame.from, reply);
+        push_directory();
+        pump();
+        return;
+    }
+    const auto& view = member_.view();
+    if (view.leader && member_.term() >= body.term && !member_.is_leader_silent(now)) {
+        for (const auto& node : view.nodes) {
+            if (node.node == view.leader) {
+                hooks_.send(body.address, frame.from,
+                            assignment::leader_hint{view.term, view.leader, node.address});
+            }
+        }
+    }
+}
+
+void coordination::on_reply(const wire::frame& frame, const assignment::report_reply& reply)
+{
+    if (leader_ && reply.term > leader_->view().term) {
+        step_down("another node leads a later term");
+    }
+    hooks_.on_peer_manifest(frame.reply_address, reply.manifest_version);
+    member_.on_reply(hooks_.now(), reply);
+    pump();
+}
+
+void coordination::on_hint(const assignment::leader_hint& hint)
+{
+    if (leader_ && hint.term > leader_->view().term) {
+        step_down("another node leads a later term");
+    }
+    if (!leader_) {
+        member_.on_leader(hooks_.now(), hint.term, hint.leader, hint.address);
+        pump();
+    }
+}
+
+void coordination::on_update(const assignment::directory_update& update)
+{
+    if (!leader_) {
+        member_.on_directory(hooks_.now(), update.content);
+        pump();
+    }
+}
+
+void coordination::on_target(const assignment::target_status& target)
+{
+    member_.on_target(hooks_.now(), target);
+    pump();
+}
+
+void coordination::on_grant_result(std::uint64_t id, assignment::order_outcome outcome)
+{
+    member_.on_grant_result(hooks_.now(), id, outcome);
+    pump();
+}
+
+void coordination::on_release_result(std::uint64_t id, assignment::order_outcome outcome,
+                                     std::string handover)
+{
+    member_.on_release_result(hooks_.now(), id, outcome, std::move(handover));
+    pump();
+}
+
+void coordination::set_manifest(std::uint64_t version, std::set<std::string> sharded)
+{
+    manifest_version_ = version;
+    sharded_ = std::move(sharded);
+    member_.set_manifest_version(version);
+    if (leader_) {
+        leader_->set_sharded(sharded_);
+    }
+    pump();
+}
+
+void coordination::leave()
+{
+    member_.leave();
+    pump();
+}
+
+void coordination::on_tick()
+{
+    const auto now = hooks_.now();
+    member_.on_tick(now);
+    if (leader_) {
+        leader_->on_tick(now);
+        lead(now);
+    }
+    else {
+        seek_leader(now);
+    }
+    pump();
+}
+
+// Carries out what the last event caused.
+void coordination::pump()
+{
+    if (std::exchange(pumping_, true)) {
+        return;
+    }
+    send_report();
+    const auto now = hooks_.now();
+    for (const auto& order : member_.take_grants(now)) {
+        hooks_.grant(order);
+    }
+    for (const auto& order : member_.take_releases(now)) {
+        hooks_.release(order);
+    }
+    pumping_ = false;
+    const auto& view = member_.view();
+    if (view.term != seen_term_ || view.version != seen_version_) {
+        seen_term_ = view.term;
+        seen_version_ = view.version;
+        hooks_.on_directory();
+    }
+}
+
+void coordination::send_report()
+{
+    const auto now = hooks_.now();
+    auto due = member_.take_report(now);
+    if (!due) {
+        return;
+    }
+    if (!leader_) {
+        hooks_.send(due->address, due->leader, due->body);
+        return;
+    }
+    auto reply = leader_->on_report(now, self_.node, due->body);
+    reply.manifest_version = manifest_version_;
+    member_.on_reply(now, reply);
+    lead(now);
+}
+
+void coordination::lead(time_point now)
+{
+    push_directory();
+    if (leader_ == nullptr) {
+        return;
+    }
+    if (const auto record = leader_->take_record(now)) {
+        write_record(now, *record);
+    }
+}
+
+void coordination::push_directory()
+{
+    if (!leader_->take_changed()) {
+        return;
+    }
+    const assignment::directory_update update{leader_->view()};
+    member_.on_directory(hooks_.now(), update.content);
+    for (const auto& address : leader_->addresses()) {
+        hooks_.send(address, {}, update);
+    }
+}
+
+void coordination::write_record(time_point now, const assignment::leader_record& record)
+{
+    store_.write_leader(row_version_, to_text(record),
+                        [this, now, beat = record.beat](store_outcome outcome,
+                                                        std::uint64_t version) {
+                            on_record_written(now, beat, outcome, version);
+                            pump();
+                        });
+}
+
+void coordination::on_record_written(time_point sent, std::uint64_t beat, store_outcome outcome,
+                                     std::uint64_t version)
+{
+    if (!leader_) {
+        return;
+    }
+    if (outcome == store_outcome::done) {
+        row_version_ = version;
+        leader_->on_record_result(sent, true);
+        return;
+    }
+    if (outcome == store_outcome::conflict) {
+        // Another leader, or an earlier write whose answer was lost.
+        open_beat_ = beat;
+        open_beat_sent_ = sent;
+        read_record();
+        return;
+    }
+    leader_->on_record_result(sent, false);
+}
+
+void coordination::seek_leader(time_point now)
+{
+    if (reading_ || claiming_ || now < next_read_) {
+        return;
+    }
+    const bool unknown = !row_known_ || member_.term() == 0;
+    if (unknown || member_.is_leader_silent(now)) {
+        read_record();
+    }
+}
+
+void coordination::read_record()
+{
+    if (std::exchange(reading_, true)) {
+        return;
+    }
+    store_.read_leader([this](store_outcome outcome, const stored_row& row) {
+        reading_ = false;
+        on_record_read(outcome, row);
+        pump();
+    });
+}
+
+void coordination::on_record_read(store_outcome outcome, const stored_row& row)
+{
+    const auto now = hooks_.now();
+    next_read_ = now + read_pause;
+    if (outcome != store_outcome::done) {
+        if (leader_ && std::exchange(open_beat_, 0) != 0) {
+            leader_->on_record_result(open_beat_sent_, false);
+        }
+        return;
+    }
+    std::optional<assignment::leader_record> record;
+    if (row.version != 0) {
+        try {
+            record = parse_leader_record(row.value);
+        }
+        catch (const parse_error& failure) {
+            hooks_.log("record_unreadable", {{"cause", failure.what()}});
+            return;
+        }
+    }
+    if (!row_known_ || row.version != row_version_) {
+        record_changed_ = now;
+    }
+    row_known_ = true;
+    row_version_ = row.version;
+    record_ = record;
+    if (leader_) {
+        if (!record || record->leader != self_.node || record->term != leader_->view().term) {
+            step_down("another node claimed a later term");
+        }
+        else {
+            // A write that met a conflict was not carried out; an earlier one was.
+            if (std::exchange(open_beat_, 0) != 0) {
+                leader_->on_record_result(open_beat_sent_, false);
+            }
+            return;
+        }
+    }
+    if (open_claim_ && record && record->leader == self_.node &&
+        record->term == open_claim_->term) {
+        on_claimed(open_claim_sent_, *record);
+        return;
+    }
+    if (record && record->leader != self_.node) {
+        member_.on_leader(now, record->term, record->leader, record->address);
+    }
+    consider_claim(now, record ? &*record : nullptr);
+}
+
+// A leader that lives rewrites its record or answers reports. One that ran on this
+// host is gone.
+void coordination::consider_claim(time_point now, const assignment::leader_record* record)
+{
+    const bool own_host = record != nullptr && record->host == self_.host &&
+                          record->leader != self_.node;
+    const bool silent = member_.is_leader_silent(now);
+    const bool unchanged = now - record_changed_ >= times_.record_silence;
+    if (record == nullptr || own_host || (silent && unchanged)) {
+        claim(now, record);
+        return;
+    }
+    if (silent) {
+        std::uniform_int_distribution<milliseconds::rep> jitter(0, claim_jitter.count());
+        next_read_ = record_changed_ + times_.record_silence + milliseconds{jitter(random_)};
+    }
+}
+
+void coordination::claim(time_point now, const assignment::leader_record* record)
+{
+    if (claiming_) {
+        return;
+    }
+    claiming_ = true;
+    assignment::leader_record next;
+    next.term = std::max(record == nullptr ? 0 : record->term, member_.term()) + 1;
+    next.beat = 0;
+    next.leader = self_.node;
+    next.host = self_.host;
+    next.address = self_.address;
+    next.members.push_back({self_.node, self_.host, self_.address});
+    if (record != nullptr) {
+        // They may hold keys until this term has seen the end of their leases.
+        for (const auto& member : record->members) {
+            if (member.host != self_.host) {
+                next.members.push_back(member);
+            }
+        }
+    }
+    open_claim_ = next;
+    open_claim_sent_ = now;
+    previous_ = record == nullptr ? std::nullopt : std::optional{*record};
+    store_.write_leader(
+        row_version_, to_text(next),
+        [this, now, next](store_outcome outcome, std::uint64_t version) {
+            claiming_ = false;
+            if (outcome == store_outcome::done) {
+                row_version_ = version;
+                on_claimed(now, next);
+            }
+            else if (outcome == store_outcome::unavailable) {
+                open_claim_.reset();
+                next_read_ = hooks_.now() + read_pause;
+            }
+            else {
+                // The record tells who leads.
+                read_record();
+            }
+        });
+}
+
+void coordination::on_claimed(time_point sent, const assignment::leader_record& claimed)
+{
+    const auto now = hooks_.now();
+    assignment::term_start start;
+    start.term = claimed.term;
+    start.claimed = now;
+    start.claim_sent = sent;
+    start.recorded = claimed.members;
+    start.previous = previous_;
+    open_claim_.reset();
+    leader_ = std::make_unique<assignment::leader>(
+        times_, assignment::leader_identity{self_.node, self_.host, self_.address},
+        std::move(start));
+    leader_->set_sharded(sharded_);
+    member_.on_leader(now, claimed.term, self_.node, self_.address);
+    hooks_.log("leading", {{"term", claimed.term}});
+    const assignment::leader_hint hint{claimed.term, self_.node, self_.address};
+    for (const auto& member : claimed.members) {
+        if (member.node != self_.node) {
+            hooks_.send(member.address, {}, hint);
+        }
+    }
+    pump();
+}
+
+void coordination::step_down(const char* cause)
+{
+    hooks_.log("stopped_leading", {{"term", leader_->view().term}, {"cause", cause}});
+    leader_.reset();
+    open_beat_ = 0;
+}
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/coordination.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/// Connects the key assignment (package `assignment`) with the other nodes, the
+/// store and the target: reports, elections, the leader's record, grants.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "assignment/leader.h"
+#include "assignment/member.h"
+#include "sidecar/journal.h"
+#include "sidecar/store_session.h"
+#include "wire/messages.h"
+
+namespace bulrushgw::sidecar {
+
+/// Not thread-safe: runs on one loop.
+class coordination {
+public:
+    struct hooks {
+        std::function<time_point()> now;
+        std::function<void(std::function<void()>)> defer;
+        std::function<void(const std::string& address, incarnation_id to, const wire::body&)> send;
+        std::function<void(const assignment::grant_order&)> grant;
+        std::function<void(const assignment::release_order&)> release;
+        std::function<void()> on_directory;
+        /// A peer knows this version of the manifest.
+        std::function<void(const std::string& address, std::uint64_t version)> on_peer_manifest;
+        std::function<void(std::string_view event, const journal::fields&)> log;
+    };
+
+    coordination(assignment::timing times, assignment::member_identity self, store_session& store,
+                 std::uint64_t seed, hooks with);
+
+    void on_report(const wire::frame& frame, const assignment::report& body);
+    void on_reply(const wire::frame& frame, const assignment::report_reply& reply);
+    void on_hint(const assignment::leader_hint& hint);
+    void on_update(const assignment::directory_update& update);
+    void on_target(const assignment::target_status& target);
+    void on_grant_result(std::uint64_t id, assignment::order_outcome outcome);
+    void on_release_result(std::uint64_t id, assignment::order_outcome outcome,
+                           std::string handover);
+    void on_keyed_request(const std::string& service, std::uint32_t key)
+    {
+        member_.on_load(service, key);
+    }
+    void set_manifest(std::uint64_t version, std::set<std::string> sharded);
+    void set_mean_work(std::chrono::microseconds mean) { member_.set_mean_work(mean); }
+    void leave();
+    /// Call at least every `tick_interval`.
+    void on_tick();
+
+    static constexpr milliseconds tick_interval{50};
+
+    [[nodiscard]] const assignment::member& member() const { return member_; }
+    [[nodiscard]] incarnation_id self() const { return self_.node; }
+    [[nodiscard]] bool is_leader() const { return leader_ != nullptr; }
+
+private:
+    void pump();
+    void send_report();
+    void lead(time_point now);
+    void push_directory();
+    void write_record(time_point now, const assignment::leader_record& record);
+    void on_record_written(time_point sent, std::uint64_t beat, store_outcome outcome,
+                           std::uint64_t version);
+    void seek_leader(time_point now);
+    void read_record();
+    void on_record_read(store_outcome outcome, const stored_row& row);
+    void consider_claim(time_point now, const assignment::leader_record* record);
+    void claim(time_point now, const assignment::leader_record* record);
+    void on_claimed(time_point sent, const assignment::leader_record& claimed);
+    void step_down(const char* cause);
+
+    assignment::timing times_;
+    assignment::member_identity self_;
+    store_session& store_;
+    std::mt19937_64 random_;
+    hooks hooks_;
+    assignment::member member_;
+    std::unique_ptr<assignment::leader> leader_;
+    std::set<std::string> sharded_;
+    std::uint64_t manifest_version_ = 0;
+    std::uint64_t row_version_ = 0; ///< of the leader's record, as last seen
+    bool row_known_ = false;
+    std::optional<assignment::leader_record> record_;
+    time_point record_changed_{};
+    time_point next_read_{};
+    bool reading_ = false;
+    bool claiming_ = false;
+    std::optional<assignment::leader_record> open_claim_; ///< outcome not known
+    time_point open_claim_sent_{};
+    std::optional<assignment::leader_record> previous_; ///< what the claim replaces
+    std::uint64_t open_beat_ = 0; ///< of a record write whose outcome is not known
+    time_point open_beat_sent_{};
+    std::uint64_t seen_term_ = 0;
+    std::uint64_t seen_version_ = 0;
+    bool pumping_ = false;
+};
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/entry.cpp
@@ -0,0 +1,551 @@
+#include "sidecar/entry.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+using request::reason;
+
+/// For requests that tell no time and whose route has none.
+constexpr milliseconds default_time{10000};
+/// Without an aim, an answer in this part of the time is taken as timely.
+constexpr int default_aim_divisor = 2;
+/// Longest wait for an owner of the key: a move takes as long as the runs that it
+/// waits for, a takeover is longer than any client should be held.
+constexpr int park_divisor = 3;
+/// Told to clients when nothing better is known.
+constexpr milliseconds default_retry_after{150};
+/// Nodes that are asked for one request when they refuse it.
+constexpr std::uint32_t max_tries = 4;
+/// A repeat with less time than this would not be answered.
+constexpr milliseconds least_repeat_time{20};
+constexpr int first_failure = 500;
+
+constexpr std::array<std::string_view, 9> connection_headers{
+    "connection", "keep-alive", "proxy-connection", "te",    "trailer",
+    "upgrade",    "expect",     "content-length",   "transfer-encoding"};
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+        return std::tolower(x) == std::tolower(y);
+    });
+}
+
+template <typename Number> std::optional<Number> parse_number(std::string_view text)
+{
+    Number value = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string seconds_text(milliseconds time)
+{
+    std::array<char, 32> text{};
+    constexpr double ms_per_s = 1000;
+    std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(time.count()) / ms_per_s);
+    return text.data();
+}
+
+} // namespace
+
+entry::entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
+             std::uint64_t seed, hooks with)
+    : loop_(loop), settings_(std::move(settings)), protocol_(protocol), random_(seed),
+      hooks_(std::move(with))
+{
+}
+
+void entry::set_manifest(std::shared_ptr<const routing::route_index> routes)
+{
+    routes_ = std::move(routes);
+}
+
+net::http_response entry::own_answer(const std::string& request_id, int status,
+                                     const std::string& text) const
+{
+    net::http_response response;
+    response.status = status;
+    response.headers = {{"content-type", "text/plain"}};
+    if (!request_id.empty()) {
+        response.headers.push_back({protocol_.names.request_id, request_id});
+    }
+    response.body = text + "\n";
+    return response;
+}
+
+void entry::log(std::string_view event, const pending_request& request, journal::fields details)
+{
+    const auto now = loop_.now();
+    journal::fields line{
+        {"request", request.request_id},
+        {"route", request.route.name},
+        {"service", request.service},
+        {"age_ms", std::chrono::duration_cast<milliseconds>(now - request.arrived).count()},
+        {"left_ms", std::chrono::duration_cast<milliseconds>(request.deadline - now).count()},
+        {"manifest", routes_ ? routes_->content().version : 0},
+        {"directory", hooks_.member().view().version}};
+    if (request.key) {
+        line["key"] = *request.key;
+    }
+    line.update(details);
+    hooks_.log(event, line);
+}
+
+void entry::on_request(net::http_exchange exchange)
+{
+    ++counters_.requests;
+    const auto& names = protocol_.names;
+    const auto& headers = exchange.request.headers;
+    const std::string request_id(net::find_header(headers, names.request_id).value_or(""));
+    if (!routes_) {
+        ++counters_.refused;
+        auto response = own_answer(request_id, 503, "no manifest is known yet");
+        response.headers.push_back({names.retry_after, seconds_text(default_retry_after)});
+        exchange.respond(std::move(response));
+        return;
+    }
+    const auto* route = routes_->find(net::find_header(headers, "host").value_or(""),
+                                      exchange.request.path);
+    if (route == nullptr) {
+        exchange.respond(own_answer(request_id, 404, "no route"));
+        return;
+    }
+    const auto now = loop_.now();
+    pending_request request;
+    request.id = next_id_++;
+    request.route = *route;
+    std::uniform_real_distribution<double> point(0, 1);
+    request.service = routing::choose_destination(*route, point(random_)).service;
+    const auto* service = routes_->find_service(request.service);
+    request.sharded = service != nullptr && service->sharded;
+    request.request_id = request_id;
+    request.arrived = now;
+    const auto told =
+        parse_number<std::int64_t>(net::find_header(headers, names.deadline).value_or(""));
+    milliseconds time = told ? milliseconds{std::max<std::int64_t>(*told, 0)} : default_time;
+    if (route->timeout.count() > 0) {
+        time = std::min(time, route->timeout);
+    }
+    request.deadline = now + time;
+    request.aim = now + (route->aim.count() > 0 ? std::min(route->aim, time)
+                                                : time / default_aim_divisor);
+    request.park_limit = now + time / park_divisor;
+    const auto key =
+        parse_number<std::uint32_t>(net::find_header(headers, names.shard_key).value_or(""));
+    if (request.sharded && key && *key < assignment::key_count) {
+        request.key = key;
+    }
+    request.exchange = std::move(exchange);
+    const std::uint64_t id = request.id;
+    if (request.exchange.on_cancel) {
+        *request.exchange.on_cancel = [this, id] {
+            const auto found = pending_.find(id);
+            if (found != pending_.end()) {
+                ++counters_.left;
+                cancel_sent(found->second);
+                loop_.cancel(found->second.timer);
+                pending_.erase(found);
+            }
+        };
+    }
+    request.timer = loop_.after(time, [this, id] { on_deadline(id); });
+    repeats_[request.service].on_request(now);
+    auto& stored = pending_.emplace(id, std::move(request)).first->second;
+    if (stored.sharded && !stored.key) {
+        end(id, own_answer(stored.request_id, 400, "the service is divided by key, and the request "
+                                                   "names none"));
+        return;
+    }
+    dispatch(stored);
+}
+
+void entry::dispatch(pending_request& request)
+{
+    request.parked = false;
+    if (request.sharded) {
+        dispatch_keyed(request);
+    }
+    else {
+        dispatch_balanced(request);
+    }
+}
+
+void entry::dispatch_keyed(pending_request& request)
+{
+    const auto owner = hooks_.member().owner_of(request.service, *request.key);
+    if (!owner.node || owner.address.empty()) {
+        park(request, "the key has no owner");
+    }
+    else if (owner.moving) {
+        park(request, "the key is moving");
+    }
+    else {
+        send(request, owner.node, owner.address);
+    }
+}
+
+void entry::dispatch_balanced(pending_request& request)
+{
+    const auto& view = hooks_.member().view();
+    std::vector<dispatch::pick_candidate> candidates;
+    for (const auto& node : view.nodes) {
+        if (node.target.service == request.service &&
+            node.target.phase == assignment::target_phase::ready) {
+            candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone,
+                                  node.node == hooks_.self()});
+        }
+    }
+    if (candidates.empty()) {
+        park(request, "the service has no target");
+        return;
+    }
+    const auto picked = picker_.pick(loop_.now(), candidates, request.avoid, random_);
+    if (!picked) {
+        refuse(request, reason::overloaded, default_retry_after, "all targets refused");
+        return;
+    }
+    const auto node = std::find_if(view.nodes.begin(), view.nodes.end(),
+                                   [&](const auto& item) { return item.node == *picked; });
+    send(request, *picked, node->address);
+}
+
+wire::forward entry::message_for(const pending_request& request) const
+{
+    const auto now = loop_.now();
+    const auto& names = protocol_.names;
+    wire::forward message;
+    message.number = request.number;
+    message.service = request.service;
+    message.route = request.route.name;
+    message.key = request.key ? std::to_string(*request.key) : std::string{};
+    message.request_id = request.request_id;
+    message.idempotent = request.route.idempotent;
+    message.worth = request.route.rank;
+    message.deadline = std::chrono::duration_cast<milliseconds>(request.deadline - now);
+    message.aim = std::max(milliseconds{0},
+                           std::chrono::duration_cast<milliseconds>(request.aim - now));
+    message.method = request.exchange.request.method;
+    message.path = request.exchange.request.path;
+    message.body = request.exchange.request.body;
+    for (const auto& header : request.exchange.request.headers) {
+        const bool own = same_name(header.name, names.request_id) ||
+                         same_name(header.name, names.deadline) ||
+                         same_name(header.name, names.expected_target) ||
+                         same_name(header.name, names.caller) ||
+                         std::any_of(connection_headers.begin(), connection_headers.end(),
+                                     [&](auto name) { return same_name(name, header.name); });
+        if (!own) {
+            message.headers.emplace_back(header.name, header.value);
+        }
+    }
+    message.headers.emplace_back(names.caller, settings_.service);
+    return message;
+}
+
+void entry::send(pending_request& request, incarnation_id node, const std::string& address)
+{
+    const auto id = request.id;
+    request.number = next_number_++;
+    request.node = node;
+    request.address = address;
+    request.sent = loop_.now();
+    request.under_way = true;
+    ++request.tries;
+    ++request.sends;
+    numbers_[request.number] = id;
+    picker_.on_sent(node);
+    wire::forward message = message_for(request);
+    const auto self = hooks_.self();
+    if (node == self) {
+        // The answer may come within the call, which must not change the request
+        // that is being dispatched.
+        hooks_.run_here({self, request.number}, std::move(message),
+                        [this, self](wire::forward_reply reply) {
+                            loop_.defer([this, self, reply = std::move(reply)] {
+                                on_reply(self, reply);
+                            });
+                        });
+        return;
+    }
+    if (!hooks_.send(address, node, std::move(message))) {
+        wire::forward_reply reply;
+        reply.number = request.number;
+        reply.request_id = request.request_id;
+        reply.outcome = wire::forward_outcome::not_run;
+        reply.reason = request::to_text(reason::peer_unreachable);
+        loop_.defer([this, node, reply = std::move(reply)] { on_reply(node, reply); });
+    }
+}
+
+void entry::park(pending_request& request, const char* cause)
+{
+    if (loop_.now() >= request.park_limit) {
+        refuse(request, reason::no_owner, default_retry_after, cause);
+        return;
+    }
+    request.parked = true;
+}
+
+entry::pending_request* entry::find_sent(incarnation_id from, const wire::forward_reply& reply)
+{
+    const auto number = numbers_.find(reply.number);
+    const auto found = number == numbers_.end() ? pending_.end() : pending_.find(number->second);
+    const bool matches = found != pending_.end() && found->second.under_way &&
+                         found->second.number == reply.number && found->second.node == from &&
+                         found->second.request_id == reply.request_id;
+    if (!matches) {
+        ++counters_.foreign_replies;
+        return nullptr;
+    }
+    numbers_.erase(number);
+    return &found->second;
+}
+
+void entry::on_reply(incarnation_id from, const wire::forward_reply& reply)
+{
+    pending_request* request = find_sent(from, reply);
+    if (request == nullptr) {
+        return;
+    }
+    request->under_way = false;
+    const auto now = loop_.now();
+    switch (reply.outcome) {
+    case wire::forward_outcome::answered:
+        if (reply.status >= first_failure) {
+            picker_.on_failure(now, from);
+        }
+        else {
+            picker_.on_answer(now, from,
+                              std::chrono::duration_cast<milliseconds>(now - request->sent),
+                              static_cast<int>(reply.load));
+        }
+        if (reply.status >= first_failure && may_repeat(*request)) {
+            request->avoid.push_back(from);
+            dispatch(*request);
+            return;
+        }
+        deliver(*request, reply);
+        return;
+    case wire::forward_outcome::not_run:
+    case wire::forward_outcome::not_owner:
+        picker_.on_end(from);
+        --request->sends;
+        on_not_run(*request, reply);
+        return;
+    case wire::forward_outcome::unknown:
+        picker_.on_failure(now, from);
+        on_unknown(*request, request::reason_of(reply.reason, reason::connection_lost));
+        return;
+    }
+}
+
+void entry::on_not_run(pending_request& request, const wire::forward_reply& reply)
+{
+    const reason why = request::reason_of(reply.reason, reason::target_refused);
+    if (request.sharded) {
+        // Only the owner can run it. It may have lost the key, or its target.
+        const bool full = why == reason::overloaded || why == reason::target_refused;
+        if (full) {
+            refuse(request, why, reply.retry_after, "the owner has no room");
+        }
+        else {
+            park(request, "the owner does not serve the key");
+        }
+        return;
+    }
+    request.avoid.push_back(request.node);
+    if (request.tries >= max_tries) {
+        refuse(request, why, reply.retry_after, "several targets refused");
+        return;
+    }
+    dispatch(request);
+}
+
+bool entry::may_repeat(pending_request& request)
+{
+    const auto now = loop_.now();
+    const bool possible = request.route.idempotent && request.sends < request.route.attempts &&
+                          now + least_repeat_time < request.deadline;
+    if (!possible || !repeats_[request.service].try_spend(now)) {
+        return false;
+    }
+    ++counters_.repeats;
+    return true;
+}
+
+void entry::on_unknown(pending_request& request, reason why)
+{
+    if (may_repeat(request)) {
+        log("repeat", request, {{"cause", request::to_text(why)}, {"sends", request.sends}});
+        request.avoid.push_back(request.node);
+        dispatch(request);
+        return;
+    }
+    ++counters_.unknown;
+    fail(request, why == reason::deadline_sent ? 504 : 502, why);
+}
+
+void entry::on_disconnect(const std::string& address, std::optional<time_point> unsent_since)
+{
+    std::vector<std::uint64_t> affected;
+    for (const auto& [id, request] : pending_) {
+        if (request.under_way && request.address == address && request.node != hooks_.self()) {
+            affected.push_back(id);
+        }
+    }
+    for (const auto id : affected) {
+        const auto found = pending_.find(id);
+        if (found == pending_.end()) {
+            continue;
+        }
+        auto& request = found->second;
+        wire::forward_reply reply;
+        reply.number = request.number;
+        reply.request_id = request.request_id;
+        const bool unsent = unsent_since && request.sent >= *unsent_since;
+        reply.outcome =
+            unsent ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
+        reply.reason =
+            request::to_text(unsent ? reason::peer_unreachable : reason::connection_lost);
+        on_reply(request.node, reply);
+    }
+}
+
+void entry::on_directory()
+{
+    std::vector<incarnation_id> live;
+    for (const auto& node : hooks_.member().view().nodes) {
+        live.push_back(node.node);
+    }
+    picker_.keep(live);
+    for (auto& [service, allowance] : repeats_) {
+        auto settings = settings_.repeats;
+        settings.nodes = static_cast<std::uint32_t>(std::max<std::size_t>(live.size(), 1));
+        allowance.configure(settings);
+    }
+    on_tick();
+}
+
+void entry::on_tick()
+{
+    std::vector<std::uint64_t> parked;
+    for (const auto& [id, request] : pending_) {
+        if (request.parked) {
+            parked.push_back(id);
+        }
+    }
+    for (const auto id : parked) {
+        const auto found = pending_.find(id);
+        if (found != pending_.end()) {
+            dispatch(found->second);
+        }
+    }
+}
+
+void entry::on_deadline(std::uint64_t id)
+{
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) {
+        return;
+    }
+    auto& request = found->second;
+    ++counters_.timed_out;
+    const bool may_have_run = request.sends > 0;
+    cancel_sent(request);
+    if (may_have_run) {
+        fail(request, 504, reason::deadline_sent);
+    }
+    else {
+        refuse(request, reason::deadline_not_sent, default_retry_after, "the time is over");
+    }
+}
+
+void entry::cancel_sent(pending_request& request)
+{
+    if (!request.under_way) {
+        return;
+    }
+    request.under_way = false;
+    numbers_.erase(request.number);
+    picker_.on_end(request.node);
+    const auto self = hooks_.self();
+    if (request.node == self) {
+        hooks_.cancel_here({self, request.number});
+    }
+    else {
+        hooks_.send(request.address, request.node, wire::cancel{request.number});
+    }
+}
+
+void entry::deliver(pending_request& request, const wire::forward_reply& reply)
+{
+    ++counters_.answered;
+    hooks_.on_answer_time(
+        std::chrono::duration_cast<milliseconds>(loop_.now() - request.arrived));
+    net::http_response response;
+    response.status = reply.status;
+    response.body = reply.body;
+    for (const auto& [name, value] : reply.headers) {
+        response.headers.push_back({name, value});
+    }
+    end(request.id, std::move(response));
+}
+
+milliseconds entry::spread(milliseconds time)
+{
+    std::uniform_int_distribution<milliseconds::rep> extra(0, std::max<long>(time.count(), 20) / 2);
+    return time + milliseconds{extra(random_)};
+}
+
+void entry::refuse(pending_request& request, reason why, milliseconds retry_after,
+                   const std::string& cause)
+{
+    ++counters_.refused;
+    // After an attempt with an unknown outcome nothing can promise that the request
+    // has not run.
+    if (request.sends > 0) {
+        fail(request, 502, why);
+        return;
+    }
+    const milliseconds wait =
+        spread(retry_after.count() > 0 ? retry_after : default_retry_after);
+    log("refused", request,
+        {{"reason", request::to_text(why)},
+         {"cause", cause},
+         {"tries", request.tries},
+         {"node", to_string(request.node)},
+         {"retry_after_ms", wait.count()}});
+    auto response = own_answer(request.request_id, 503, cause);
+    response.headers.push_back({protocol_.names.retry_after, seconds_text(wait)});
+    end(request.id, std::move(response));
+}
+
+void entry::fail(pending_request& request, int status, reason why)
+{
+    log("failed", request,
+        {{"reason", request::to_text(why)},
+         {"status", status},
+         {"sends", request.sends},
+         {"node", to_string(request.node)}});
+    end(request.id, own_answer(request.request_id, status, "the outcome is not known"));
+}
+
+void entry::end(std::uint64_t id, net::http_response response)
+{
+    auto node = pending_.extract(id);
+    loop_.cancel(node.mapped().timer);
+    node.mapped().exchange.respond(std::move(response));
+}
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/gate.cpp
@@ -0,0 +1,327 @@
+#include "sidecar/gate.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+using request::reason;
+
+/// A target's own answer at the deadline comes a little after it.
+constexpr milliseconds answer_grace{60};
+/// Longest wait for the confirmation of a grant that is under way.
+constexpr milliseconds grant_wait{150};
+constexpr milliseconds grant_poll{10};
+/// Connections for requests; admission keeps to the slots, which are fewer.
+constexpr std::size_t max_connections = 64;
+constexpr std::size_t max_order_connections = 4;
+constexpr std::size_t max_answer_bytes = std::size_t{768} * 1024;
+constexpr std::size_t max_order_answer_bytes = std::size_t{16} * 1024;
+constexpr int first_failure = 500;
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int misdirected = 421;
+
+bool is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+bool is_identity(std::string_view encoding)
+{
+    return encoding.empty() || encoding == "identity";
+}
+
+} // namespace
+
+gate::gate(net::loop& loop, net::endpoint target, const platform_protocol& protocol,
+           target_watch& watch, hooks with)
+    : loop_(loop), target_(std::move(target)), protocol_(protocol), watch_(watch),
+      hooks_(std::move(with)), http_(loop, max_connections, max_answer_bytes),
+      orders_(loop, max_order_connections, max_order_answer_bytes)
+{
+}
+
+std::uint32_t gate::key_of(const wire::forward& request)
+{
+    std::uint32_t key = 0;
+    std::from_chars(request.key.data(), request.key.data() + request.key.size(), key);
+    return key;
+}
+
+void gate::run(request_key key, wire::forward request, completion done)
+{
+    const auto now = loop_.now();
+    const dispatch::ticket id = next_ticket_++;
+    active_request entry;
+    entry.key = key;
+    entry.deadline = now + request.deadline;
+    entry.request = std::move(request);
+    entry.done = std::move(done);
+    const auto& stored = active_.emplace(id, std::move(entry)).first->second;
+    tickets_[key] = id;
+    if (watch_.status().service != stored.request.service || !watch_.accepts(now)) {
+        refuse(id, reason::no_target, milliseconds{0}, "the target does not take requests");
+        return;
+    }
+    if (!stored.request.key.empty()) {
+        wait_for_grant(id, now + grant_wait);
+        return;
+    }
+    admit(id);
+}
+
+void gate::wait_for_grant(dispatch::ticket id, time_point until)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end()) {
+        return;
+    }
+    const auto& request = found->second.request;
+    const auto verdict = hooks_.may_serve(request.service, key_of(request));
+    if (verdict == assignment::serve_verdict::serve) {
+        hooks_.on_keyed_request(request.service, key_of(request));
+        admit(id);
+    }
+    else if (verdict == assignment::serve_verdict::pending && loop_.now() < until) {
+        loop_.after(grant_poll, [this, id, until] { wait_for_grant(id, until); });
+    }
+    else {
+        refuse(id, reason::not_owner, milliseconds{0}, "the target does not hold the key");
+    }
+}
+
+void gate::admit(dispatch::ticket id)
+{
+    const auto& entry = active_.at(id);
+    const auto now = loop_.now();
+    dispatch::waiting_request waiting;
+    waiting.id = id;
+    waiting.kind = entry.request.route;
+    waiting.rank = entry.request.worth;
+    waiting.aim = now + entry.request.aim;
+    waiting.deadline = entry.deadline;
+    apply(queue_.offer(now, std::move(waiting)));
+}
+
+void gate::apply(const dispatch::slot_decisions& decisions)
+{
+    for (const auto& refused : decisions.refuse) {
+        refuse(refused.id, reason::overloaded, refused.retry_after, "the target has no room");
+    }
+    for (const auto id : decisions.start) {
+        start(id);
+    }
+}
+
+net::http_request gate::message_for(const active_request& entry) const
+{
+    const auto& request = entry.request;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(entry.deadline - loop_.now()).count();
+    net::http_request message;
+    message.method = request.method;
+    message.path = request.path;
+    message.body = request.body;
+    for (const auto& [name, value] : request.headers) {
+        message.headers.push_back({name, value});
+    }
+    message.headers.push_back({protocol_.names.request_id, request.request_id});
+    message.headers.push_back({protocol_.names.deadline, std::to_string(std::max<long>(left, 1))});
+    message.headers.push_back({protocol_.names.expected_target, entry.target_id});
+    return message;
+}
+
+void gate::start(dispatch::ticket id)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end()) {
+        return;
+    }
+    auto& entry = found->second;
+    const auto now = loop_.now();
+    const auto& request = entry.request;
+    const bool owned = request.key.empty() || hooks_.may_serve(request.service, key_of(request)) ==
+                                                  assignment::serve_verdict::serve;
+    if (!owned || !watch_.accepts(now)) {
+        refuse(id, owned ? reason::no_target : reason::not_owner, milliseconds{0},
+               "the target stopped taking the request while it was queued");
+        return;
+    }
+    entry.sent = true;
+    entry.target_id = watch_.status().id;
+    const auto left = std::chrono::duration_cast<milliseconds>(entry.deadline - now);
+    entry.call = http_.send(
+        target_, message_for(entry), left + answer_grace,
+        [this, id](const net::http_result& result) { on_result(id, result); }, {},
+        [this, expected = request.request_id](const net::http_response& head) {
+            const auto echo = net::find_header(head.headers, protocol_.names.request_id);
+            return !echo || *echo == expected;
+        });
+}
+
+wire::forward_reply gate::reply_for(const active_request& entry,
+                                    const net::http_response& answer)
+{
+    const auto& names = protocol_.names;
+    wire::forward_reply reply;
+    reply.number = entry.request.number;
+    reply.request_id = entry.request.request_id;
+    const bool refused =
+        net::find_header(answer.headers, names.not_run) || answer.status == misdirected;
+    if (refused) {
+        reply.outcome = wire::forward_outcome::not_run;
+        reply.reason = request::to_text(reason::target_refused);
+        return reply;
+    }
+    const bool sealed = net::find_header(answer.headers, names.answer_seal).has_value();
+    const bool foreign =
+        (is_success(answer.status) &&
+         (!sealed || !net::find_header(answer.headers, names.request_id))) ||
+        !is_identity(net::find_header(answer.headers, "content-encoding").value_or(""));
+    if (foreign) {
+        reply.outcome = wire::forward_outcome::unknown;
+        reply.reason = request::to_text(reason::malformed_answer);
+        return reply;
+    }
+    reply.outcome = wire::forward_outcome::answered;
+    reply.reason = request::to_text(reason::none);
+    reply.status = answer.status;
+    reply.body = answer.body;
+    for (const auto& entry_header : answer.headers) {
+        if (entry_header.name != "server" && entry_header.name != "date" &&
+            entry_header.name != "keep-alive" && entry_header.name != "connection" &&
+            entry_header.name != "content-length" && entry_header.name != "transfer-encoding") {
+            reply.headers.emplace_back(entry_header.name, entry_header.value);
+        }
+    }
+    return reply;
+}
+
+void gate::on_result(dispatch::ticket id, const net::http_result& result)
+{
+    const auto now = loop_.now();
+    const auto found = active_.find(id);
+    const bool answered = result.response.has_value();
+    const bool refused = !answered && (result.failure == net::http_failure::connect ||
+                                       result.failure == net::http_failure::not_sent);
+    if (answered) {
+        watch_.on_answer(now);
+    }
+    else if (refused) {
+        watch_.on_refused(now);
+    }
+    else if (found != active_.end() && result.failure == net::http_failure::timeout) {
+        watch_.on_no_answer(now);
+    }
+    if (found != active_.end()) {
+        auto& entry = found->second;
+        wire::forward_reply reply;
+        if (answered) {
+            reply = reply_for(entry, *result.response);
+        }
+        else {
+            reply.number = entry.request.number;
+            reply.request_id = entry.request.request_id;
+            reply.outcome =
+                refused ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
+            const reason why = refused ? reason::no_target
+                               : result.failure == net::http_failure::timeout
+                                   ? reason::deadline_sent
+                               : result.failure == net::http_failure::malformed
+                                   ? reason::malformed_answer
+                                   : reason::connection_lost;
+            reply.reason = request::to_text(why);
+            hooks_.on_failure(entry.request, why, "the target gave no whole answer");
+        }
+        finish(id, std::move(reply));
+    }
+    const bool ran = answered && result.response->status < first_failure;
+    apply(queue_.finish(now, id, ran));
+    hooks_.on_target_changed();
+}
+
+void gate::refuse(dispatch::ticket id, reason why, milliseconds retry_after,
+                  const std::string& cause)
+{
+    const auto found = active_.find(id);
+    if (found == active_.end()) {
+        return;
+    }
+    wire::forward_reply reply;
+    reply.number = found->second.request.number;
+    reply.request_id = found->second.request.request_id;
+    reply.outcome = why == reason::not_owner ? wire::forward_outcome::not_owner
+                                             : wire::forward_outcome::not_run;
+    reply.reason = request::to_text(why);
+    reply.retry_after = retry_after;
+    hooks_.on_failure(found->second.request, why, cause);
+    queue_.cancel_queued(id);
+    finish(id, std::move(reply));
+    // A request that was started and is refused here frees its slot.
+    apply(queue_.finish(loop_.now(), id, false));
+}
+
+void gate::finish(dispatch::ticket id, wire::forward_reply reply)
+{
+    auto node = active_.extract(id);
+    tickets_.erase(node.mapped().key);
+    reply.load = static_cast<std::uint32_t>(load());
+    node.mapped().done(std::move(reply));
+}
+
+void gate::cancel(request_key key)
+{
+    const auto found = tickets_.find(key);
+    if (found == tickets_.end()) {
+        return;
+    }
+    const dispatch::ticket id = found->second;
+    const auto entry = active_.extract(id);
+    tickets_.erase(found);
+    if (entry.mapped().sent) {
+        // The slot is free once the connection is closed, see `on_result`.
+        http_.cancel(entry.mapped().call);
+    }
+    else {
+        queue_.cancel_queued(id);
+    }
+}
+
+void gate::on_target()
+{
+    const bool ready = watch_.accepts(loop_.now());
+    queue_.set_slots(ready ? watch_.status().slots : 0);
+    on_tick();
+}
+
+void gate::on_tick()
+{
+    apply(queue_.on_tick(loop_.now()));
+}
+
+void gate::order(const net::http_request& request, milliseconds timeout,
+                 std::function<void(const net::http_result&)> done)
+{
+    orders_.send(target_, request, timeout,
+                 [this, done = std::move(done)](const net::http_result& result) {
+                     const auto now = loop_.now();
+                     if (result.response) {
+                         watch_.on_answer(now);
+                     }
+                     else if (result.failure == net::http_failure::connect ||
+                              result.failure == net::http_failure::not_sent) {
+                         watch_.on_refused(now);
+                     }
+                     else {
+                         watch_.on_no_answer(now);
+                     }
+                     done(result);
+                     hooks_.on_target_changed();
+                 });
+}
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/process.cpp
@@ -0,0 +1,486 @@
+#include "sidecar/process.h"
+
+#include <algorithm>
+#include <unistd.h>
+#include <utility>
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+/// An order that the target did not answer by then is sent again.
+constexpr milliseconds grant_timeout{250};
+/// A release is answered once the target's work on the keys has ended.
+constexpr milliseconds release_timeout{1500};
+/// A peer's connection that acknowledges nothing for this time is closed, so that
+/// one that went silent delays no more than a few requests.
+constexpr milliseconds peer_stall{700};
+/// A client keeps its connection for at most this time between two requests.
+constexpr milliseconds client_idle{60000};
+/// Clients send new work until they have missed two readiness answers.
+constexpr milliseconds stop_notice{2500};
+/// Without a request for this time a stopping node has no clients left.
+constexpr milliseconds stop_quiet{300};
+/// Before the kill, for the exit itself.
+constexpr milliseconds stop_margin{700};
+/// Between two requests for a manifest's text to peers.
+constexpr milliseconds pull_pause{200};
+constexpr milliseconds identity_timeout{1000};
+constexpr milliseconds journal_interval{200};
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) ^ device();
+}
+
+net::peer_limits peer_limits_for_lan()
+{
+    net::peer_limits limits;
+    limits.stall_timeout = peer_stall;
+    return limits;
+}
+
+net::http_response plain(int status, std::string body)
+{
+    return {status, {{"content-type", "application/json"}}, std::move(body)};
+}
+
+} // namespace
+
+process::process(settings values, const platform_protocol& protocol)
+    : settings_(std::move(values)), protocol_(protocol), random_(random_seed()),
+      self_{random_() | 1}, journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
+      watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
+      store_(make_store()), gate_(make_gate()), coordination_(make_coordination()),
+      entry_(make_entry())
+{
+    journal_.set_incarnation(self_);
+    listen();
+}
+
+store_session process::make_store()
+{
+    store_session::hooks hooks;
+    hooks.on_manifest = [this](const std::string& text) { on_manifest(text); };
+    hooks.on_state = [this](bool up, const std::string& cause) {
+        log(up ? "store_regained" : "store_lost", {{"cause", cause}});
+    };
+    return {loop_, settings_.store, protocol_, random_(), std::move(hooks)};
+}
+
+gate process::make_gate()
+{
+    gate::hooks hooks;
+    hooks.may_serve = [this](const std::string& service, std::uint32_t key) {
+        return coordination_.member().may_serve(loop_.now(), service, key);
+    };
+    hooks.on_keyed_request = [this](const std::string& service, std::uint32_t key) {
+        coordination_.on_keyed_request(service, key);
+    };
+    hooks.on_target_changed = [this] { on_target_changed(); };
+    hooks.on_failure = [this](const wire::forward& request, request::reason why,
+                              const std::string& cause) {
+        log("target_request_failed", {{"request", request.request_id},
+                                      {"route", request.route},
+                                      {"key", request.key},
+                                      {"reason", request::to_text(why)},
+                                      {"cause", cause},
+                                      {"target", watch_.status().id},
+                                      {"slots", watch_.status().slots},
+                                      {"load", gate_.load()},
+                                      {"left_ms", request.deadline.count()}});
+    };
+    return {loop_, settings_.target, protocol_, watch_, std::move(hooks)};
+}
+
+coordination process::make_coordination()
+{
+    coordination::hooks hooks;
+    hooks.now = [this] { return loop_.now(); };
+    hooks.defer = [this](std::function<void()> action) { loop_.defer(std::move(action)); };
+    hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
+        send(address, to, content);
+    };
+    hooks.grant = [this](const assignment::grant_order& order) { grant(order); };
+    hooks.release = [this](const assignment::release_order& order) { release(order); };
+    hooks.on_directory = [this] { entry_.on_directory(); };
+    hooks.on_peer_manifest = [this](const std::string& address, std::uint64_t version) {
+        on_peer_manifest(address, version);
+    };
+    hooks.log = [this](std::string_view event, const journal::fields& details) {
+        log(event, details);
+    };
+    return {settings_.times,
+            {self_, settings_.host, net::to_string(settings_.addresses.inner), settings_.zone},
+            store_,
+            random_(),
+            std::move(hooks)};
+}
+
+entry process::make_entry()
+{
+    entry_settings values;
+    values.zone = settings_.zone;
+    values.service = settings_.service;
+    values.repeats.ratio = settings_.bounds.retry_ratio;
+    values.repeats.slack = settings_.bounds.retry_slack;
+    values.repeats.window = settings_.bounds.retry_window;
+    entry::hooks hooks;
+    hooks.self = [this] { return self_; };
+    hooks.member = [this]() -> const assignment::member& { return coordination_.member(); };
+    hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
+        return send(address, to, content);
+    };
+    hooks.run_here = [this](request_key key, wire::forward request, gate::completion done) {
+        gate_.run(key, std::move(request), std::move(done));
+    };
+    hooks.cancel_here = [this](request_key key) { gate_.cancel(key); };
+    hooks.log = [this](std::string_view event, const journal::fields& details) {
+        log(event, details);
+    };
+    hooks.on_answer_time = [this](milliseconds time) { metrics_.answer_time.observe(time); };
+    return {loop_, std::move(values), protocol_, random_(), std::move(hooks)};
+}
+
+void process::listen()
+{
+    transport_ = std::make_unique<net::peer_transport>(
+        loop_, settings_.addresses.inner, [this](const wire::frame& frame) { on_frame(frame); },
+        [this](const std::string& address, std::optional<time_point> unsent_since) {
+            entry_.on_disconnect(address, unsent_since);
+        },
+        peer_limits_for_lan());
+    net::http_server_limits limits;
+    limits.request_timeout = client_idle;
+    request_server_ = std::make_unique<net::http_server>(
+        loop_, settings_.addresses.requests,
+        [this](net::http_exchange exchange) {
+            last_request_ = loop_.now();
+            entry_.on_request(std::move(exchange));
+        },
+        limits);
+    ready_server_ = std::make_unique<net::http_server>(
+        loop_, settings_.addresses.ready,
+        [this](const net::http_exchange& exchange) { on_ready(exchange); });
+    control_server_ = std::make_unique<net::http_server>(
+        loop_, settings_.addresses.control,
+        [this](const net::http_exchange& exchange) { on_control(exchange); });
+    metrics_server_ = std::make_unique<net::http_server>(
+        loop_, settings_.addresses.metrics, [this](const net::http_exchange& exchange) {
+            const auto& member = coordination_.member();
+            sidecar_gauges gauges;
+            gauges.manifest_version = routes_ ? routes_->content().version : 0;
+            gauges.term = member.term();
+            gauges.directory_version = member.view().version;
+            gauges.store_calls = store_.calls();
+            gauges.lines_dropped = journal_.dropped();
+            gauges.target_load = gate_.load();
+            gauges.holds_lease = member.holds_lease(loop_.now());
+            gauges.leads = coordination_.is_leader();
+            gauges.store_up = store_.is_up();
+            exchange.respond({status_ok,
+                              {{"content-type", "text/plain; version=0.0.4"}},
+                              metrics_.text(entry_.counters(), gauges)});
+        });
+}
+
+int process::run()
+{
+    log("started", {{"zone", settings_.zone},
+                    {"service", settings_.service},
+                    {"target", net::to_string(settings_.target)}});
+    loop_.on_signal([this] { on_signal(); });
+    loop_.every(coordination::tick_interval, [this] { on_tick(); });
+    loop_.every(journal_interval, [this] { journal_.flush(loop_.now()); });
+    store_.watch_manifest();
+    coordination_.on_tick();
+    loop_.run();
+    journal_.flush(loop_.now());
+    return 0;
+}
+
+void process::log(std::string_view event, const journal::fields& details)
+{
+    journal_.write(loop_.now(), event, details);
+}
+
+bool process::send(const std::string& address, incarnation_id to, const wire::body& content)
+{
+    return transport_->send(address,
+                            {self_, to, net::to_string(settings_.addresses.inner), content});
+}
+
+void process::on_frame(const wire::frame& frame)
+{
+    if (frame.to && frame.to != self_ && !std::holds_alternative<wire::forward>(frame.content)) {
+        return;
+    }
+    if (const auto* request = std::get_if<wire::forward>(&frame.content)) {
+        on_forward(frame, *request);
+    }
+    else if (const auto* reply = std::get_if<wire::forward_reply>(&frame.content)) {
+        entry_.on_reply(frame.from, *reply);
+    }
+    else if (const auto* cancel = std::get_if<wire::cancel>(&frame.content)) {
+        gate_.cancel({frame.from, cancel->number});
+    }
+    else if (const auto* report = std::get_if<assignment::report>(&frame.content)) {
+        coordination_.on_report(frame, *report);
+    }
+    else if (const auto* answer = std::get_if<assignment::report_reply>(&frame.content)) {
+        coordination_.on_reply(frame, *answer);
+    }
+    else if (const auto* hint = std::get_if<assignment::leader_hint>(&frame.content)) {
+        coordination_.on_hint(*hint);
+    }
+    else if (const auto* update = std::get_if<assignment::directory_update>(&frame.content)) {
+        coordination_.on_update(*update);
+    }
+    else if (const auto* pull = std::get_if<wire::rules_pull>(&frame.content)) {
+        if (routes_ && routes_->content().version >= pull->version) {
+            send(frame.reply_address, frame.from,
+                 wire::rules_text{routes_->content().version, "", manifest_text_, ""});
+        }
+    }
+    else if (const auto* text = std::get_if<wire::rules_text>(&frame.content)) {
+        on_manifest(text->text);
+    }
+}
+
+void process::on_forward(const wire::frame& frame, const wire::forward& request)
+{
+    if (frame.to != self_) {
+        // Meant for an earlier incarnation: this one has not run it.
+        wire::forward_reply reply;
+        reply.number = request.number;
+        reply.request_id = request.request_id;
+        reply.outcome = wire::forward_outcome::not_run;
+        reply.reason = request::to_text(request::reason::no_target);
+        // The sender matches replies by the incarnation that it asked.
+        transport_->send(frame.reply_address,
+                         {frame.to, frame.from, net::to_string(settings_.addresses.inner), reply});
+        return;
+    }
+    gate_.run({frame.from, request.number}, request,
+              [this, to = frame.from, address = frame.reply_address](wire::forward_reply reply) {
+                  send(address, to, std::move(reply));
+              });
+}
+
+void process::on_control(const net::http_exchange& exchange)
+{
+    constexpr int status_bad_request = 400;
+    constexpr int status_not_found = 404;
+    control_call call;
+    try {
+        call = protocol_.parse_control(exchange.request);
+    }
+    catch (const parse_error& failure) {
+        log("heartbeat_unreadable", {{"cause", failure.what()}});
+        exchange.respond(plain(status_bad_request, protocol_.confirmation));
+        return;
+    }
+    const auto now = loop_.now();
+    if (const auto* beat = std::get_if<heartbeat>(&call)) {
+        if (!watch_.on_heartbeat(now, *beat)) {
+            log("heartbeat_ignored", {{"target", beat->target.id},
+                                      {"address", beat->address},
+                                      {"sequence", beat->sequence}});
+        }
+    }
+    else if (const auto* end = std::get_if<deregistration>(&call)) {
+        watch_.on_deregistration(now, end->target_id);
+    }
+    else {
+        exchange.respond(plain(status_not_found, protocol_.confirmation));
+        return;
+    }
+    on_target_changed();
+    exchange.respond(plain(status_ok, protocol_.confirmation));
+}
+
+void process::on_ready(const net::http_exchange& exchange)
+{
+    constexpr int status_unavailable = 503;
+    const bool ready = routes_ && !stopping_since_ && coordination_.member().view().term != 0 &&
+                       exchange.request.path == protocol_.ready_path;
+    exchange.respond(plain(ready ? status_ok : status_unavailable, "{}"));
+}
+
+void process::on_manifest(const std::string& text)
+{
+    if (text == manifest_text_) {
+        return;
+    }
+    routing::manifest content;
+    try {
+        content = protocol_.parse_manifest(text);
+    }
+    catch (const routing::manifest_error& failure) {
+        log("manifest_refused", {{"cause", failure.what()},
+                                 {"in_force", routes_ ? routes_->content().version : 0}});
+        return;
+    }
+    if (routes_ && content.version <= routes_->content().version) {
+        return;
+    }
+    std::set<std::string> sharded;
+    for (const auto& service : content.services) {
+        if (service.sharded) {
+            sharded.insert(service.name);
+        }
+    }
+    const auto version = content.version;
+    log("manifest_applied", {{"version", version},
+                             {"routes", content.routes.size()},
+                             {"from", routes_ ? routes_->content().version : 0}});
+    routes_ = std::make_shared<routing::route_index>(std::move(content));
+    manifest_text_ = text;
+    entry_.set_manifest(routes_);
+    coordination_.set_manifest(version, std::move(sharded));
+    ask_identity();
+}
+
+void process::on_peer_manifest(const std::string& address, std::uint64_t version)
+{
+    const auto now = loop_.now();
+    const std::uint64_t own = routes_ ? routes_->content().version : 0;
+    if (version > own && now >= next_pull_) {
+        next_pull_ = now + pull_pause;
+        send(address, {}, wire::rules_pull{version});
+    }
+}
+
+// A target that was there before this process tells its id with a health answer,
+// sooner than with its next heartbeat.
+void process::ask_identity()
+{
+    const auto* service = routes_ ? routes_->find_service(settings_.service) : nullptr;
+    if (service == nullptr || !watch_.status().id.empty() || std::exchange(asked_identity_, true)) {
+        return;
+    }
+    gate_.order({"GET", service->health_path, {}, ""}, identity_timeout,
+                [this](const net::http_result& result) {
+                    if (!result.response || result.response->status != status_ok) {
+                        return;
+                    }
+                    const auto& headers = result.response->headers;
+                    const auto id = net::find_header(headers, protocol_.names.target_id);
+                    const auto load = net::find_header(headers, protocol_.names.load);
+                    const auto slots = load ? load->substr(load->rfind(',') + 1) : "";
+                    const auto count = std::strtoul(std::string(slots).c_str(), nullptr, 10);
+                    if (id && count > 0) {
+                        watch_.on_identity(loop_.now(), std::string(*id),
+                                           static_cast<std::uint32_t>(count));
+                        on_target_changed();
+                    }
+                });
+}
+
+void process::grant(const assignment::grant_order& order)
+{
+    gate_.order(protocol_.grant(order), grant_timeout,
+                [this, order](const net::http_result& result) {
+                    auto outcome = assignment::order_outcome::unknown;
+                    const int status = result.response ? result.response->status : 0;
+                    if (status == status_ok) {
+                        outcome = assignment::order_outcome::done;
+                    }
+                    else if (status == status_conflict) {
+                        outcome = assignment::order_outcome::refused;
+                    }
+                    if (outcome != assignment::order_outcome::done) {
+                        log("grant_failed", {{"first", order.first},
+                                             {"last", order.last},
+                                             {"fence", order.stamp.value},
+                                             {"status", status}});
+                    }
+                    coordination_.on_grant_result(order.id, outcome);
+                });
+}
+
+void process::release(const assignment::release_order& order)
+{
+    gate_.order(protocol_.release(order), release_timeout,
+                [this, order](const net::http_result& result) {
+                    const bool done = result.response && result.response->status == status_ok;
+                    std::string handover;
+                    if (done) {
+                        handover = net::find_header(result.response->headers,
+                                                    protocol_.names.handover)
+                                       .value_or("");
+                    }
+                    log("released", {{"first", order.first},
+                                     {"last", order.last},
+                                     {"fence", order.stamp.value},
+                                     {"confirmed", done},
+                                     {"handover", !handover.empty()}});
+                    coordination_.on_release_result(order.id,
+                                                    done ? assignment::order_outcome::done
+                                                         : assignment::order_outcome::unknown,
+                                                    std::move(handover));
+                });
+}
+
+void process::on_target_changed()
+{
+    const bool accepts = watch_.accepts(loop_.now());
+    if (watch_.changes() == seen_changes_ && accepts == accepted_before_) {
+        return;
+    }
+    seen_changes_ = watch_.changes();
+    accepted_before_ = accepts;
+    const auto& status = watch_.status();
+    log("target_changed", {{"target", status.id},
+                           {"born", status.born},
+                           {"slots", status.slots},
+                           {"phase", static_cast<int>(status.phase)},
+                           {"accepts", accepts}});
+    gate_.on_target();
+    coordination_.on_target(status);
+}
+
+void process::on_tick()
+{
+    on_target_changed();
+    gate_.on_tick();
+    coordination_.set_mean_work(gate_.mean_work());
+    coordination_.on_tick();
+    entry_.on_tick();
+    if (stopping_since_) {
+        finish_when_idle();
+    }
+}
+
+void process::on_signal()
+{
+    if (stopping_since_) {
+        return;
+    }
+    stopping_since_ = loop_.now();
+    log("stopping", {{"pending", entry_.pending()}, {"running", gate_.active()}});
+    coordination_.leave();
+}
+
+void process::finish_when_idle()
+{
+    const auto now = loop_.now();
+    const auto elapsed = now - *stopping_since_;
+    const bool idle = entry_.pending() == 0 && gate_.active() == 0 &&
+                      now - last_request_ >= stop_quiet &&
+                      coordination_.member().is_empty(now);
+    if ((elapsed >= stop_notice && idle) || elapsed >= settings_.bounds.grace - stop_margin) {
+        log("stopped", {{"pending", entry_.pending()}, {"running", gate_.active()}});
+        loop_.stop();
+    }
+}
+
+int run_sidecar(const std::string& file, const platform_protocol& protocol)
+{
+    return process(load_settings(file), protocol).run();
+}
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/process.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/// The parts of one sidecar process and how they are connected.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "net/http.h"
+#include "net/loop.h"
+#include "net/peer_transport.h"
+#include "sidecar/coordination.h"
+#include "sidecar/entry.h"
+#include "sidecar/gate.h"
+#include "sidecar/journal.h"
+#include "sidecar/protocol.h"
+#include "sidecar/settings.h"
+#include "sidecar/sidecar_metrics.h"
+#include "sidecar/store_session.h"
+#include "sidecar/target_watch.h"
+
+namespace bulrushgw::sidecar {
+
+/// Not thread-safe: runs on one loop.
+class process {
+public:
+    /// Binds all addresses. Throws `net::listen_error`. `protocol` must outlive
+    /// this object.
+    process(settings values, const platform_protocol& protocol);
+
+    /// Runs until a planned stop is complete. Returns the exit code.
+    int run();
+
+private:
+    store_session make_store();
+    gate make_gate();
+    coordination make_coordination();
+    entry make_entry();
+    void listen();
+
+    void on_frame(const wire::frame& frame);
+    void on_forward(const wire::frame& frame, const wire::forward& request);
+    bool send(const std::string& address, incarnation_id to, const wire::body& content);
+    void on_control(const net::http_exchange& exchange);
+    void on_ready(const net::http_exchange& exchange);
+    void on_manifest(const std::string& text);
+    void on_peer_manifest(const std::string& address, std::uint64_t version);
+    void grant(const assignment::grant_order& order);
+    void release(const assignment::release_order& order);
+    void ask_identity();
+    void on_target_changed();
+    void on_tick();
+    void on_signal();
+    void finish_when_idle();
+    void log(std::string_view event, const journal::fields& details);
+
+    settings settings_;
+    const platform_protocol& protocol_;
+    net::loop loop_;
+    std::mt19937_64 random_;
+    incarnation_id self_;
+    journal journal_;
+    sidecar_metrics metrics_;
+    target_watch watch_;
+    store_session store_;
+    gate gate_;
+    coordination coordination_;
+    entry entry_;
+    std::unique_ptr<net::peer_transport> transport_;
+    std::unique_ptr<net::http_server> request_server_;
+    std::unique_ptr<net::http_server> ready_server_;
+    std::unique_ptr<net::http_server> control_server_;
+    std::unique_ptr<net::http_server> metrics_server_;
+    std::shared_ptr<const routing::route_index> routes_;
+    std::string manifest_text_;
+    std::uint64_t seen_changes_ = 0;
+    assignment::target_phase seen_phase_ = assignment::target_phase::absent;
+    bool accepted_before_ = false;
+    std::optional<time_point> stopping_since_;
+    time_point last_request_{};
+    time_point next_pull_{};
+    bool asked_identity_ = false;
+};
+
+/// Runs a sidecar with the settings of `file` until it is told to stop. Returns
+/// the exit code. Throws `settings_error` and `net::listen_error`.
+int run_sidecar(const std::string& file, const platform_protocol& protocol);
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/settings.cpp
@@ -0,0 +1,123 @@
+#include "sidecar/settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+using nlohmann::json;
+
+/// Looks fields up by their path, such as "bounds.drain_ms".
+class field_reader {
+public:
+    field_reader(std::string file, json root) : file_(std::move(file)), root_(std::move(root)) {}
+
+    [[nodiscard]] std::string text(const std::string& path) const
+    {
+        const json& value = find(path, "a non-empty string");
+        if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
+            fail(path, "a non-empty string");
+        }
+        return value.get<std::string>();
+    }
+
+    [[nodiscard]] net::endpoint address(const std::string& path) const
+    {
+        try {
+            return net::parse_endpoint(text(path));
+        }
+        catch (const net::address_error&) {
+            fail(path, "an address such as 10.0.0.1:8080");
+        }
+    }
+
+    [[nodiscard]] double number(const std::string& path, double least) const
+    {
+        const std::string expected = "a number of at least " + std::to_string(least);
+        const json& value = find(path, expected);
+        if (!value.is_number() || value.get<double>() < least) {
+            fail(path, expected);
+        }
+        return value.get<double>();
+    }
+
+    [[nodiscard]] milliseconds time_ms(const std::string& path) const
+    {
+        return milliseconds{static_cast<milliseconds::rep>(number(path, 0))};
+    }
+
+    [[nodiscard]] milliseconds time_s(const std::string& path) const
+    {
+        constexpr double ms_per_s = 1000;
+        return milliseconds{static_cast<milliseconds::rep>(number(path, 0) * ms_per_s)};
+    }
+
+private:
+    [[nodiscard]] const json& find(const std::string& path, const std::string& expected) const
+    {
+        const json* at = &root_;
+        std::istringstream parts(path);
+        for (std::string part; std::getline(parts, part, '.');) {
+            if (!at->is_object() || !at->contains(part)) {
+                fail(path, expected);
+            }
+            at = &at->at(part);
+        }
+        return *at;
+    }
+
+    [[noreturn]] void fail(const std::string& path, const std::string& expected) const
+    {
+        throw settings_error(file_ + ": field \"" + path + "\": expected " + expected);
+    }
+
+    std::string file_;
+    json root_;
+};
+
+} // namespace
+
+settings parse_settings(const std::string& file, const std::string& text)
+{
+    json root = json::parse(text, nullptr, false);
+    if (!root.is_object()) {
+        throw settings_error(file + ": expected one JSON object");
+    }
+    const field_reader fields(file, std::move(root));
+    settings result;
+    result.host = fields.text("host");
+    result.zone = fields.text("zone");
+    result.service = fields.text("service");
+    result.target = fields.address("target");
+    result.store = fields.address("store");
+    result.addresses.requests = fields.address("addresses.requests");
+    result.addresses.ready = fields.address("addresses.ready");
+    result.addresses.control = fields.address("addresses.control");
+    result.addresses.inner = fields.address("addresses.inner");
+    result.addresses.metrics = fields.address("addresses.metrics");
+    result.bounds.drain = fields.time_ms("bounds.drain_ms");
+    result.bounds.grace = fields.time_s("bounds.grace_s");
+    result.bounds.longest_hold = fields.time_ms("bounds.longest_hold_ms");
+    result.bounds.retry_ratio = fields.number("bounds.retry_ratio", 0);
+    result.bounds.retry_slack = fields.number("bounds.retry_slack", 0);
+    result.bounds.retry_window = fields.time_s("bounds.retry_window_s");
+    result.times.lease = std::min(result.times.lease, result.bounds.longest_hold);
+    return result;
+}
+
+settings load_settings(const std::string& file)
+{
+    std::ifstream input(file);
+    std::ostringstream text;
+    text << input.rdbuf();
+    if (!input) {
+        throw settings_error(file + ": cannot be read");
+    }
+    return parse_settings(file, text.str());
+}
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -0,0 +1,71 @@
+#include "sidecar/sidecar_metrics.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+template <typename Value>
+void add(std::ostream& out, const char* name, const char* kind, Value value)
+{
+    out << "# TYPE bulrushgw_" << name << ' ' << kind << "\nbulrushgw_" << name << ' ' << value
+        << '\n';
+}
+
+} // namespace
+
+void latency_histogram::observe(milliseconds time)
+{
+    const auto at = std::lower_bound(bounds_ms.begin(), bounds_ms.end(), time.count());
+    ++counts_[static_cast<std::size_t>(at - bounds_ms.begin())];
+    sum_s_ += std::chrono::duration<double>(time).count();
+}
+
+std::string latency_histogram::text(const std::string& name) const
+{
+    constexpr double ms_per_s = 1000;
+    std::ostringstream out;
+    out << "# TYPE " << name << " histogram\n";
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < counts_.size(); ++i) {
+        total += counts_[i];
+        out << name << "_bucket{le=\"";
+        if (i < bounds_ms.size()) {
+            out << static_cast<double>(bounds_ms[i]) / ms_per_s;
+        }
+        else {
+            out << "+Inf";
+        }
+        out << "\"} " << total << '\n';
+    }
+    out << name << "_sum " << sum_s_ << '\n' << name << "_count " << total << '\n';
+    return out.str();
+}
+
+std::string sidecar_metrics::text(const entry_counters& requests,
+                                  const sidecar_gauges& gauges) const
+{
+    std::ostringstream out;
+    add(out, "requests_total", "counter", requests.requests);
+    add(out, "requests_answered_total", "counter", requests.answered);
+    add(out, "requests_refused_total", "counter", requests.refused);
+    add(out, "requests_unknown_total", "counter", requests.unknown);
+    add(out, "requests_timed_out_total", "counter", requests.timed_out);
+    add(out, "requests_abandoned_total", "counter", requests.left);
+    add(out, "request_repeats_total", "counter", requests.repeats);
+    add(out, "foreign_replies_total", "counter", requests.foreign_replies);
+    add(out, "store_calls_total", "counter", gauges.store_calls);
+    add(out, "log_lines_dropped_total", "counter", gauges.lines_dropped);
+    add(out, "manifest_version", "gauge", gauges.manifest_version);
+    add(out, "term", "gauge", gauges.term);
+    add(out, "directory_version", "gauge", gauges.directory_version);
+    add(out, "target_load", "gauge", gauges.target_load);
+    add(out, "holds_lease", "gauge", gauges.holds_lease ? 1 : 0);
+    add(out, "leads", "gauge", gauges.leads ? 1 : 0);
+    add(out, "store_up", "gauge", gauges.store_up ? 1 : 0);
+    return out.str() + answer_time.text("bulrushgw_answer_seconds");
+}
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_metrics.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/// Counters and latency histograms of a sidecar, in the Prometheus text format.
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "common/boot_clock.h"
+#include "sidecar/entry.h"
+
+namespace bulrushgw::sidecar {
+
+/// Requests by the time until their answer. Bounds are inclusive.
+class latency_histogram {
+public:
+    static constexpr std::array<std::int64_t, 12> bounds_ms{5,   10,  25,   50,   100,  150,
+                                                            250, 500, 1000, 2000, 5000, 10000};
+
+    void observe(milliseconds time);
+    [[nodiscard]] std::string text(const std::string& name) const;
+
+private:
+    std::array<std::uint64_t, bounds_ms.size() + 1> counts_{};
+    double sum_s_ = 0;
+};
+
+/// State at the moment of a question.
+struct sidecar_gauges {
+    std::uint64_t manifest_version = 0;
+    std::uint64_t term = 0;
+    std::uint64_t directory_version = 0;
+    std::uint64_t store_calls = 0;
+    std::uint64_t lines_dropped = 0;
+    std::uint64_t target_load = 0;
+    bool holds_lease = false;
+    bool leads = false;
+    bool store_up = false;
+};
+
+struct sidecar_metrics {
+    latency_histogram answer_time;
+
+    [[nodiscard]] std::string text(const entry_counters& requests,
+                                   const sidecar_gauges& gauges) const;
+};
+
+} // namespace bulrushgw::sidecar
--- /dev/null
+++ b/src/sidecar/store_session.cpp
@@ -0,0 +1,179 @@
+#include "sidecar/store_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+/// For one read or write. A slow store takes about 0.7 s for a write.
+constexpr milliseconds call_timeout{1000};
+/// Time that the store may hold a watch back. A connection that went silent shows
+/// only afterwards; peers tell of a new manifest meanwhile.
+constexpr milliseconds watch_wait{5000};
+/// Pause after a failed call, doubled up to the longest; each with jitter, so that
+/// the nodes do not return to the store in one wave.
+constexpr milliseconds first_pause{100};
+constexpr unsigned max_doublings = 3;
+/// The watch, the record and the read of a manifest, each on its own connection.
+constexpr std::size_t max_connections = 4;
+constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
+
+} // namespace
+
+store_session::store_session(net::loop& loop, net::endpoint address,
+                             const platform_protocol& protocol, std::uint64_t seed, hooks with)
+    : loop_(loop), address_(std::move(address)), protocol_(protocol), random_(seed),
+      hooks_(std::move(with)), http_(loop, max_connections, max_answer_bytes)
+{
+}
+
+void store_session::set_state(bool up, const std::string& cause)
+{
+    if (std::exchange(up_, up) != up) {
+        hooks_.on_state(up, cause);
+    }
+}
+
+void store_session::call(const net::http_request& request, milliseconds timeout,
+                         std::function<void(store_outcome, const net::http_response*)> done)
+{
+    ++calls_;
+    http_.send(address_, request, timeout,
+               [this, done = std::move(done)](const net::http_result& result) {
+                   if (!result.response) {
+                       const bool sent = result.failure != net::http_failure::connect &&
+                                         result.failure != net::http_failure::not_sent;
+                       set_state(false, sent ? "no answer" : "no connection");
+                       done(sent ? store_outcome::unknown : store_outcome::unavailable, nullptr);
+                       return;
+                   }
+                   const int status = result.response->status;
+                   if (status == 200) {
+                       set_state(true, "answered");
+                       done(store_outcome::done, &*result.response);
+                   }
+                   else if (status == protocol_.conflict_status) {
+                       set_state(true, "answered");
+                       done(store_outcome::conflict, &*result.response);
+                   }
+                   else {
+                       // Refusals carry nothing out.
+                       set_state(false, "status " + std::to_string(status));
+                       done(store_outcome::unavailable, &*result.response);
+                   }
+               });
+}
+
+void store_session::read_leader(std::function<void(store_outcome, const stored_row&)> done)
+{
+    call(protocol_.read_leader(), call_timeout,
+         [this, done = std::move(done)](store_outcome outcome, const net::http_response* answer) {
+             stored_row row;
+             if (outcome == store_outcome::done) {
+                 try {
+                     row = protocol_.parse_row(answer->body);
+                 }
+                 catch (const store_format_error& failure) {
+                     set_state(false, failure.what());
+                     outcome = store_outcome::unavailable;
+                 }
+             }
+             done(outcome, row);
+         });
+}
+
+void store_session::write_leader(std::uint64_t expected, const std::string& value,
+                                 std::function<void(store_outcome, std::uint64_t)> done)
+{
+    call(protocol_.write_leader(expected, value), call_timeout,
+         [this, done = std::move(done)](store_outcome outcome, const net::http_response* answer) {
+             std::uint64_t version = 0;
+             if (outcome == store_outcome::done) {
+                 try {
+                     version = protocol_.parse_version(answer->body);
+                 }
+                 catch (const store_format_error& failure) {
+                     set_state(false, failure.what());
+                     outcome = store_outcome::unknown;
+                 }
+             }
+             done(outcome, version);
+         });
+}
+
+void store_session::watch_manifest()
+{
+    read_manifest();
+}
+
+void store_session::read_manifest()
+{
+    call(protocol_.read_manifest(), call_timeout,
+         [this](store_outcome outcome, const net::http_response* answer) {
+             if (outcome != store_outcome::done) {
+                 retry_later([this] { read_manifest(); });
+                 return;
+             }
+             try {
+                 const stored_row row = protocol_.parse_row(answer->body);
+                 watched_to_ = protocol_.parse_version(answer->body);
+                 failures_ = 0;
+                 if (row.version != 0) {
+                     hooks_.on_manifest(row.value);
+                 }
+             }
+             catch (const store_format_error& failure) {
+                 set_state(false, failure.what());
+                 retry_later([this] { read_manifest(); });
+                 return;
+             }
+             continue_watch();
+         });
+}
+
+void store_session::continue_watch()
+{
+    const auto wait = watch_wait;
+    call(protocol_.watch_manifest(watched_to_, wait), wait + call_timeout,
+         [this](store_outcome outcome, const net::http_response* answer) {
+             if (outcome != store_outcome::done) {
+                 const bool lost = answer != nullptr &&
+                                   answer->status == protocol_.history_lost_status;
+                 if (lost) {
+                     read_manifest();
+                 }
+                 else {
+                     retry_later([this] { read_manifest(); });
+                 }
+                 return;
+             }
+             try {
+                 const feed_page page = protocol_.parse_feed(answer->body);
+                 watched_to_ = std::max(watched_to_, page.next);
+                 failures_ = 0;
+                 for (const auto& row : page.rows) {
+                     if (row.version != 0) {
+                         hooks_.on_manifest(row.value);
+                     }
+                 }
+             }
+             catch (const store_format_error& failure) {
+                 set_state(false, failure.what());
+                 retry_later([this] { read_manifest(); });
+                 return;
+             }
+             continue_watch();
+         });
+}
+
+void store_session::retry_later(std::function<void()> action)
+{
+    const auto longest = first_pause * (1U << std::min(failures_, max_doublings));
+    ++failures_;
+    std::uniform_int_distribution<milliseconds::rep> pause(longest.count() / 2, longest.count());
+    loop_.after(milliseconds{pause(random_)}, std::move(action));
+}
+
+} // namespace bulrushgw::sidecar
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -45,14 +45,29 @@
 BULRUSHGW_FIELDS(ownership::gossip, m.items)
 BULRUSHGW_FIELDS(ownership::digest, m.members, m.placements, m.certificates, m.adoptions, m.rules,
                  m.reply_wanted, m.requests_per_second)
-BULRUSHGW_FIELDS(forward, m.number, m.service, m.range, m.key, m.request_id, m.attempt,
-                 m.idempotent, m.worth, m.deadline, m.method, m.path, m.headers, m.body)
-BULRUSHGW_FIELDS(forward_reply, m.number, m.request_id, m.outcome, m.reason, m.version, m.status,
-                 m.headers, m.body)
+BULRUSHGW_FIELDS(forward, m.number, m.service, m.route, m.range, m.key, m.request_id, m.attempt,
+                 m.idempotent, m.worth, m.deadline, m.aim, m.method, m.path, m.headers, m.body)
+BULRUSHGW_FIELDS(forward_reply, m.number, m.request_id, m.outcome, m.reason, m.version, m.load,
+                 m.retry_after, m.status, m.headers, m.body)
 BULRUSHGW_FIELDS(cancel, m.number)
 BULRUSHGW_FIELDS(rules_pull, m.version)
 BULRUSHGW_FIELDS(rules_text, m.version, m.digest, m.text, m.record)
 BULRUSHGW_FIELDS(protocol_failure, m.reason)
+BULRUSHGW_FIELDS(assignment::target_status, m.id, m.born, m.service, m.slots, m.phase)
+BULRUSHGW_FIELDS(assignment::holding, m.service, m.first, m.last, m.stamp)
+BULRUSHGW_FIELDS(assignment::released_keys, m.service, m.first, m.last, m.stamp, m.handover)
+BULRUSHGW_FIELDS(assignment::key_load, m.service, m.counts)
+BULRUSHGW_FIELDS(assignment::report, m.term, m.sequence, m.echo, m.host, m.address, m.zone,
+                 m.target, m.holdings, m.released, m.directory_version, m.manifest_version,
+                 m.loads, m.mean_work_us, m.leaving)
+BULRUSHGW_FIELDS(assignment::node_record, m.node, m.host, m.address, m.zone, m.target)
+BULRUSHGW_FIELDS(assignment::segment, m.service, m.first, m.last, m.owner, m.target, m.stamp,
+                 m.handover, m.releasing)
+BULRUSHGW_FIELDS(assignment::directory, m.term, m.version, m.leader, m.nodes, m.segments)
+BULRUSHGW_FIELDS(assignment::report_reply, m.term, m.sequence, m.stamp, m.leased, m.superseded,
+                 m.directory_version, m.manifest_version, m.content)
+BULRUSHGW_FIELDS(assignment::leader_hint, m.term, m.leader, m.address)
+BULRUSHGW_FIELDS(assignment::directory_update, m.content)
 
 #undef BULRUSHGW_FIELDS
 
@@ -68,6 +83,9 @@
 inline constexpr std::uint64_t last_value<ownership::member_state> =
     static_cast<std::uint64_t>(ownership::member_state::ended);
 template <>
+inline constexpr std::uint64_t last_value<assignment::target_phase> =
+    static_cast<std::uint64_t>(assignment::target_phase::draining);
+template <>
 inline constexpr std::uint64_t
     last_value<forward_outcome> = static_cast<std::uint64_t>(forward_outcome::not_owner);
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -13,6 +13,7 @@
 #include "common/boot_clock.h"
 #include "common/errors.h"
 #include "common/ids.h"
+#include "assignment/types.h"
 #include "ownership/messages.h"
 
 namespace bulrushgw::wire {
@@ -31,7 +32,7 @@
     using frame_error::frame_error;
 };
 
-inline constexpr std::uint8_t protocol_version = 1;
+inline constexpr std::uint8_t protocol_version = 2;
 /// Bytes of the length that precedes each frame.
 inline constexpr std::size_t length_bytes = 4;
 /// Upper bound on the bytes after the length.
@@ -48,6 +49,7 @@
 struct forward {
     std::uint64_t number = 0; ///< unique for the sender's incarnation
     std::string service;
+    std::string route; ///< name of the route; requests of one route take similar time
     range_id range;
     std::string key;
     std::string request_id;
@@ -55,6 +57,7 @@
     bool idempotent = false;
     std::uint32_t worth = 1;
     milliseconds deadline{0}; ///< time left when the frame was written
+    milliseconds aim{0};      ///< time left in which an answer is worth most
     std::string method;
     std::string path;
     header_pairs headers;
@@ -69,6 +72,8 @@
     forward_outcome outcome = forward_outcome::unknown;
     std::string reason;
     placement_version version; ///< with not_owner: what the answering node has
+    std::uint32_t load = 0;    ///< requests at the target, running and queued
+    milliseconds retry_after{0}; ///< with not_run: when there will be room
     int status = 0;
     header_pairs headers;
     std::string body;
@@ -96,7 +101,9 @@
 };
 
 using body = std::variant<ownership::message, forward, forward_reply, cancel, rules_pull,
-                          rules_text, protocol_failure>;
+                          rules_text, protocol_failure, assignment::report,
+                          assignment::report_reply, assignment::leader_hint,
+                          assignment::directory_update>;
 
 /// `to` none: the sender knows only the address. A receiver with another
 /// incarnation drops frames that name one, except for forwards, which it
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -47,6 +47,43 @@
              rules_stamp{12, "abc"}}};
 }
 
+assignment::target_status sample_target()
+{
+    return {"i-1", 1700000000000, "catalogue", 12, assignment::target_phase::draining};
+}
+
+assignment::directory sample_directory()
+{
+    assignment::directory content;
+    content.term = 3;
+    content.version = 12;
+    content.leader = first;
+    content.nodes = {{second, "host-b", "127.0.0.1:7002", "zone-a", sample_target()}};
+    content.segments = {
+        {"catalogue", 0, 65535, second, "i-1", fence{(3ULL << 24) | 1}, "token", true}};
+    return content;
+}
+
+assignment::report sample_report()
+{
+    assignment::report body;
+    body.term = 3;
+    body.sequence = 9;
+    body.echo = 1700;
+    body.host = "host-a";
+    body.address = "127.0.0.1:7001";
+    body.zone = "zone-a";
+    body.target = sample_target();
+    body.holdings = {{"catalogue", 0, 99, fence{5}}};
+    body.released = {{"catalogue", 100, 199, fence{6}, "token"}};
+    body.directory_version = 12;
+    body.manifest_version = 7;
+    body.loads = {{"catalogue", {{17, 3}, {65535, 1}}}};
+    body.mean_work_us = 60000;
+    body.leaving = true;
+    return body;
+}
+
 } // namespace
 
 std::vector<frame> samples()
@@ -62,6 +99,7 @@
         message{digest{1, 2, 3, ~0ULL, {7, "d"}, true}},
         forward{1,
                 "catalogue",
+                "lookup",
                 range_id{3},
                 "mould-7",
                 "r-1",
@@ -69,6 +107,7 @@
                 true,
                 5,
                 milliseconds{800},
+                milliseconds{250},
                 "POST",
                 "/moulds/7",
                 {{"accept", "*/*"}, {"x", ""}},
@@ -78,6 +117,8 @@
                       forward_outcome::not_owner,
                       "moved",
                       placement_version{4},
+                      9,
+                      milliseconds{120},
                       503,
                       {{"a", "b"}},
                       "body"},
@@ -85,6 +126,10 @@
         rules_pull{5},
         rules_text{5, "digest", "text", "{}"},
         protocol_failure{"unknown-version"},
+        sample_report(),
+        assignment::report_reply{3, 9, 1700, true, false, 12, 7, {sample_directory()}},
+        assignment::leader_hint{3, first, "127.0.0.1:7002"},
+        assignment::directory_update{sample_directory()},
     };
     std::vector<frame> result;
     for (const auto& content : contents) {
