--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -16,7 +16,9 @@
 constexpr double most_speed = 2.5;
 /// Members that start together take part in the first assignment, whose keys no
 /// target holds yet.
-constexpr milliseconds first_assignment_delay{1500};
+constexpr milliseconds first_assignment_delay{1200};
+/// They are not waited for beyond this time.
+constexpr milliseconds longest_first_delay{5000};
 /// Decay runs over all keys, so not for each report.
 constexpr milliseconds decay_interval{500};
 
@@ -49,6 +51,7 @@
     view_.leader = self_.node;
     if (!start_.previous) {
         was_empty_start_ = true;
+        first_assignment_ = start_.claimed + first_assignment_delay;
         old_leader_over_ = start_.claimed;
     }
     // The process that led before ran on this host, and a host runs one at a time.
@@ -99,6 +102,10 @@
     if (is_new) {
         accept_holdings(from, body);
     }
+    if (was_empty_start_ && before.id.empty() && !body.target.id.empty()) {
+        first_assignment_ = std::min(now + first_assignment_delay,
+                                     start_.claimed + longest_first_delay);
+    }
     match_target(from, new_life);
     for (const auto& keys : body.released) {
         accept_released(keys, from);
@@ -457,7 +464,7 @@
         return;
     }
     const auto owners = candidates(service);
-    if (owners.empty() || (was_empty_start_ && now - start_.claimed < first_assignment_delay)) {
+    if (owners.empty() || (was_empty_start_ && now < first_assignment_)) {
         return;
     }
     const auto& keys = loads_[service];
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -128,6 +128,7 @@
     time_point last_decay_;
     time_point next_balance_;
     bool was_empty_start_ = false;
+    time_point first_assignment_{}; ///< at an empty start, not before this
 };
 
 } // namespace bulrushgw::assignment
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include <cstring>
 #include <deque>
 #include <map>
+#include <poll.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -86,6 +87,7 @@
         h2o_http1client_t* client = nullptr; ///< null when h2o holds no connection
         std::uint64_t timer = 0;
         http_response response;
+        bool ends_with_connection = false; ///< the answer has no length
         callback on_result;
         std::function<bool()> before_write;
         std::function<bool(const http_response&)> accept_head;
@@ -120,6 +122,7 @@
     void fail(call& entry, http_failure failure) { finish(entry, {std::nullopt, failure}); }
     void abort(call& entry, http_failure after_write);
     bool append_body(call& entry);
+    static bool was_reset(h2o_http1client_t* client);
     static bool accepts_head(const call& entry);
     void start_size_check();
     void check_sizes();
@@ -275,6 +278,8 @@
         entry.response.headers.push_back(
             {{from.name->base, from.name->len}, {from.value.base, from.value.len}});
     }
+    entry.ends_with_connection = !find_header(entry.response.headers, "content-length") &&
+                                 !find_header(entry.response.headers, "transfer-encoding");
     if (bytes > max_head_bytes) {
         entry.owner->fail(entry, http_failure::malformed);
         return nullptr;
@@ -338,9 +343,21 @@
     return true;
 }
 
+// h2o takes any end of a connection for the end of an answer without a length. A
+// connection that was reset is closed in both directions, one that ended is not.
+bool http_client::state::was_reset(h2o_http1client_t* client)
+{
+    pollfd state{h2o_socket_get_fd(client->sock), POLLIN, 0};
+    return poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 int http_client::state::on_body(h2o_http1client_t* client, const char* failure)
 {
     auto& entry = *static_cast<call*>(client->data);
+    if (failure != nullptr && is_end(failure) && entry.ends_with_connection && was_reset(client)) {
+        entry.owner->fail(entry, http_failure::closed);
+        return -1;
+    }
     if (failure != nullptr && !is_end(failure)) {
         entry.owner->fail(entry, http_failure::closed);
         return -1;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <map>
+#include <string_view>
 #include <unistd.h>
 #include <unordered_map>
 #include <utility>
@@ -55,6 +56,7 @@
     timer_id next_timer = 1;
     bool stopped = false;
     std::function<void()> signal_action;
+    std::function<void()> hangup_action;
     h2o_socket_t* signal_socket = nullptr;
 
     void add(timer_id id, time_point at, timer entry)
@@ -218,8 +220,14 @@
     state_->signal_socket->data = state_.get();
     h2o_socket_read_start(state_->signal_socket, [](h2o_socket_t* socket, const char*) {
         auto* self = static_cast<state*>(socket->data);
+        const std::string_view signals(socket->input->bytes, socket->input->size);
+        if (signals.find(static_cast<char>(SIGHUP)) != std::string_view::npos) {
+            self->deferred.push_back(self->hangup_action);
+        }
+        if (signals.find_first_not_of(static_cast<char>(SIGHUP)) != std::string_view::npos) {
+            self->deferred.push_back(self->signal_action);
+        }
         h2o_buffer_consume(&socket->input, socket->input->size);
-        self->deferred.push_back(self->signal_action);
     });
     struct sigaction handler = {};
     handler.sa_handler = forward_signal;
@@ -227,6 +235,14 @@
     sigaction(SIGINT, &handler, nullptr);
 }
 
+void loop::on_hangup(std::function<void()> action)
+{
+    state_->hangup_action = std::move(action);
+    struct sigaction handler = {};
+    handler.sa_handler = forward_signal;
+    sigaction(SIGHUP, &handler, nullptr);
+}
+
 time_point loop::now() const
 {
     return boot_clock::now();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -48,6 +48,10 @@
     /// loop of a process can watch signals at a time; throws `error` otherwise.
     void on_signal(std::function<void()> action);
 
+    /// Calls `action` on the loop each time SIGHUP arrives. Precondition:
+    /// `on_signal` was called before.
+    void on_hangup(std::function<void()> action);
+
     /// Current time, read anew on each call.
     [[nodiscard]] time_point now() const;
 
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -66,6 +66,21 @@
 {
 }
 
+void entry::set_repeats(const dispatch::allowance_settings& repeats)
+{
+    settings_.repeats = repeats;
+    on_directory();
+}
+
+void entry::end_all()
+{
+    while (!pending_.empty()) {
+        auto& request = pending_.begin()->second;
+        cancel_sent(request);
+        refuse(request, reason::shut_down, default_retry_after, "the node stops");
+    }
+}
+
 void entry::set_manifest(std::shared_ptr<const routing::route_index> routes)
 {
     routes_ = std::move(routes);
@@ -108,9 +123,10 @@
     const auto& names = protocol_.names;
     const auto& headers = exchange.request.headers;
     const std::string request_id(net::find_header(headers, names.request_id).value_or(""));
-    if (!routes_) {
+    if (!routes_ || closed_) {
         ++counters_.refused;
-        auto response = own_answer(request_id, 503, "no manifest is known yet");
+        auto response = own_answer(request_id, 503,
+                                   closed_ ? "the node stops" : "no manifest is known yet");
         response.headers.push_back({names.retry_after, seconds_text(default_retry_after)});
         exchange.respond(std::move(response));
         return;
@@ -365,6 +381,13 @@
         return;
     }
     request.avoid.push_back(request.node);
+    // A target that refused has seen the request, and another one would see it too:
+    // that is a repeat. A refusal of its node is not.
+    const bool seen = why == reason::target_refused;
+    if (seen && !repeats_[request.service].try_spend(loop_.now())) {
+        refuse(request, why, reply.retry_after, "no repeat is left for the service");
+        return;
+    }
     if (request.tries >= max_tries) {
         refuse(request, why, reply.retry_after, "several targets refused");
         return;
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -60,6 +60,11 @@
     entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
           std::uint64_t seed, hooks with);
 
+    void set_repeats(const dispatch::allowance_settings& repeats);
+    /// From now on new requests are refused.
+    void close() { closed_ = true; }
+    /// Answers everything that is pending with what is known of it.
+    void end_all();
     void set_manifest(std::shared_ptr<const routing::route_index> routes);
     void on_request(net::http_exchange exchange);
     void on_reply(incarnation_id from, const wire::forward_reply& reply);
@@ -132,6 +137,7 @@
     std::uint64_t next_id_ = 1;
     std::uint64_t next_number_ = 1;
     entry_counters counters_;
+    bool closed_ = false;
 };
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -22,7 +22,12 @@
 /// Without a request for this time a stopping node has no clients left.
 constexpr milliseconds stop_quiet{300};
 /// Before the kill, for the exit itself.
-constexpr milliseconds stop_margin{700};
+constexpr milliseconds stop_margin{500};
+/// Before that, for the requests under way: clients that cannot go elsewhere send
+/// new ones until the end.
+constexpr milliseconds stop_last_requests{1200};
+/// For the last answers to leave.
+constexpr milliseconds final_writes{50};
 /// Between two requests for a manifest's text to peers.
 constexpr milliseconds pull_pause{200};
 constexpr milliseconds identity_timeout{1000};
@@ -43,6 +48,15 @@
     return limits;
 }
 
+dispatch::allowance_settings repeats_of(const sidecar_bounds& bounds)
+{
+    dispatch::allowance_settings result;
+    result.ratio = bounds.retry_ratio;
+    result.slack = bounds.retry_slack;
+    result.window = bounds.retry_window;
+    return result;
+}
+
 net::http_response plain(int status, std::string body)
 {
     return {status, {{"content-type", "application/json"}}, std::move(body)};
@@ -50,8 +64,8 @@
 
 } // namespace
 
-process::process(settings values, const platform_protocol& protocol)
-    : settings_(std::move(values)), protocol_(protocol), random_(random_seed()),
+process::process(std::string file, const platform_protocol& protocol)
+    : file_(std::move(file)), settings_(load_settings(file_)), protocol_(protocol), random_(random_seed()),
       self_{random_() | 1}, journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
       watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
       store_(make_store()), gate_(make_gate()), coordination_(make_coordination()),
@@ -125,9 +139,7 @@
     entry_settings values;
     values.zone = settings_.zone;
     values.service = settings_.service;
-    values.repeats.ratio = settings_.bounds.retry_ratio;
-    values.repeats.slack = settings_.bounds.retry_slack;
-    values.repeats.window = settings_.bounds.retry_window;
+    values.repeats = repeats_of(settings_.bounds);
     entry::hooks hooks;
     hooks.self = [this] { return self_; };
     hooks.member = [this]() -> const assignment::member& { return coordination_.member(); };
@@ -193,11 +205,13 @@
                     {"service", settings_.service},
                     {"target", net::to_string(settings_.target)}});
     loop_.on_signal([this] { on_signal(); });
+    loop_.on_hangup([this] { on_hangup(); });
     loop_.every(coordination::tick_interval, [this] { on_tick(); });
     loop_.every(journal_interval, [this] { journal_.flush(loop_.now()); });
     store_.watch_manifest();
     coordination_.on_tick();
     loop_.run();
+    end_pending();
     journal_.flush(loop_.now());
     return 0;
 }
@@ -465,10 +479,35 @@
     coordination_.leave();
 }
 
+// Addresses and names of a running process stay; the bounds may change.
+void process::on_hangup()
+{
+    try {
+        const settings changed = load_settings(file_);
+        settings_.bounds = changed.bounds;
+        watch_.set_drain(changed.bounds.drain);
+        entry_.set_repeats(repeats_of(changed.bounds));
+        log("reloaded", {{"file", file_}});
+    }
+    catch (const settings_error& failure) {
+        log("reload_refused", {{"cause", failure.what()}});
+    }
+}
+
+// The time before the kill is over: clients learn what became of their requests.
+void process::end_pending()
+{
+    entry_.end_all();
+    loop_.run_until([] { return false; }, final_writes);
+}
+
 void process::finish_when_idle()
 {
     const auto now = loop_.now();
     const auto elapsed = now - *stopping_since_;
+    if (elapsed >= settings_.bounds.grace - stop_margin - stop_last_requests) {
+        entry_.close();
+    }
     const bool idle = entry_.pending() == 0 && gate_.active() == 0 &&
                       now - last_request_ >= stop_quiet &&
                       coordination_.member().is_empty(now);
@@ -480,7 +519,9 @@
 
 int run_sidecar(const std::string& file, const platform_protocol& protocol)
 {
-    return process(load_settings(file), protocol).run();
+    // The process ends with this: its connections are closed by the kernel, and
+    // calls under way need no callback any more.
+    return std::make_unique<process>(file, protocol).release()->run();
 }
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -27,9 +27,9 @@
 /// Not thread-safe: runs on one loop.
 class process {
 public:
-    /// Binds all addresses. Throws `net::listen_error`. `protocol` must outlive
-    /// this object.
-    process(settings values, const platform_protocol& protocol);
+    /// Reads the settings `file` and binds all addresses. Throws `settings_error`
+    /// and `net::listen_error`. `protocol` must outlive this object.
+    process(std::string file, const platform_protocol& protocol);
 
     /// Runs until a planned stop is complete. Returns the exit code.
     int run();
@@ -54,9 +54,12 @@
     void on_target_changed();
     void on_tick();
     void on_signal();
+    void on_hangup();
+    void end_pending();
     void finish_when_idle();
     void log(std::string_view event, const journal::fields& details);
 
+    std::string file_;
     settings settings_;
     const platform_protocol& protocol_;
     net::loop loop_;
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -25,6 +25,7 @@
 public:
     target_watch(target_watch_settings settings, std::string service, std::string address);
 
+    void set_drain(milliseconds drain) { settings_.drain = drain; }
     /// False when the heartbeat is not of the target on this host, or older than
     /// what is known; it changes nothing then.
     bool on_heartbeat(time_point now, const heartbeat& beat);
