Even the load of keys by several moves at a time, and bound client connections by descriptors

From 24 s on one node had the clients of three, and connections above 1,000 were closed without an answer.

Change: up to four moves each second, from 1.2 times the mean load. The number of client connections follows the descriptors of the process, and idle ones are closed by the manifest's limit.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -10,7 +10,9 @@
 /// Low bits of a fence that count within a term.
 constexpr unsigned fence_count_bits = 24;
 /// Interval between two moves for load: one move must show in the loads first.
-constexpr milliseconds balance_interval{1500};
+constexpr milliseconds balance_interval{1000};
+/// Moves that begin together. Clients of moving keys wait, so not all move at once.
+constexpr std::size_t moves_at_once = 4;
 /// Speed of a target against the mean of its service that is believed.
 constexpr double least_speed = 0.4;
 constexpr double most_speed = 2.5;
@@ -507,18 +509,16 @@
             own.push_back(item);
         }
     }
-    const auto move = find_move(loads_[service], own, candidates(service));
-    if (!move) {
-        return;
-    }
-    split_at(service, move->first, move->last);
-    for (auto& item : view_.segments) {
-        if (item.service == service && item.first == move->first && item.last == move->last) {
-            item.releasing = true;
-            moves_.push_back({service, item.first, item.last, move->to});
+    for (const auto& move : find_moves(loads_[service], own, candidates(service), moves_at_once)) {
+        split_at(service, move.first, move.last);
+        for (auto& item : view_.segments) {
+            if (item.service == service && item.first == move.first && item.last == move.last) {
+                item.releasing = true;
+                moves_.push_back({service, item.first, item.last, move.to});
+            }
         }
+        change();
     }
-    change();
 }
 
 // The pieces keep their fence: the owner grants them as it held them.
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -209,4 +209,40 @@
     return best;
 }
 
+std::vector<key_move> find_moves(const key_load_table& keys, std::vector<segment> segments,
+                                 std::span<const owner_candidate> candidates, std::size_t most,
+                                 const balance_limits& limits)
+{
+    std::vector<key_move> result;
+    while (result.size() < most) {
+        const auto move = find_move(keys, segments, candidates, limits);
+        if (!move) {
+            break;
+        }
+        cut_segments(segments, move->first);
+        cut_segments(segments, move->last + 1);
+        for (auto& item : segments) {
+            if (item.first == move->first && item.last == move->last) {
+                item.owner = move->to.node;
+                item.releasing = true;
+            }
+        }
+        result.push_back(*move);
+    }
+    return result;
+}
+
+void cut_segments(std::vector<segment>& segments, std::uint32_t start)
+{
+    for (std::size_t i = 0; i < segments.size(); ++i) {
+        if (segments[i].first < start && segments[i].last >= start) {
+            segment tail = segments[i];
+            tail.first = start;
+            segments[i].last = start - 1;
+            segments.push_back(std::move(tail));
+            return;
+        }
+    }
+}
+
 } // namespace bulrushgw::assignment
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -58,7 +58,7 @@
 
 struct balance_limits {
     /// Load of a target over the mean of all, by capacity, from which keys move.
-    double overload = 1.3;
+    double overload = 1.2;
     /// Load of a target over the mean from below which it gets keys: one that has
     /// just joined must not wait for an overload.
     double underload = 0.5;
@@ -69,8 +69,18 @@
 
 /// The one move that evens the load most, or none when it is even enough. A key
 /// that alone overloads its target stays alone there, or goes to a faster one.
+/// Segments that are `releasing` count for their owner and do not move.
 std::optional<key_move> find_move(const key_load_table& keys, std::span<const segment> segments,
                                   std::span<const owner_candidate> candidates,
                                   const balance_limits& limits = {});
 
+/// Divides the segment that holds `start` behind its other keys, so that one begins
+/// there. All segments must be of one service.
+void cut_segments(std::vector<segment>& segments, std::uint32_t start);
+
+/// Up to `most` moves, each found as if those before it were done.
+std::vector<key_move> find_moves(const key_load_table& keys, std::vector<segment> segments,
+                                 std::span<const owner_candidate> candidates, std::size_t most,
+                                 const balance_limits& limits = {});
+
 } // namespace bulrushgw::assignment
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -101,6 +101,8 @@
     /// Accepts no more connections; requests in progress go on, and each connection
     /// is closed after its next answer.
     void stop_accepting();
+    /// Closes connections on which no request begins for this time.
+    void set_idle_timeout(milliseconds time);
     [[nodiscard]] std::size_t connections() const;
     /// The bound address; its port is known also after binding port 0.
     [[nodiscard]] const endpoint& address() const;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -445,6 +445,11 @@
     state_->listener.reset();
 }
 
+void http_server::set_idle_timeout(milliseconds time)
+{
+    state_->context.http1.req_timeout.timeout = static_cast<std::uint64_t>(time.count());
+}
+
 std::size_t http_server::connections() const
 {
     return state_->connections.size();
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -15,8 +15,13 @@
 /// A peer's connection that acknowledges nothing for this time is closed, so that
 /// one that went silent delays no more than a few requests.
 constexpr milliseconds peer_stall{700};
-/// A client keeps its connection for at most this time between two requests.
+/// A client keeps its connection for at most this time between two requests, until
+/// the manifest tells another one.
 constexpr milliseconds client_idle{60000};
+/// Above the manifest's limit, so that a request which crosses the close is rare.
+constexpr milliseconds idle_margin{1000};
+/// Descriptors for files, peers, the target and the store.
+constexpr std::size_t kept_descriptors = 500;
 /// Clients send new work until they have missed two readiness answers.
 constexpr milliseconds stop_notice{2500};
 /// Without a request for this time a stopping node has no clients left.
@@ -167,6 +172,7 @@
         peer_limits_for_lan());
     net::http_server_limits limits;
     limits.request_timeout = client_idle;
+    limits.max_connections = settings_.descriptors - kept_descriptors;
     request_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.requests,
         [this](net::http_exchange exchange) {
@@ -354,6 +360,9 @@
     routes_ = std::make_shared<routing::route_index>(std::move(content));
     manifest_text_ = text;
     entry_.set_manifest(routes_);
+    if (const auto idle = routes_->content().limits.idle_time; idle.count() > 0) {
+        request_server_->set_idle_timeout(idle + idle_margin);
+    }
     coordination_.set_manifest(version, std::move(sharded));
     ask_identity();
 }
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -11,6 +11,9 @@
 
 using nlohmann::json;
 
+/// For files, the store, the target and peers, beside some clients.
+constexpr double least_descriptors = 600;
+
 /// Looks fields up by their path, such as "bounds.drain_ms".
 class field_reader {
 public:
@@ -99,6 +102,7 @@
     result.addresses.control = fields.address("addresses.control");
     result.addresses.inner = fields.address("addresses.inner");
     result.addresses.metrics = fields.address("addresses.metrics");
+    result.descriptors = static_cast<std::size_t>(fields.number("descriptors", least_descriptors));
     result.bounds.drain = fields.time_ms("bounds.drain_ms");
     result.bounds.grace = fields.time_s("bounds.grace_s");
     result.bounds.longest_hold = fields.time_ms("bounds.longest_hold_ms");
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -40,6 +40,7 @@
     net::endpoint store;
     sidecar_addresses addresses;
     sidecar_bounds bounds;
+    std::size_t descriptors = 0; ///< that this process may have open
     assignment::timing times;
 };
 
