Log the leader's state every two seconds

Change: a line with members, recorded members, unassigned segments, authority and the time until older leases end, and one for each record that was not written.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -660,6 +660,23 @@
     return std::exchange(changed_, false);
 }
 
+leader::summary leader::summarize(time_point now) const
+{
+    summary result;
+    result.members = members_.size();
+    for (const auto& [id, member] : members_) {
+        result.recorded += member.recorded ? 1 : 0;
+    }
+    result.segments = view_.segments.size();
+    for (const auto& item : view_.segments) {
+        result.unassigned += item.owner ? 0 : 1;
+    }
+    result.authority = has_authority(now);
+    result.old_leases = std::max(
+        milliseconds{0}, std::chrono::duration_cast<milliseconds>(old_leases_end() - now));
+    return result;
+}
+
 std::vector<std::string> leader::addresses() const
 {
     std::vector<std::string> result;
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -60,6 +60,16 @@
     /// True once after each change of the directory.
     bool take_changed();
     [[nodiscard]] const directory& view() const { return view_; }
+    /// For logs: what the leader waits for, if anything.
+    struct summary {
+        std::size_t members = 0;
+        std::size_t recorded = 0;    ///< members that may get leases
+        std::size_t segments = 0;
+        std::size_t unassigned = 0;  ///< segments without an owner
+        bool authority = false;
+        milliseconds old_leases{0};  ///< time until leases of earlier terms are over
+    };
+    [[nodiscard]] summary summarize(time_point now) const;
     /// Members to which a changed directory is sent.
     [[nodiscard]] std::vector<std::string> addresses() const;
 
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds claim_jitter{100};
 /// Between two reads of the record while there is none, or the store is away.
 constexpr milliseconds read_pause{150};
+constexpr milliseconds summary_interval{2000};
 
 } // namespace
 
@@ -121,6 +122,7 @@
     if (leader_) {
         leader_->on_tick(now);
         lead(now);
+        log_summary(now);
     }
     else {
         seek_leader(now);
@@ -179,6 +181,23 @@
     }
 }
 
+void coordination::log_summary(time_point now)
+{
+    if (now < next_summary_ || leader_ == nullptr) {
+        return;
+    }
+    next_summary_ = now + summary_interval;
+    const auto state = leader_->summarize(now);
+    hooks_.log("leader_state", {{"term", leader_->view().term},
+                                {"directory", leader_->view().version},
+                                {"members", state.members},
+                                {"recorded", state.recorded},
+                                {"segments", state.segments},
+                                {"unassigned", state.unassigned},
+                                {"authority", state.authority},
+                                {"old_leases_ms", state.old_leases.count()}});
+}
+
 void coordination::push_directory()
 {
     if (!leader_->take_changed()) {
@@ -212,6 +231,10 @@
         leader_->on_record_result(sent, true);
         return;
     }
+    hooks_.log("record_not_written", {{"term", leader_->view().term},
+                                      {"beat", beat},
+                                      {"row_version", row_version_},
+                                      {"outcome", to_text(outcome)}});
     if (outcome == store_outcome::conflict) {
         // Another leader, or an earlier write whose answer was lost.
         open_beat_ = beat;
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -65,6 +65,7 @@
     void pump();
     void send_report();
     void lead(time_point now);
+    void log_summary(time_point now);
     void push_directory();
     void write_record(time_point now, const assignment::leader_record& record);
     void on_record_written(time_point sent, std::uint64_t beat, store_outcome outcome,
@@ -101,6 +102,7 @@
     std::uint64_t seen_term_ = 0;
     std::uint64_t seen_version_ = 0;
     bool pumping_ = false;
+    time_point next_summary_{};
 };
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/store_session.h
+++ b/src/sidecar/store_session.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "net/http.h"
 #include "net/loop.h"
@@ -22,6 +23,9 @@
     unknown,     ///< no answer; a write may be carried out, also later
 };
 
+/// For logs.
+std::string_view to_text(store_outcome outcome);
+
 /// Not thread-safe: runs on one loop. Callbacks run on the loop.
 class store_session {
 public:
