Parse answers with http_parser over h2o's sockets

The same client takes a reset for the end of an answer without a length and keeps a connection whose head the caller refused.

Change: the client of src/net is built on h2o's sockets and libhttp-parser. It closes a connection that showed a reset, extra bytes or a foreign head, notices the end of idle connections, and has no periodic timer any more.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,13 +1,15 @@
 #include <algorithm>
-#include <array>
-#include <cstring>
+#include <charconv>
 #include <deque>
 #include <map>
-#include <poll.h>
+#include <set>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include <http_parser.h>
+
 #include "net/h2o_library.h"
 #include "net/http.h"
 #include "net/http_text.h"
@@ -19,18 +21,18 @@
 
 /// Below the request timeout of the server, so that the server does not close a
 /// connection that is about to be reused.
-constexpr std::uint64_t idle_connection_ms = 5000;
-/// h2o restarts this timeout on every read; each call has its own hard timeout.
-constexpr std::uint64_t h2o_io_timeout_ms = 3'600'000;
+constexpr milliseconds idle_limit{5000};
+/// Taken off the time that a server tells for idle connections.
+constexpr milliseconds idle_margin{500};
 /// Addresses without calls are forgotten when there are this many.
 constexpr std::size_t max_idle_destinations = 64;
-/// Interval between two looks at the size of answers whose headers are incomplete,
-/// which h2o collects without a limit.
-constexpr milliseconds size_check_interval{20};
 /// Bytes that the head of an answer may take beside its body.
 constexpr std::size_t max_head_bytes = std::size_t{64} * 1024;
 /// Calls that wait for a connection to one address; further calls are refused.
 constexpr std::size_t max_waiting_per_address = 10000;
+constexpr int informational = 100;
+constexpr int switching_protocols = 101;
+constexpr int first_final = 200;
 
 bool is_writable(const http_request& request)
 {
@@ -53,24 +55,55 @@
     return head + request.body;
 }
 
-bool is_end(const char* failure)
+std::string lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char letter) { return std::tolower(letter); });
+    return text;
+}
+
+/// Time for which the server keeps an idle connection, if the answer tells it.
+milliseconds idle_time(const header_list& headers)
 {
-    return failure == h2o_http1client_error_is_eos;
+    constexpr std::string_view name = "timeout=";
+    const std::string told(find_header(headers, "keep-alive").value_or(""));
+    const auto at = told.find(name);
+    unsigned seconds = 0;
+    if (at == std::string::npos ||
+        std::from_chars(told.data() + at + name.size(), told.data() + told.size(), seconds).ec !=
+            std::errc{}) {
+        return idle_limit;
+    }
+    return std::min(idle_limit, milliseconds{std::chrono::seconds{seconds}} - idle_margin);
 }
 
 } // namespace
 
-/// Built on h2o_http1client: its socket pool keeps connections and tests them before
-/// reuse, it can be cancelled, and it calls `on_connect` directly before the write.
-/// It does not bound the number of connections, the time of a call or the size of
-/// an answer; this class does.
+/// Built on h2o's sockets and on http_parser. h2o's own client is not used: it ends
+/// the process on some malformed answers, takes a reset for the end of an answer
+/// without a length, and keeps connections on which more than the answer came.
 struct http_client::state {
+    struct call;
+    struct destination;
+
+    struct connection {
+        state* owner = nullptr;
+        destination* to = nullptr;
+        h2o_socket_t* socket = nullptr;
+        http_parser parser{};
+        call* current = nullptr; ///< null while idle
+        std::string writing;     ///< h2o refers to it until the write ends
+        bool write_pending = false;
+        time_point idle_since{};
+        milliseconds idle_for{idle_limit};
+    };
+
     /// Connections and waiting calls of one address.
     struct destination {
         endpoint address;
-        h2o_socketpool_t pool{};
         std::size_t active = 0;
         std::deque<call_id> waiting;
+        std::vector<connection*> idle;
     };
 
     enum class phase { waiting, connecting, written, finished };
@@ -79,15 +112,17 @@
         state* owner = nullptr;
         call_id id = 0;
         destination* to = nullptr;
+        connection* on = nullptr;
         std::string bytes;
-        h2o_iovec_t buffer{}; ///< h2o reads it while it writes the request
         bool head_only = false;
         phase now = phase::waiting;
         bool in_before_write = false;
-        h2o_http1client_t* client = nullptr; ///< null when h2o holds no connection
         std::uint64_t timer = 0;
         http_response response;
-        bool ends_with_connection = false; ///< the answer has no length
+        std::size_t head_bytes = 0;
+        bool value_begun = false; ///< the last header has a value
+        bool complete = false;
+        bool rejected = false; ///< above a limit, or not accepted by the caller
         callback on_result;
         std::function<bool()> before_write;
         std::function<bool(const http_response&)> accept_head;
@@ -96,43 +131,51 @@
     net::loop& owner;
     std::size_t max_connections;
     std::size_t max_response_bytes;
-    h2o_timeout_t io_timeout{};
-    h2o_http1client_ctx_t context{};
+    http_parser_settings parsing{};
     std::map<endpoint, std::unique_ptr<destination>> destinations;
     std::unordered_map<call_id, std::unique_ptr<call>> calls;
+    std::map<connection*, std::unique_ptr<connection>> connections;
     call_id next_call = 1;
-    loop::timer_id size_check = 0; ///< runs while there are calls
     /// Tells deferred results whether the client still exists.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-    state(net::loop& on_loop, std::size_t connections, std::size_t response_bytes)
-        : owner(on_loop), max_connections(std::max<std::size_t>(connections, 1)),
+    state(net::loop& on_loop, std::size_t most_connections, std::size_t response_bytes)
+        : owner(on_loop), max_connections(std::max<std::size_t>(most_connections, 1)),
           max_response_bytes(response_bytes)
     {
-        h2o_timeout_init(owner.evloop(), &io_timeout, h2o_io_timeout_ms);
-        context.loop = owner.evloop();
-        context.io_timeout = &io_timeout;
+        http_parser_settings_init(&parsing);
+        parsing.on_status = on_status;
+        parsing.on_header_field = on_header_field;
+        parsing.on_header_value = on_header_value;
+        parsing.on_headers_complete = on_headers_complete;
+        parsing.on_body = on_body;
+        parsing.on_message_complete = on_message_complete;
     }
 
     destination& find_destination(const endpoint& address);
     void forget_idle_destinations();
+    void begin(call& entry);
     void connect(call& entry);
+    void write(connection& on, call& entry);
+    connection* take_idle(destination& to);
     void start_waiting(destination& to);
     void finish(call& entry, http_result result);
     void fail(call& entry, http_failure failure) { finish(entry, {std::nullopt, failure}); }
     void abort(call& entry, http_failure after_write);
-    bool append_body(call& entry);
-    static bool was_reset(h2o_http1client_t* client);
-    static bool accepts_head(const call& entry);
-    void start_size_check();
-    void check_sizes();
-
-    static h2o_http1client_head_cb on_connect(h2o_http1client_t* client, const char* failure,
-                                              h2o_iovec_t** buffers, size_t* count, int* is_head);
-    static h2o_http1client_body_cb on_head(h2o_http1client_t* client, const char* failure,
-                                           int minor_version, int status, h2o_iovec_t message,
-                                           h2o_header_t* headers, size_t header_count, int);
-    static int on_body(h2o_http1client_t* client, const char* failure);
+    void close(connection& on);
+    void read(connection& on, const char* failure);
+    void complete(connection& on, bool reusable);
+
+    static call& call_of(http_parser* parser);
+    static void on_connected(h2o_socket_t* socket, const char* failure);
+    static void on_written(h2o_socket_t* socket, const char* failure);
+    static void on_readable(h2o_socket_t* socket, const char* failure);
+    static int on_status(http_parser* parser, const char* text, std::size_t size);
+    static int on_header_field(http_parser* parser, const char* text, std::size_t size);
+    static int on_header_value(http_parser* parser, const char* text, std::size_t size);
+    static int on_headers_complete(http_parser* parser);
+    static int on_body(http_parser* parser, const char* text, std::size_t size);
+    static int on_message_complete(http_parser* parser);
 };
 
 http_client::state::destination& http_client::state::find_destination(const endpoint& address)
@@ -141,16 +184,13 @@
     if (found != destinations.end()) {
         return *found->second;
     }
+    detail::to_socket_address(address);
     if (destinations.size() >= max_idle_destinations) {
         forget_idle_destinations();
     }
     auto& slot = destinations[address];
-    auto target = detail::to_socket_address(address);
     slot = std::make_unique<destination>();
     slot->address = address;
-    h2o_socketpool_init_by_address(&slot->pool, reinterpret_cast<sockaddr*>(&target.bytes),
-                                   target.size, 0, max_connections);
-    h2o_socketpool_set_timeout(&slot->pool, owner.evloop(), idle_connection_ms);
     return *slot;
 }
 
@@ -159,7 +199,9 @@
     for (auto at = destinations.begin(); at != destinations.end();) {
         destination& to = *at->second;
         if (to.active == 0 && to.waiting.empty()) {
-            h2o_socketpool_dispose(&to.pool);
+            while (!to.idle.empty()) {
+                close(*to.idle.back());
+            }
             at = destinations.erase(at);
         }
         else {
@@ -168,72 +210,73 @@
     }
 }
 
-void http_client::state::connect(call& entry)
+// An idle connection on which something came, or which the server is about to
+// close, is not used again.
+http_client::state::connection* http_client::state::take_idle(destination& to)
 {
-    ++entry.to->active;
-    entry.now = phase::connecting;
-    // h2o may call `on_connect`, which may finish the call, before this returns.
-    h2o_http1client_connect_with_pool(&entry.client, &entry, &context, &entry.to->pool, on_connect);
-}
-
-void http_client::state::start_waiting(destination& to)
-{
-    while (to.active < max_connections && !to.waiting.empty()) {
-        const auto found = calls.find(to.waiting.front());
-        to.waiting.pop_front();
-        if (found != calls.end()) {
-            connect(*found->second);
+    while (!to.idle.empty()) {
+        connection* on = to.idle.back();
+        char byte = 0;
+        const auto got =
+            recv(h2o_socket_get_fd(on->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool quiet = got < 0 && (errno == EAGAIN || errno == EINTR);
+        if (quiet && owner.now() - on->idle_since < on->idle_for) {
+            to.idle.pop_back();
+            return on;
         }
+        close(*on);
     }
+    return nullptr;
 }
 
-// The result is delivered at the end of the turn: h2o puts the connection back
-// into the pool after its callback returns, and the caller's next call reuses it.
-void http_client::state::finish(call& entry, http_result result)
+void http_client::state::begin(call& entry)
 {
-    owner.cancel(entry.timer);
-    const bool was_active = entry.now != phase::waiting;
-    if (!was_active) {
-        std::erase(entry.to->waiting, entry.id);
+    ++entry.to->active;
+    entry.now = phase::connecting;
+    if (connection* on = take_idle(*entry.to)) {
+        write(*on, entry);
+    }
+    else {
+        connect(entry);
     }
-    entry.now = phase::finished;
-    entry.client = nullptr;
-    auto node = calls.extract(entry.id);
-    auto done = std::make_shared<std::unique_ptr<call>>(std::move(node.mapped()));
-    owner.defer([this, done, was_active, is_alive = alive, result = std::move(result)]() mutable {
-        const auto finished = std::move(*done);
-        if (*is_alive && was_active) {
-            --finished->to->active;
-            start_waiting(*finished->to);
-        }
-        finished->on_result(std::move(result));
-    });
 }
 
-// Ends a call early. Only a call whose bytes h2o has not seen is certainly not sent.
-void http_client::state::abort(call& entry, http_failure after_write)
+void http_client::state::connect(call& entry)
 {
-    if (entry.client != nullptr) {
-        h2o_http1client_cancel(std::exchange(entry.client, nullptr));
-    }
-    if (entry.now == phase::written) {
-        fail(entry, after_write);
-    }
-    else {
-        fail(entry,
-             entry.now == phase::connecting ? http_failure::connect : http_failure::not_sent);
-    }
+    auto target = detail::to_socket_address(entry.to->address);
+    h2o_socket_t* socket = h2o_socket_connect(
+        owner.evloop(), reinterpret_cast<sockaddr*>(&target.bytes), target.size, on_connected);
+    if (socket == nullptr) {
+        fail(entry, http_failure::connect);
+        return;
+    }
+    auto created = std::make_unique<connection>();
+    created->owner = this;
+    created->to = entry.to;
+    created->socket = socket;
+    created->current = &entry;
+    entry.on = created.get();
+    socket->data = created.get();
+    connections.emplace(created.get(), std::move(created));
 }
 
-h2o_http1client_head_cb http_client::state::on_connect(h2o_http1client_t* client,
-                                                       const char* failure, h2o_iovec_t** buffers,
-                                                       size_t* count, int* is_head)
+void http_client::state::on_connected(h2o_socket_t* socket, const char* failure)
 {
-    auto& entry = *static_cast<call*>(client->data);
+    auto& on = *static_cast<connection*>(socket->data);
+    auto& self = *on.owner;
+    call& entry = *on.current;
     if (failure != nullptr) {
-        entry.owner->fail(entry, http_failure::connect);
-        return nullptr;
+        self.close(on);
+        self.fail(entry, http_failure::connect);
+        return;
     }
+    self.write(on, entry);
+}
+
+void http_client::state::write(connection& on, call& entry)
+{
+    on.current = &entry;
+    entry.on = &on;
     if (entry.before_write) {
         entry.in_before_write = true;
         bool allowed = false;
@@ -246,130 +289,233 @@
         }
         entry.in_before_write = false;
         if (!allowed) {
-            entry.owner->fail(entry, http_failure::not_sent);
-            return nullptr;
+            close(on);
+            fail(entry, http_failure::not_sent);
+            return;
         }
     }
     entry.now = phase::written;
-    entry.owner->start_size_check();
-    entry.buffer = h2o_iovec_init(entry.bytes.data(), entry.bytes.size());
-    *buffers = &entry.buffer;
-    *count = 1;
-    *is_head = entry.head_only ? 1 : 0;
-    return on_head;
+    http_parser_init(&on.parser, HTTP_RESPONSE);
+    on.parser.data = &on;
+    on.writing = std::move(entry.bytes);
+    on.write_pending = true;
+    h2o_iovec_t buffer = h2o_iovec_init(on.writing.data(), on.writing.size());
+    h2o_socket_write(on.socket, &buffer, 1, on_written);
+    h2o_socket_read_start(on.socket, on_readable);
 }
 
-h2o_http1client_body_cb http_client::state::on_head(h2o_http1client_t* client, const char* failure,
-                                                    int, int status, h2o_iovec_t,
-                                                    h2o_header_t* headers, size_t header_count, int)
+void http_client::state::on_written(h2o_socket_t* socket, const char* failure)
 {
-    auto& entry = *static_cast<call*>(client->data);
-    if (failure != nullptr && !is_end(failure)) {
-        // h2o tells a broken connection from a broken answer only in its text.
-        const bool broken = std::strstr(failure, "I/O") != nullptr;
-        entry.owner->fail(entry, broken ? http_failure::closed : http_failure::malformed);
-        return nullptr;
+    auto& on = *static_cast<connection*>(socket->data);
+    on.write_pending = false;
+    // What the server said before it closed is still read.
+    if (failure != nullptr && on.current == nullptr) {
+        on.owner->close(on);
     }
-    entry.response.status = status;
-    std::size_t bytes = 0;
-    for (size_t i = 0; i < header_count; ++i) {
-        const auto& from = headers[i];
-        bytes += from.name->len + from.value.len;
-        entry.response.headers.push_back(
-            {{from.name->base, from.name->len}, {from.value.base, from.value.len}});
-    }
-    entry.ends_with_connection = !find_header(entry.response.headers, "content-length") &&
-                                 !find_header(entry.response.headers, "transfer-encoding");
-    if (bytes > max_head_bytes) {
-        entry.owner->fail(entry, http_failure::malformed);
-        return nullptr;
-    }
-    if (entry.accept_head && !accepts_head(entry)) {
-        entry.owner->fail(entry, http_failure::malformed);
-        return nullptr;
-    }
-    if (is_end(failure)) {
-        entry.owner->finish(entry, {std::move(entry.response), http_failure::closed});
-        return nullptr;
-    }
-    return on_body;
 }
 
-bool http_client::state::accepts_head(const call& entry)
+void http_client::state::on_readable(h2o_socket_t* socket, const char* failure)
 {
-    try {
-        return entry.accept_head(entry.response);
+    auto& on = *static_cast<connection*>(socket->data);
+    on.owner->read(on, failure);
+}
+
+http_client::state::call& http_client::state::call_of(http_parser* parser)
+{
+    return *static_cast<connection*>(parser->data)->current;
+}
+
+int http_client::state::on_status(http_parser* parser, const char*, std::size_t)
+{
+    call_of(parser).response.status = static_cast<int>(parser->status_code);
+    return 0;
+}
+
+int http_client::state::on_header_field(http_parser* parser, const char* text, std::size_t size)
+{
+    call& entry = call_of(parser);
+    entry.head_bytes += size;
+    if (entry.response.headers.empty() || entry.value_begun) {
+        entry.response.headers.emplace_back();
+        entry.value_begun = false;
+    }
+    entry.response.headers.back().name.append(text, size);
+    return entry.head_bytes > max_head_bytes ? 1 : 0;
+}
+
+int http_client::state::on_header_value(http_parser* parser, const char* text, std::size_t size)
+{
+    call& entry = call_of(parser);
+    entry.head_bytes += size;
+    entry.value_begun = true;
+    entry.response.headers.back().value.append(text, size);
+    return entry.head_bytes > max_head_bytes ? 1 : 0;
+}
+
+int http_client::state::on_headers_complete(http_parser* parser)
+{
+    call& entry = call_of(parser);
+    constexpr int skip_body = 1;
+    constexpr int stop = -1;
+    const int status = static_cast<int>(parser->status_code);
+    entry.response.status = status;
+    for (auto& item : entry.response.headers) {
+        item.name = lower_case(std::move(item.name));
     }
-    catch (const std::exception&) {
-        // An exception must not cross h2o's C frames.
-        return false;
+    if (status < first_final || status == switching_protocols) {
+        return 0;
     }
+    if (entry.accept_head) {
+        bool accepted = false;
+        try {
+            accepted = entry.accept_head(entry.response);
+        }
+        catch (const std::exception&) {
+            // An exception must not cross the parser's C frames.
+            accepted = false;
+        }
+        if (!accepted) {
+            entry.rejected = true;
+            return stop;
+        }
+    }
+    return entry.head_only ? skip_body : 0;
 }
 
-void http_client::state::start_size_check()
+int http_client::state::on_body(http_parser* parser, const char* text, std::size_t size)
 {
-    if (size_check == 0) {
-        size_check = owner.every(size_check_interval, [this] { check_sizes(); });
+    call& entry = call_of(parser);
+    if (entry.response.body.size() + size > entry.owner->max_response_bytes) {
+        entry.rejected = true;
+        return 1;
     }
+    entry.response.body.append(text, size);
+    return 0;
 }
 
-void http_client::state::check_sizes()
+int http_client::state::on_message_complete(http_parser* parser)
 {
-    std::vector<call*> oversized;
-    for (auto& [id, entry] : calls) {
-        if (entry->now == phase::written &&
-            entry->client->sock->input->size > max_response_bytes + max_head_bytes) {
-            oversized.push_back(entry.get());
-        }
+    call& entry = call_of(parser);
+    const int status = static_cast<int>(parser->status_code);
+    if (status >= informational && status < first_final && status != switching_protocols) {
+        // The final answer follows.
+        entry.response = {};
+        entry.value_begun = false;
+        return 0;
+    }
+    entry.complete = true;
+    // What follows belongs to no call.
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+void http_client::state::read(connection& on, const char* failure)
+{
+    if (on.current == nullptr) {
+        close(on);
+        return;
+    }
+    call& entry = *on.current;
+    auto& input = on.socket->input;
+    const std::size_t size = input->size;
+    std::size_t used = 0;
+    if (size > 0) {
+        used = http_parser_execute(&on.parser, &parsing, input->bytes, size);
+        h2o_buffer_consume(&input, size);
+    }
+    const auto parsed = HTTP_PARSER_ERRNO(&on.parser);
+    if (!entry.complete && (entry.rejected || (parsed != HPE_OK && parsed != HPE_PAUSED))) {
+        close(on);
+        fail(entry, http_failure::malformed);
+        return;
+    }
+    // An answer without a length ends with its connection, unless that was reset.
+    if (!entry.complete && failure == h2o_socket_error_closed) {
+        http_parser_execute(&on.parser, &parsing, nullptr, 0);
+    }
+    if (entry.complete) {
+        const bool reusable = failure == nullptr && used == size && !on.write_pending &&
+                              http_should_keep_alive(&on.parser) != 0;
+        complete(on, reusable);
+    }
+    else if (failure != nullptr) {
+        close(on);
+        fail(entry, http_failure::closed);
     }
-    for (auto* entry : oversized) {
-        h2o_http1client_cancel(std::exchange(entry->client, nullptr));
-        fail(*entry, http_failure::malformed);
+}
+
+void http_client::state::complete(connection& on, bool reusable)
+{
+    call& entry = *on.current;
+    on.current = nullptr;
+    entry.on = nullptr;
+    on.idle_for = idle_time(entry.response.headers);
+    if (reusable && on.idle_for.count() > 0) {
+        on.idle_since = owner.now();
+        on.to->idle.push_back(&on);
     }
-    if (calls.empty()) {
-        owner.cancel(std::exchange(size_check, 0));
+    else {
+        close(on);
     }
+    finish(entry, {std::move(entry.response), http_failure::closed});
 }
 
-bool http_client::state::append_body(call& entry)
+void http_client::state::close(connection& on)
 {
-    auto* socket = entry.client->sock;
-    auto& body = entry.response.body;
-    if (body.size() + socket->input->size > max_response_bytes) {
-        return false;
-    }
-    body.append(socket->input->bytes, socket->input->size);
-    h2o_buffer_consume(&socket->input, socket->input->size);
-    return true;
+    if (on.current != nullptr) {
+        on.current->on = nullptr;
+    }
+    std::erase(on.to->idle, &on);
+    h2o_socket_close(on.socket);
+    connections.erase(&on);
 }
 
-// h2o takes any end of a connection for the end of an answer without a length. A
-// connection that was reset is closed in both directions, one that ended is not.
-bool http_client::state::was_reset(h2o_http1client_t* client)
+void http_client::state::start_waiting(destination& to)
 {
-    pollfd state{h2o_socket_get_fd(client->sock), POLLIN, 0};
-    return poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) != 0;
+    while (to.active < max_connections && !to.waiting.empty()) {
+        const auto found = calls.find(to.waiting.front());
+        to.waiting.pop_front();
+        if (found != calls.end()) {
+            begin(*found->second);
+        }
+    }
 }
 
-int http_client::state::on_body(h2o_http1client_t* client, const char* failure)
+// The result is delivered at the end of the turn, so that the caller's next call
+// can reuse the connection, and may destroy what it likes.
+void http_client::state::finish(call& entry, http_result result)
 {
-    auto& entry = *static_cast<call*>(client->data);
-    if (failure != nullptr && is_end(failure) && entry.ends_with_connection && was_reset(client)) {
-        entry.owner->fail(entry, http_failure::closed);
-        return -1;
+    owner.cancel(entry.timer);
+    const bool was_active = entry.now != phase::waiting;
+    if (!was_active) {
+        std::erase(entry.to->waiting, entry.id);
     }
-    if (failure != nullptr && !is_end(failure)) {
-        entry.owner->fail(entry, http_failure::closed);
-        return -1;
+    entry.now = phase::finished;
+    auto node = calls.extract(entry.id);
+    auto done = std::make_shared<std::unique_ptr<call>>(std::move(node.mapped()));
+    owner.defer([this, done, was_active, is_alive = alive, result = std::move(result)]() mutable {
+        const auto finished = std::move(*done);
+        if (*is_alive && was_active) {
+            --finished->to->active;
+            start_waiting(*finished->to);
+        }
+        finished->on_result(std::move(result));
+    });
+}
+
+// Ends a call early. Only a call whose bytes were not written is certainly not sent.
+void http_client::state::abort(call& entry, http_failure after_write)
+{
+    const phase before = entry.now;
+    if (entry.on != nullptr) {
+        close(*entry.on);
     }
-    if (!entry.owner->append_body(entry)) {
-        entry.owner->fail(entry, http_failure::malformed);
-        return -1;
+    if (before == phase::written) {
+        fail(entry, after_write);
     }
-    if (is_end(failure)) {
-        entry.owner->finish(entry, {std::move(entry.response), http_failure::closed});
+    else {
+        fail(entry, before == phase::connecting ? http_failure::connect : http_failure::not_sent);
     }
-    return 0;
 }
 
 http_client::http_client(loop& loop, std::size_t max_connections_per_address,
@@ -384,11 +530,9 @@
         state_->abort(*state_->calls.begin()->second, http_failure::closed);
     }
     *state_->alive = false;
-    state_->owner.cancel(state_->size_check);
-    for (auto& [address, to] : state_->destinations) {
-        h2o_socketpool_dispose(&to->pool);
+    while (!state_->connections.empty()) {
+        state_->close(*state_->connections.begin()->first);
     }
-    h2o_timeout_dispose(state_->owner.evloop(), &state_->io_timeout);
 }
 
 http_client::call_id http_client::send(const endpoint& address, const http_request& request,
@@ -421,7 +565,7 @@
         }
     });
     if (to.active < self.max_connections) {
-        self.connect(entry);
+        self.begin(entry);
     }
     else {
         to.waiting.push_back(id);
--- a/tests/wire/messages_test.cpp
+++ b/tests/wire/messages_test.cpp
@@ -71,9 +71,9 @@
     };
     auto bytes = handmade(protocol_version, cancel_type, cancel_body);
     LONGS_EQUAL(7, std::get<cancel>(decode(bytes.data(), bytes.size()).content).number);
-    bytes = handmade(2, cancel_type, cancel_body);
+    bytes = handmade(protocol_version + 1, cancel_type, cancel_body);
     CHECK_THROWS(unknown_version, decode(bytes.data(), bytes.size()));
-    bytes = handmade(2, 900, [](auto& packer) { packer.pack_nil(); });
+    bytes = handmade(protocol_version + 1, 900, [](auto& packer) { packer.pack_nil(); });
     CHECK_THROWS(unknown_version, decode(bytes.data(), bytes.size()));
     bytes = handmade(protocol_version, 18, cancel_body);
     CHECK_THROWS(unknown_type, decode(bytes.data(), bytes.size()));
