Count the acceptance of a term from a host's first report

It took the time of the latest report in place of the first, so the wait never ended: the log shows old_leases_ms at about 3,100 for 20 s and all keys unassigned.

Change: the time of each host's first report in the term is kept. The coordination takes its store calls as hooks, so that it can run in virtual time.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -94,6 +94,7 @@
     if (start_.previous && start_.previous->leader == from && !old_leader_over_) {
         old_leader_over_ = now;
     }
+    accepted_.emplace(body.host, now);
     member.heard = now;
     member.leaving = body.leaving;
     if (body.echo != 0) {
@@ -349,12 +350,10 @@
     std::size_t accepted = 0;
     time_point latest = from;
     for (const auto& before : start_.previous->members) {
-        for (const auto& [id, member] : members_) {
-            if (id == before.node || member.last.host == before.host) {
-                ++accepted;
-                latest = std::max(latest, member.heard);
-                break;
-            }
+        const auto found = accepted_.find(before.host);
+        if (found != accepted_.end()) {
+            ++accepted;
+            latest = std::max(latest, found->second);
         }
     }
     if (accepted * 2 <= start_.previous->members.size()) {
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -125,6 +125,7 @@
     std::set<incarnation_id> superseded_;
     std::map<std::string, key_load_table> loads_;
     std::vector<planned_move> moves_;
+    std::map<std::string, time_point> accepted_; ///< this term, by a host's first report
     std::optional<time_point> old_leader_over_; ///< it certainly extends no lease then
     time_point store_confirmed_;
     std::vector<leader_record::member> recorded_;
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -18,8 +18,8 @@
 } // namespace
 
 coordination::coordination(assignment::timing times, assignment::member_identity self,
-                           store_session& store, std::uint64_t seed, hooks with)
-    : times_(times), self_(std::move(self)), store_(store), random_(seed),
+                           std::uint64_t seed, hooks with)
+    : times_(times), self_(std::move(self)), random_(seed),
       hooks_(std::move(with)), member_(times, self_)
 {
 }
@@ -212,7 +212,7 @@
 
 void coordination::write_record(time_point now, const assignment::leader_record& record)
 {
-    store_.write_leader(row_version_, to_text(record),
+    hooks_.write_record(row_version_, to_text(record),
                         [this, now, beat = record.beat](store_outcome outcome,
                                                         std::uint64_t version) {
                             on_record_written(now, beat, outcome, version);
@@ -261,7 +261,7 @@
     if (std::exchange(reading_, true)) {
         return;
     }
-    store_.read_leader([this](store_outcome outcome, const stored_row& row) {
+    hooks_.read_record([this](store_outcome outcome, const stored_row& row) {
         reading_ = false;
         on_record_read(outcome, row);
         pump();
@@ -359,7 +359,7 @@
     open_claim_ = next;
     open_claim_sent_ = now;
     previous_ = record == nullptr ? std::nullopt : std::optional{*record};
-    store_.write_leader(
+    hooks_.write_record(
         row_version_, to_text(next),
         [this, now, next](store_outcome outcome, std::uint64_t version) {
             claiming_ = false;
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -14,7 +14,8 @@
 #include "assignment/leader.h"
 #include "assignment/member.h"
 #include "sidecar/journal.h"
-#include "sidecar/store_session.h"
+#include "sidecar/protocol.h"
+#include "sidecar/store_outcome.h"
 #include "wire/messages.h"
 
 namespace bulrushgw::sidecar {
@@ -29,13 +30,18 @@
         std::function<void(const assignment::grant_order&)> grant;
         std::function<void(const assignment::release_order&)> release;
         std::function<void()> on_directory;
+        /// Reads and writes of the leader's record, see `store_session`.
+        std::function<void(std::function<void(store_outcome, const stored_row&)>)> read_record;
+        std::function<void(std::uint64_t expected, const std::string& value,
+                           std::function<void(store_outcome, std::uint64_t version)>)>
+            write_record;
         /// A peer knows this version of the manifest.
         std::function<void(const std::string& address, std::uint64_t version)> on_peer_manifest;
         std::function<void(std::string_view event, const journal::fields&)> log;
     };
 
-    coordination(assignment::timing times, assignment::member_identity self, store_session& store,
-                 std::uint64_t seed, hooks with);
+    coordination(assignment::timing times, assignment::member_identity self, std::uint64_t seed,
+                 hooks with);
 
     void on_report(const wire::frame& frame, const assignment::report& body);
     void on_reply(const wire::frame& frame, const assignment::report_reply& reply);
@@ -80,7 +86,6 @@
 
     assignment::timing times_;
     assignment::member_identity self_;
-    store_session& store_;
     std::mt19937_64 random_;
     hooks hooks_;
     assignment::member member_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -126,6 +126,10 @@
     hooks.grant = [this](const assignment::grant_order& order) { grant(order); };
     hooks.release = [this](const assignment::release_order& order) { release(order); };
     hooks.on_directory = [this] { entry_.on_directory(); };
+    hooks.read_record = [this](auto done) { store_.read_leader(std::move(done)); };
+    hooks.write_record = [this](std::uint64_t expected, const std::string& value, auto done) {
+        store_.write_leader(expected, value, std::move(done));
+    };
     hooks.on_peer_manifest = [this](const std::string& address, std::uint64_t version) {
         on_peer_manifest(address, version);
     };
@@ -134,7 +138,6 @@
     };
     return {settings_.times,
             {self_, settings_.host, net::to_string(settings_.addresses.inner), settings_.zone},
-            store_,
             random_(),
             std::move(hooks)};
 }
--- a/src/sidecar/store_session.cpp
+++ b/src/sidecar/store_session.cpp
@@ -22,21 +22,6 @@
 
 } // namespace
 
-std::string_view to_text(store_outcome outcome)
-{
-    switch (outcome) {
-    case store_outcome::done:
-        return "done";
-    case store_outcome::conflict:
-        return "conflict";
-    case store_outcome::unavailable:
-        return "unavailable";
-    case store_outcome::unknown:
-        break;
-    }
-    return "unknown";
-}
-
 store_session::store_session(net::loop& loop, net::endpoint address,
                              const platform_protocol& protocol, std::uint64_t seed, hooks with)
     : loop_(loop), address_(std::move(address)), protocol_(protocol), random_(seed),
--- a/src/sidecar/store_session.h
+++ b/src/sidecar/store_session.h
@@ -8,24 +8,14 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <string_view>
 
 #include "net/http.h"
 #include "net/loop.h"
 #include "sidecar/protocol.h"
+#include "sidecar/store_outcome.h"
 
 namespace bulrushgw::sidecar {
 
-enum class store_outcome {
-    done,
-    conflict,    ///< the row has another version; nothing was written
-    unavailable, ///< certainly not carried out
-    unknown,     ///< no answer; a write may be carried out, also later
-};
-
-/// For logs.
-std::string_view to_text(store_outcome outcome);
-
 /// Not thread-safe: runs on one loop. Callbacks run on the loop.
 class store_session {
 public:
