--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -1,6 +1,7 @@
 #include "assignment/leader.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace bulrushgw::assignment {
@@ -84,9 +85,8 @@
             break;
         }
     }
-    const bool is_new = !members_.contains(from);
     auto& member = members_[from];
-    if (!is_new && body.sequence <= member.last.sequence) {
+    if (body.sequence <= member.last.sequence) {
         reply.directory_version = view_.version;
         return reply;
     }
@@ -102,7 +102,9 @@
     }
     const bool new_life = !before.id.empty() && !before.is_same_life(body.target);
     member.last = body;
-    if (is_new) {
+    if (!member.leased_once && !member.inherits) {
+        // Each report replaces what the one before told, until the first lease.
+        disown(from);
         accept_holdings(from, body);
     }
     if (was_empty_start_ && before.id.empty() && !body.target.id.empty()) {
@@ -118,8 +120,9 @@
     on_tick(now);
     member.recorded = std::any_of(recorded_.begin(), recorded_.end(),
                                   [&](const auto& entry) { return entry.node == from; });
-    if (member.recorded && has_authority(now)) {
+    if (member.recorded && has_authority(now) && is_sent_in_force(now, body)) {
         reply.leased = true;
+        member.leased_once = true;
         member.lease_bound = now + with_drift(times_.lease, times_.drift_permille);
     }
     reply.directory_version = view_.version;
@@ -134,9 +137,12 @@
 void leader::supersede(incarnation_id old, incarnation_id next)
 {
     superseded_.insert(old);
-    const auto found = members_.find(old);
-    const report before = std::move(found->second.last);
-    members_.erase(found);
+    // What the old incarnation told before its first lease here may be out of date.
+    if (!members_.at(old).leased_once) {
+        disown(old);
+    }
+    members_.erase(old);
+    members_[next].inherits = true;
     for (auto& item : view_.segments) {
         if (item.owner == old) {
             // The new node grants again with a higher fence; whether the target is
@@ -292,7 +298,10 @@
 {
     for (auto at = members_.begin(); at != members_.end();) {
         const bool silent = !is_live(at->second, now);
-        if (silent && now >= at->second.lease_bound) {
+        // A later leader may have taken the member over with its keys. That is ruled
+        // out when this term was still in force after the member's lease was over.
+        const auto bound = at->second.lease_bound;
+        if (silent && now >= bound && confirmed_at(now) >= bound) {
             disown(at->first);
             at = members_.erase(at);
         }
@@ -569,31 +578,52 @@
 
 bool leader::has_authority(time_point now) const
 {
-    if (now - store_confirmed_ < times_.authority) {
-        return true;
-    }
-    if (now - store_confirmed_ >= times_.store_silence_limit) {
-        return false;
+    return now - confirmed_at(now) < times_.authority &&
+           now - store_confirmed_ < times_.store_silence_limit;
+}
+
+// A later leader acts once a majority of the recorded members has accepted its
+// term. While the store, or a majority, confirms this term, none does.
+time_point leader::confirmed_at(time_point now) const
+{
+    time_point by_members = majority_ack(recorded_, now);
+    for (const auto& list : unresolved_) {
+        by_members = std::min(by_members, majority_ack(list, now));
     }
-    // A claim of the next term waits until a majority of the recorded members has
-    // accepted it; while a majority still confirms this term, none can act.
-    return is_confirmed_by(recorded_, now) &&
-           std::all_of(unresolved_.begin(), unresolved_.end(),
-                       [&](const auto& list) { return is_confirmed_by(list, now); });
+    return std::max(store_confirmed_, by_members);
 }
 
-bool leader::is_confirmed_by(const std::vector<leader_record::member>& members,
-                             time_point now) const
+time_point leader::majority_ack(const std::vector<leader_record::member>& members,
+                                time_point now) const
 {
-    std::size_t confirmed = 0;
+    std::vector<time_point> acks;
     for (const auto& entry : members) {
         const auto found = members_.find(entry.node);
         const bool is_self = entry.node == self_.node;
-        if (is_self || (found != members_.end() && now - found->second.acked < times_.authority)) {
-            ++confirmed;
-        }
+        acks.push_back(is_self                    ? now
+                       : found == members_.end() ? time_point{}
+                                                 : found->second.acked);
+    }
+    std::sort(acks.begin(), acks.end(), std::greater<>());
+    return acks.empty() ? time_point{} : acks[acks.size() / 2];
+}
+
+// The leader before could give a member's keys away until a majority had accepted
+// this term, or until it was over itself. A lease is given only for a report that
+// was sent later: what the member then still holds was not given away.
+bool leader::is_sent_in_force(time_point, const report& body) const
+{
+    if (was_empty_start_) {
+        return true;
+    }
+    std::optional<time_point> since = majority_since(start_.claimed);
+    if (old_leader_over_) {
+        since = since ? std::min(*since, *old_leader_over_) : *old_leader_over_;
+    }
+    if (!since) {
+        since = start_.claimed + with_drift(times_.store_silence_limit, times_.drift_permille);
     }
-    return confirmed * 2 > members.size();
+    return body.echo != 0 && from_stamp(body.echo) >= *since;
 }
 
 leader_record leader::make_record(time_point now) const
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -80,6 +80,8 @@
         time_point acked;        ///< this member knew of this term then
         time_point lease_bound;  ///< its lease is over then, by this clock
         bool recorded = false;   ///< in the record that is in the store
+        bool leased_once = false; ///< by this leader
+        bool inherits = false;    ///< the keys of an earlier incarnation of its host
         bool leaving = false;
     };
     struct planned_move {
@@ -109,8 +111,11 @@
     [[nodiscard]] std::optional<time_point> majority_since(time_point now) const;
     [[nodiscard]] time_point old_leases_end() const;
     [[nodiscard]] leader_record make_record(time_point now) const;
-    [[nodiscard]] bool is_confirmed_by(const std::vector<leader_record::member>& members,
-                                       time_point now) const;
+    /// A time at which no later term was in force.
+    [[nodiscard]] time_point confirmed_at(time_point now) const;
+    [[nodiscard]] time_point majority_ack(const std::vector<leader_record::member>& members,
+                                          time_point now) const;
+    [[nodiscard]] bool is_sent_in_force(time_point now, const report& body) const;
     fence next_fence();
     void change() { changed_ = true; ++view_.version; }
 
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -80,6 +80,9 @@
     if (reply.leased && view_.term == reply.term && view_.version >= reply.directory_version) {
         lease_end_ = std::max(lease_end_, sent_at + times_.lease);
     }
+    else {
+        next_report_ = std::min(next_report_, now + times_.lease_retry);
+    }
 }
 
 void member::on_directory(time_point now, const directory& content)
--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -23,6 +23,9 @@
     /// Several reports fit into one lease, so that a lost one does not end it.
     milliseconds report_interval{250};
     milliseconds lease{1600};
+    /// A member that got no lease asks again after this time: a new leader gives
+    /// leases only after a second report.
+    milliseconds lease_retry{60};
     /// The leader may extend leases for this time after a majority of the members,
     /// or the store, last confirmed its term.
     milliseconds authority{1500};
