Bind a restarted node to the end of a target that it did not know

It did not know when that life began, so the next heartbeat, which still said ready, counted as a new life.

Change: lives that began before the deregistration, by the clock of the host that both run on, are over; a health answer does not bring them back.

Test: tests/sidecar/target_watch_test.cpp, first case, failed before the change.

--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -315,7 +315,9 @@
         }
     }
     else if (const auto* end = std::get_if<deregistration>(&call)) {
-        watch_.on_deregistration(now, end->target_id);
+        const auto wall = std::chrono::system_clock::now().time_since_epoch();
+        watch_.on_deregistration(now, end->target_id,
+                                 std::chrono::duration_cast<milliseconds>(wall));
     }
     else {
         exchange.respond(plain(status_not_found, protocol_.confirmation));
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -67,12 +67,15 @@
     }
 }
 
-void target_watch::on_deregistration(time_point now, const std::string& target_id)
+void target_watch::on_deregistration(time_point now, const std::string& target_id,
+                                     milliseconds unix_time)
 {
     ended_id_ = target_id;
-    ended_born_ = 0;
+    ended_born_ = static_cast<std::uint64_t>(unix_time.count());
     if (target_id == status_.id) {
-        ended_born_ = status_.born;
+        if (status_.born != 0) {
+            ended_born_ = status_.born;
+        }
         begin_leave(now);
         set_phase(target_phase::draining);
     }
@@ -80,7 +83,7 @@
 
 void target_watch::on_identity(time_point now, const std::string& target_id, std::uint32_t slots)
 {
-    if (!status_.id.empty() || target_id.empty()) {
+    if (!status_.id.empty() || target_id.empty() || target_id == ended_id_) {
         return;
     }
     status_.id = target_id;
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -29,8 +29,10 @@
     /// False when the heartbeat is not of the target on this host, or older than
     /// what is known; it changes nothing then.
     bool on_heartbeat(time_point now, const heartbeat& beat);
-    /// The target leaves or is gone. Binds from the return on.
-    void on_deregistration(time_point now, const std::string& target_id);
+    /// The target leaves or is gone. Binds from the return on. `unix_time` tells the
+    /// lives that are meant when the target was not known: those that began before.
+    void on_deregistration(time_point now, const std::string& target_id,
+                           milliseconds unix_time);
     /// The id that the target told with a health answer.
     void on_identity(time_point now, const std::string& target_id, std::uint32_t slots);
     void on_answer(time_point now);
