--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -420,7 +420,7 @@
         if (item.owner && !item.releasing && members_.contains(item.owner) &&
             members_.at(item.owner).recorded && !may_hold(item.owner, item.service) &&
             !candidates(item.service).empty()) {
-            item.releasing = true;
+            begin_release(item);
             change();
         }
     }
@@ -458,6 +458,14 @@
     }
 }
 
+// The release carries a fence above that of the grants, so that a grant which the
+// target carries out late is refused there.
+void leader::begin_release(segment& item)
+{
+    item.releasing = true;
+    item.stamp = next_fence();
+}
+
 fence leader::next_fence()
 {
     return fence{(view_.term << fence_count_bits) | ++fence_count_};
@@ -526,7 +534,7 @@
         split_at(service, move.first, move.last);
         for (auto& item : view_.segments) {
             if (item.service == service && item.first == move.first && item.last == move.last) {
-                item.releasing = true;
+                begin_release(item);
                 moves_.push_back({service, item.first, item.last, move.to});
             }
         }
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -119,6 +119,7 @@
                                           time_point now) const;
     [[nodiscard]] bool is_sent_in_force(const report& body) const;
     fence next_fence();
+    void begin_release(segment& item);
     void change() { changed_ = true; ++view_.version; }
 
     timing times_;
