--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -3,7 +3,7 @@
 # already cause no network access.
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config ccache clang-format clang-tidy
-    libh2o-evloop-dev libhttp-parser-dev libssl-dev libmsgpack-cxx-dev nlohmann-json3-dev libboost-dev
+    libh2o-evloop-dev libhttp-parser-dev libssl-dev zlib1g-dev libmsgpack-cxx-dev nlohmann-json3-dev libboost-dev
     libxxhash-dev libgflags-dev liblog4cxx-dev libcpputest-dev libbenchmark-dev)
 missing=()
 for package in "${packages[@]}"; do
--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -11,7 +11,7 @@
 /// Low bits of a fence that count within a term.
 constexpr unsigned fence_count_bits = 24;
 /// Interval between two moves for load: one move must show in the loads first.
-constexpr milliseconds balance_interval{1000};
+constexpr milliseconds balance_interval{500};
 /// Moves that begin together. Clients of moving keys wait, so not all move at once.
 constexpr std::size_t moves_at_once = 4;
 /// Speed of a target against the mean of its service that is believed.
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -173,7 +173,9 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         any_idle = any_idle || loads[i] / candidates[i].capacity < mean * limits.underload;
     }
-    if (present < mean * limits.overload && !any_idle) {
+    // Loads are counts, so a small one may be high by chance.
+    const double noise = limits.deviations * std::sqrt(loads[worst]) / candidates[worst].capacity;
+    if (present < mean * limits.overload + noise && !any_idle) {
         return std::nullopt;
     }
     std::optional<key_move> best;
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -58,7 +58,9 @@
 
 struct balance_limits {
     /// Load of a target over the mean of all, by capacity, from which keys move.
-    double overload = 1.2;
+    double overload = 1.15;
+    /// Standard deviations of a count that an overload must exceed besides.
+    double deviations = 2;
     /// Load of a target over the mean from below which it gets keys: one that has
     /// just joined must not wait for an overload.
     double underload = 0.5;
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-double target_picker::cost(time_point now, const pick_candidate& candidate) const
+double target_picker::cost(time_point now, const pick_candidate& candidate,
+                           milliseconds aim) const
 {
     double mean = initial_ms;
     double load = 0;
@@ -34,14 +35,17 @@
     // A nearly full target answers later than an idle one.
     const double busy = load / slots / 4;
     const double crossing =
-        candidate.same_zone ? 0.0 : static_cast<double>(settings_.zone_crossing.count());
+        candidate.same_zone
+            ? 0.0
+            : static_cast<double>(
+                  std::max(settings_.least_crossing, aim / settings_.zone_divisor).count());
     return mean * (1 + waiting + busy) + failing * failure_cost_ms + crossing;
 }
 
 std::optional<incarnation_id> target_picker::pick(time_point now,
                                                   std::span<const pick_candidate> candidates,
                                                   const std::vector<incarnation_id>& avoid,
-                                                  std::mt19937_64& random) const
+                                                  milliseconds aim, std::mt19937_64& random) const
 {
     std::optional<incarnation_id> best;
     double best_cost = 0;
@@ -50,7 +54,7 @@
         if (std::find(avoid.begin(), avoid.end(), candidate.node) != avoid.end()) {
             continue;
         }
-        const double value = cost(now, candidate) * noise(random);
+        const double value = cost(now, candidate, aim) * noise(random);
         if (!best || value < best_cost) {
             best = candidate.node;
             best_cost = value;
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -27,8 +27,10 @@
 };
 
 struct pick_settings {
-    /// Expected time that another zone must save.
-    milliseconds zone_crossing{25};
+    /// Part of a request's aim that another zone must save: an answer within the aim
+    /// is worth the same from anywhere, and bytes between zones are dear.
+    int zone_divisor = 2;
+    milliseconds least_crossing{25};
     /// Answers slower than this part of the fastest target's are not believed to
     /// be the last word: such a target gets a request now and then.
     milliseconds retry_bad_after{1000};
@@ -40,8 +42,9 @@
     explicit target_picker(pick_settings settings = {}) : settings_(settings) {}
 
     /// The best candidate that is not in `avoid`; none when all are.
+    /// `aim` is the time left in which an answer is worth most.
     std::optional<incarnation_id> pick(time_point now, std::span<const pick_candidate> candidates,
-                                       const std::vector<incarnation_id>& avoid,
+                                       const std::vector<incarnation_id>& avoid, milliseconds aim,
                                        std::mt19937_64& random) const;
     void on_sent(incarnation_id node) { ++seen_[node].in_flight; }
     /// `load`: requests at the target, running and queued, as its node said with
@@ -63,7 +66,8 @@
         time_point last_failure{};
     };
 
-    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate) const;
+    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate,
+                              milliseconds aim) const;
     void end_one(incarnation_id node);
 
     pick_settings settings_;
--- a/src/net/peer_incoming.cpp
+++ b/src/net/peer_incoming.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Expanded bytes that one connection may hold, in frames of the largest size.
+constexpr std::size_t max_expanded_frames = 4;
+
 constexpr milliseconds max_sweep_interval{500};
 constexpr milliseconds min_sweep_interval{10};
 /// Input buffers above this are freed once they are empty.
@@ -101,29 +104,31 @@
     }
 }
 
-void peer_incoming::read_frames(connection& peer)
+// Hands the whole frames at the start of `bytes` on and returns their size; none
+// when the peer broke the protocol.
+std::optional<std::size_t> peer_incoming::take_frames(connection& peer, std::string_view bytes,
+                                                      bool& any)
 {
-    auto* socket = peer.socket;
-    const bool was_unfinished = std::exchange(peer.unfinished, false);
-    bool any = false;
-    while (socket->input->size >= wire::length_bytes) {
-        const auto size = wire::decode_length(socket->input->bytes);
+    std::size_t used = 0;
+    while (bytes.size() - used >= wire::length_bytes) {
+        const char* start = bytes.data() + used;
+        const auto size = wire::decode_length(start);
         if (size > std::min(limits_.max_frame_bytes, wire::max_frame_bytes)) {
             fail(peer, "frame-too-long: " + std::to_string(size) + " bytes");
-            return;
+            return std::nullopt;
         }
-        if (socket->input->size < wire::length_bytes + size) {
+        if (bytes.size() - used < wire::length_bytes + size) {
             break;
         }
         wire::frame frame;
         try {
-            frame = wire::decode(socket->input->bytes + wire::length_bytes, size);
+            frame = wire::decode(start + wire::length_bytes, size);
         }
         catch (const wire::frame_error& failure) {
             fail(peer, reason_of(failure));
-            return;
+            return std::nullopt;
         }
-        h2o_buffer_consume(&socket->input, wire::length_bytes + size);
+        used += wire::length_bytes + size;
         ++counters_.frames_received;
         counters_.bytes_received += wire::length_bytes + size;
         any = true;
@@ -135,11 +140,57 @@
             loop_.defer([failure = std::current_exception()] { std::rethrow_exception(failure); });
         }
     }
+    return used;
+}
+
+bool peer_incoming::expand_input(connection& peer)
+{
+    auto* socket = peer.socket;
+    try {
+        if (!peer.expander) {
+            peer.expander.emplace();
+        }
+        peer.expander->expand({socket->input->bytes, socket->input->size}, peer.plain,
+                              max_expanded_frames * limits_.max_frame_bytes);
+    }
+    catch (const stream_error& failure) {
+        fail(peer, std::string("stream: ") + failure.what());
+        return false;
+    }
+    h2o_buffer_consume(&socket->input, socket->input->size);
+    return true;
+}
+
+void peer_incoming::read_frames(connection& peer)
+{
+    auto* socket = peer.socket;
+    const bool was_unfinished = std::exchange(peer.unfinished, false);
+    bool any = false;
+    bool left = false;
+    if (limits_.compress) {
+        if (!expand_input(peer)) {
+            return;
+        }
+        const auto used = take_frames(peer, peer.plain, any);
+        if (!used) {
+            return;
+        }
+        peer.plain.erase(0, *used);
+        left = !peer.plain.empty();
+    }
+    else {
+        const auto used = take_frames(peer, {socket->input->bytes, socket->input->size}, any);
+        if (!used) {
+            return;
+        }
+        h2o_buffer_consume(&socket->input, *used);
+        left = socket->input->size > 0;
+    }
     if (socket->input->size == 0 && socket->input->capacity > kept_input_bytes) {
         h2o_buffer_dispose(&socket->input);
         h2o_buffer_init(&socket->input, &h2o_socket_buffer_prototype);
     }
-    if (socket->input->size > 0) {
+    if (left) {
         peer.unfinished = true;
         if (any || !was_unfinished) {
             peer.waiting_since = loop_.now();
--- a/src/net/peer_incoming.h
+++ b/src/net/peer_incoming.h
@@ -4,11 +4,14 @@
 /// the peer transport. Not thread-safe.
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "net/peer_transport.h"
 #include "net/sockets.h"
+#include "net/stream_codec.h"
 
 namespace bulrushgw::net::detail {
 
@@ -34,12 +37,16 @@
         bool failing = false; ///< a protocol failure was written; all input is discarded
         std::string failure;  ///< its bytes, which h2o refers to
         bool unfinished = false;
+        std::optional<stream_expander> expander; ///< of a compressed connection
+        std::string plain;                       ///< its expanded bytes, not yet read
         time_point waiting_since; ///< valid when unfinished or failing
     };
 
     void open(h2o_socket_t* socket);
     void close(connection& peer);
     void read_frames(connection& peer);
+    bool expand_input(connection& peer);
+    std::optional<std::size_t> take_frames(connection& peer, std::string_view bytes, bool& any);
     void fail(connection& peer, const std::string& reason);
     void close_stalled();
 
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -6,6 +6,7 @@
 
 #include "net/peer_incoming.h"
 #include "net/sockets.h"
+#include "net/stream_codec.h"
 
 namespace bulrushgw::net {
 
@@ -51,6 +52,7 @@
         std::string pending; ///< frames that wait for the current write
         std::uint64_t pending_frames = 0;
         std::string writing; ///< h2o refers to it until the write ends
+        std::optional<detail::stream_compressor> packer;
         std::uint64_t writing_frames = 0;
         bool flush_deferred = false;
         time_point last_used;
@@ -165,6 +167,13 @@
         return;
     }
     to.writing.swap(to.pending);
+    if (limits.compress) {
+        if (!to.packer) {
+            to.packer.emplace();
+        }
+        to.writing = to.packer->compress(to.writing);
+        to.pending.clear();
+    }
     to.writing_frames = std::exchange(to.pending_frames, 0);
     ++counters.writes;
     to.timer = owner.after(limits.stall_timeout, [this, &to] { disconnect(to); });
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -21,6 +21,8 @@
     /// Unsent bytes kept for one peer; frames above are refused to the sender.
     std::size_t max_queued_bytes = std::size_t{4} * 1024 * 1024;
     std::size_t max_connections = 2000; ///< for each direction
+    /// Compresses the connections. All nodes of a deployment must have the same.
+    bool compress = false;
     milliseconds connect_timeout{500};
     milliseconds reconnect_delay{100};
     /// A peer that takes no byte for this time is disconnected, as is a sender
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -226,7 +226,10 @@
         park(request, "the service has no target");
         return;
     }
-    const auto picked = picker_.pick(loop_.now(), candidates, request.avoid, random_);
+    const auto now = loop_.now();
+    const auto aim = std::max(milliseconds{0},
+                              std::chrono::duration_cast<milliseconds>(request.aim - now));
+    const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_);
     if (!picked) {
         refuse(request, reason::overloaded, default_retry_after, "all targets refused");
         return;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -50,6 +50,7 @@
 {
     net::peer_limits limits;
     limits.stall_timeout = peer_stall;
+    limits.compress = true;
     return limits;
 }
 
