--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -98,8 +98,8 @@
         accept_holdings(from, body);
     }
     if (was_empty_start_ && before.id.empty() && !body.target.id.empty()) {
-        first_assignment_ = std::min(now + first_assignment_delay,
-                                     start_.claimed + longest_first_delay);
+        first_assignment_ =
+            std::min(now + first_assignment_delay, start_.claimed + longest_first_delay);
     }
     match_target(from, new_life);
     for (const auto& keys : body.released) {
@@ -115,8 +115,8 @@
         member.leased_once = true;
         member.lease_bound = now + with_drift(times_.lease, times_.drift_permille);
     }
-    reply.clear_wanted = !was_empty_start_ && body.cleared_term != view_.term &&
-                         !member.inherits && now < old_leases_end();
+    reply.clear_wanted = !was_empty_start_ && body.cleared_term != view_.term && !member.inherits &&
+                         now < old_leases_end();
     reply.directory_version = view_.version;
     if (body.term != view_.term || body.directory_version != view_.version) {
         reply.content.push_back(view_);
@@ -174,12 +174,12 @@
     if (!body.holdings.empty()) {
         // The lease under which it holds them is of an earlier term.
         auto& bound = members_.at(from).lease_bound;
-        bound = std::max(bound, members_.at(from).heard +
-                                    with_drift(times_.lease, times_.drift_permille));
+        bound = std::max(bound,
+                         members_.at(from).heard + with_drift(times_.lease, times_.drift_permille));
     }
     for (const auto& held : body.holdings) {
-        const bool taken = std::any_of(
-            view_.segments.begin(), view_.segments.end(), [&](const segment& item) {
+        const bool taken =
+            std::any_of(view_.segments.begin(), view_.segments.end(), [&](const segment& item) {
                 return item.owner && overlaps(item, held.service, held.first, held.last);
             });
         if (taken || held.first > held.last || held.last >= key_count) {
@@ -255,8 +255,7 @@
             if (member.leaving && target.phase == target_phase::ready) {
                 target.phase = target_phase::draining;
             }
-            nodes.push_back(
-                {id, member.last.host, member.last.address, member.last.zone, target});
+            nodes.push_back({id, member.last.host, member.last.address, member.last.zone, target});
         }
     }
     const auto same = [](const node_record& a, const node_record& b) {
@@ -398,9 +397,9 @@
         for (const auto& entry : before.members) {
             const auto* member = member_on(entry.host);
             const bool same = members_.contains(entry.node);
-            const bool known = member != nullptr && member->recorded &&
-                               (same ? member->leased_once
-                                     : member->last.cleared_term == view_.term);
+            const bool known =
+                member != nullptr && member->recorded &&
+                (same ? member->leased_once : member->last.cleared_term == view_.term);
             if (!known) {
                 return false;
             }
@@ -515,7 +514,9 @@
 
 void leader::assign_free(time_point now, const std::string& service)
 {
-    const auto is_free = [&](const segment& item) { return item.service == service && !item.owner; };
+    const auto is_free = [&](const segment& item) {
+        return item.service == service && !item.owner;
+    };
     if (std::none_of(view_.segments.begin(), view_.segments.end(), is_free)) {
         return;
     }
@@ -551,9 +552,10 @@
 
 void leader::balance(time_point now, const std::string& service)
 {
-    const bool busy = std::any_of(
-        view_.segments.begin(), view_.segments.end(),
-        [&](const segment& item) { return item.service == service && (item.releasing || !item.owner); });
+    const bool busy =
+        std::any_of(view_.segments.begin(), view_.segments.end(), [&](const segment& item) {
+            return item.service == service && (item.releasing || !item.owner);
+        });
     if (busy || !has_authority(now)) {
         return;
     }
@@ -649,7 +651,7 @@
     for (const auto& entry : members) {
         const auto found = members_.find(entry.node);
         const bool is_self = entry.node == self_.node;
-        acks.push_back(is_self                    ? now
+        acks.push_back(is_self                   ? now
                        : found == members_.end() ? time_point{}
                                                  : found->second.acked);
     }
@@ -750,8 +752,8 @@
         result.unassigned += item.owner ? 0 : 1;
     }
     result.authority = has_authority(now);
-    result.old_leases = std::max(
-        milliseconds{0}, std::chrono::duration_cast<milliseconds>(old_leases_end() - now));
+    result.old_leases =
+        std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(old_leases_end() - now));
     return result;
 }
 
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -29,7 +29,7 @@
     /// Leaders whose leases may still run. Empty: no leader was ever before.
     std::vector<leader_record::earlier_leader> earlier;
     std::vector<leader_record::member> recorded; ///< members of the claim
-    time_point claimed;    ///< when the claim was confirmed
+    time_point claimed;                          ///< when the claim was confirmed
     time_point claim_sent; ///< when it was sent; the store's confirmation counts from here
 };
 
@@ -63,11 +63,11 @@
     /// For logs: what the leader waits for, if anything.
     struct summary {
         std::size_t members = 0;
-        std::size_t recorded = 0;    ///< members that may get leases
+        std::size_t recorded = 0; ///< members that may get leases
         std::size_t segments = 0;
-        std::size_t unassigned = 0;  ///< segments without an owner
+        std::size_t unassigned = 0; ///< segments without an owner
         bool authority = false;
-        milliseconds old_leases{0};  ///< time until leases of earlier terms are over
+        milliseconds old_leases{0}; ///< time until leases of earlier terms are over
     };
     [[nodiscard]] summary summarize(time_point now) const;
     /// Members to which a changed directory is sent.
@@ -77,9 +77,9 @@
     struct member_state {
         report last;
         time_point heard;
-        time_point acked;        ///< this member knew of this term then
-        time_point lease_bound;  ///< its lease is over then, by this clock
-        bool recorded = false;   ///< in the record that is in the store
+        time_point acked;         ///< this member knew of this term then
+        time_point lease_bound;   ///< its lease is over then, by this clock
+        bool recorded = false;    ///< in the record that is in the store
         bool leased_once = false; ///< by this leader
         bool inherits = false;    ///< the keys of an earlier incarnation of its host
         bool leaving = false;
@@ -122,7 +122,11 @@
     [[nodiscard]] bool is_sent_in_force(const report& body) const;
     fence next_fence();
     void begin_release(segment& item);
-    void change() { changed_ = true; ++view_.version; }
+    void change()
+    {
+        changed_ = true;
+        ++view_.version;
+    }
 
     timing times_;
     leader_identity self_;
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -99,8 +99,7 @@
 
 void member::adopt_directory(const directory& content)
 {
-    if (content.term != term_ ||
-        (view_.term == content.term && content.version <= view_.version)) {
+    if (content.term != term_ || (view_.term == content.term && content.version <= view_.version)) {
         return;
     }
     view_ = content;
@@ -129,7 +128,8 @@
     }
     std::vector<held> next;
     for (const auto& item : view_.segments) {
-        const bool own = item.owner == self_.node && item.target == target_.id && !target_.id.empty();
+        const bool own =
+            item.owner == self_.node && item.target == target_.id && !target_.id.empty();
         bool covered = false;
         for (auto& piece : held_) {
             if (piece.service != item.service || piece.first < item.first ||
@@ -191,9 +191,10 @@
 
 void member::on_target(time_point now, const target_status& target)
 {
-    const bool changed = target.id != target_.id || target.phase != target_.phase ||
-                         !target_.is_same_life(target);
-    const bool other_life = !target_.id.empty() && !target.id.empty() && !target_.is_same_life(target);
+    const bool changed =
+        target.id != target_.id || target.phase != target_.phase || !target_.is_same_life(target);
+    const bool other_life =
+        !target_.id.empty() && !target.id.empty() && !target_.is_same_life(target);
     target_ = target;
     if (other_life) {
         // The old life is over and with it all that it held.
@@ -257,9 +258,8 @@
             continue;
         }
         item.order = next_order_++;
-        item.exposed_until =
-            std::max(item.exposed_until,
-                     now + times_.hold_margin + with_drift(hold, times_.drift_permille));
+        item.exposed_until = std::max(
+            item.exposed_until, now + times_.hold_margin + with_drift(hold, times_.drift_permille));
         orders_[item.order] = {now, hold, item.service, item.first, item.last, item.stamp};
         result.push_back({item.order, item.service, item.first, item.last, item.stamp, hold,
                           fresh ? item.handover : std::string{}});
@@ -283,8 +283,8 @@
             continue;
         }
         item.order = next_order_++;
-        orders_[item.order] = {now, milliseconds{0}, item.service, item.first, item.last,
-                               item.stamp};
+        orders_[item.order] = {now,        milliseconds{0}, item.service,
+                               item.first, item.last,       item.stamp};
         const fence stamp = std::max(item.stamp, item.granted);
         result.push_back({item.order, item.service, item.first, item.last, stamp});
     }
@@ -414,7 +414,8 @@
     std::vector<holding> result;
     for (const auto& item : held_) {
         if (item.exposed_until > now) {
-            result.push_back({item.service, item.first, item.last, std::max(item.stamp, item.granted)});
+            result.push_back(
+                {item.service, item.first, item.last, std::max(item.stamp, item.granted)});
         }
     }
     return result;
@@ -425,8 +426,7 @@
     return report_now_ ? now : next_report_;
 }
 
-serve_verdict member::may_serve(time_point now, const std::string& service,
-                                std::uint32_t key) const
+serve_verdict member::may_serve(time_point now, const std::string& service, std::uint32_t key) const
 {
     for (const auto& item : held_) {
         if (item.service == service && item.first <= key && key <= item.last) {
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -80,7 +80,11 @@
     void set_manifest_version(std::uint64_t version) { manifest_version_ = version; }
     void set_mean_work(std::chrono::microseconds mean) { mean_work_ = mean; }
     /// Planned stop: the leader moves the keys away.
-    void leave() { leaving_ = true; report_now_ = true; }
+    void leave()
+    {
+        leaving_ = true;
+        report_now_ = true;
+    }
     void on_tick(time_point now);
 
     /// The report to send now, if one is due, and the address for it.
@@ -120,7 +124,7 @@
         std::uint32_t first = 0;
         std::uint32_t last = 0;
         fence stamp;
-        fence granted;          ///< of the last confirmed grant
+        fence granted; ///< of the last confirmed grant
         std::string handover;
         time_point served_until{};  ///< the target certainly holds the keys before
         time_point exposed_until{}; ///< the target certainly holds them no more after
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -84,8 +84,8 @@
 
 double key_load_table::sum(std::uint32_t first, std::uint32_t last) const
 {
-    const double measured = std::accumulate(requests_.begin() + first, requests_.begin() + last + 1,
-                                            0.0);
+    const double measured =
+        std::accumulate(requests_.begin() + first, requests_.begin() + last + 1, 0.0);
     return measured + base_load * (last - first + 1);
 }
 
@@ -190,17 +190,16 @@
             }
             // The piece that brings both to the same load by capacity.
             const double both = candidates[worst].capacity + candidates[i].capacity;
-            const double wanted = (loads[worst] * candidates[i].capacity -
-                                   loads[i] * candidates[worst].capacity) /
-                                  both;
+            const double wanted =
+                (loads[worst] * candidates[i].capacity - loads[i] * candidates[worst].capacity) /
+                both;
             if (wanted <= 0) {
                 continue;
             }
             for (const auto& [first, last] : pieces_of(keys, item, wanted)) {
                 const double moved = keys.sum(first, last);
-                const double peak =
-                    std::max((loads[worst] - moved) / candidates[worst].capacity,
-                             (loads[i] + moved) / candidates[i].capacity);
+                const double peak = std::max((loads[worst] - moved) / candidates[worst].capacity,
+                                             (loads[i] + moved) / candidates[i].capacity);
                 if (peak < best_peak) {
                     best_peak = peak;
                     best = key_move{first, last, candidates[worst].node, candidates[i]};
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -46,7 +46,8 @@
 /// room, in proportion to the room. `loads` holds the present load of each
 /// candidate and is brought up to date. Precondition: candidates is not empty.
 std::vector<segment> spread(const key_load_table& keys, std::uint32_t first, std::uint32_t last,
-                            std::span<const owner_candidate> candidates, std::vector<double>& loads);
+                            std::span<const owner_candidate> candidates,
+                            std::vector<double>& loads);
 
 /// Keys that should move to even the load.
 struct key_move {
--- a/src/dispatch/retry_allowance.h
+++ b/src/dispatch/retry_allowance.h
@@ -14,10 +14,10 @@
 namespace bulrushgw::dispatch {
 
 struct allowance_settings {
-    double ratio = 0.2;         ///< of the service's requests in the window
-    double slack = 50;          ///< further repeats in the window, of all nodes
+    double ratio = 0.2; ///< of the service's requests in the window
+    double slack = 50;  ///< further repeats in the window, of all nodes
     milliseconds window{10000};
-    std::uint32_t nodes = 1;    ///< that share the slack
+    std::uint32_t nodes = 1; ///< that share the slack
 };
 
 /// Not thread-safe.
--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -54,8 +54,8 @@
         return result;
     }
     if (answered) {
-        const double took = std::chrono::duration<double, std::milli>(now - found->second.started)
-                                .count();
+        const double took =
+            std::chrono::duration<double, std::milli>(now - found->second.started).count();
         mean_ms_ += mean_ms_ > 0 ? sample_weight * (took - mean_ms_) : took;
         if (work_ms_.size() >= max_kinds && !work_ms_.contains(found->second.kind)) {
             work_ms_.clear();
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -16,8 +16,7 @@
 
 } // namespace
 
-double target_picker::cost(time_point now, const pick_candidate& candidate,
-                           milliseconds aim) const
+double target_picker::cost(time_point now, const pick_candidate& candidate, milliseconds aim) const
 {
     double mean = initial_ms;
     double load = 0;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -217,8 +217,7 @@
     while (!to.idle.empty()) {
         connection* on = to.idle.back();
         char byte = 0;
-        const auto got =
-            recv(h2o_socket_get_fd(on->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const auto got = recv(h2o_socket_get_fd(on->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         const bool quiet = got < 0 && (errno == EAGAIN || errno == EINTR);
         if (quiet && owner.now() - on->idle_since < on->idle_for) {
             to.idle.pop_back();
--- a/src/net/peer_incoming.h
+++ b/src/net/peer_incoming.h
@@ -39,7 +39,7 @@
         bool unfinished = false;
         std::optional<stream_expander> expander; ///< of a compressed connection
         std::string plain;                       ///< its expanded bytes, not yet read
-        time_point waiting_since; ///< valid when unfinished or failing
+        time_point waiting_since;                ///< valid when unfinished or failing
     };
 
     void open(h2o_socket_t* socket);
--- a/src/routing/manifest.h
+++ b/src/routing/manifest.h
@@ -26,12 +26,12 @@
 struct route {
     std::string name;
     std::string host;
-    std::string prefix;         ///< begins and ends with a slash
-    bool idempotent = false;    ///< may run more than once
-    milliseconds timeout{0};    ///< longest time a client is kept waiting; 0: none
-    milliseconds aim{0};        ///< answers within it are worth most
-    std::uint32_t attempts = 1; ///< targets one request may be sent to
-    std::uint32_t rank = 0;     ///< 0 is the most urgent
+    std::string prefix;                    ///< begins and ends with a slash
+    bool idempotent = false;               ///< may run more than once
+    milliseconds timeout{0};               ///< longest time a client is kept waiting; 0: none
+    milliseconds aim{0};                   ///< answers within it are worth most
+    std::uint32_t attempts = 1;            ///< targets one request may be sent to
+    std::uint32_t rank = 0;                ///< 0 is the most urgent
     std::vector<destination> destinations; ///< at least one, weights above 0
 };
 
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -19,8 +19,8 @@
 
 coordination::coordination(assignment::timing times, assignment::member_identity self,
                            std::uint64_t seed, hooks with)
-    : times_(times), self_(std::move(self)), random_(seed),
-      hooks_(std::move(with)), member_(times, self_)
+    : times_(times), self_(std::move(self)), random_(seed), hooks_(std::move(with)),
+      member_(times, self_)
 {
 }
 
@@ -212,12 +212,12 @@
 
 void coordination::write_record(time_point now, const assignment::leader_record& record)
 {
-    hooks_.write_record(row_version_, to_text(record),
-                        [this, now, beat = record.beat](store_outcome outcome,
-                                                        std::uint64_t version) {
-                            on_record_written(now, beat, outcome, version);
-                            pump();
-                        });
+    hooks_.write_record(
+        row_version_, to_text(record),
+        [this, now, beat = record.beat](store_outcome outcome, std::uint64_t version) {
+            on_record_written(now, beat, outcome, version);
+            pump();
+        });
 }
 
 void coordination::on_record_written(time_point sent, std::uint64_t beat, store_outcome outcome,
@@ -321,8 +321,8 @@
 // host is gone.
 void coordination::consider_claim(time_point now, const assignment::leader_record* record)
 {
-    const bool own_host = record != nullptr && record->host == self_.host &&
-                          record->leader != self_.node;
+    const bool own_host =
+        record != nullptr && record->host == self_.host && record->leader != self_.node;
     const bool silent = member_.is_leader_silent(now);
     const bool unchanged = now - record_changed_ >= times_.record_silence;
     if (record == nullptr || own_host || (silent && unchanged)) {
@@ -360,23 +360,22 @@
     }
     open_claim_ = next;
     open_claim_sent_ = now;
-    hooks_.write_record(
-        row_version_, to_text(next),
-        [this, now, next](store_outcome outcome, std::uint64_t version) {
-            claiming_ = false;
-            if (outcome == store_outcome::done) {
-                row_version_ = version;
-                on_claimed(now, next);
-            }
-            else if (outcome == store_outcome::unavailable) {
-                open_claim_.reset();
-                next_read_ = hooks_.now() + read_pause;
-            }
-            else {
-                // The record tells who leads.
-                read_record();
-            }
-        });
+    hooks_.write_record(row_version_, to_text(next),
+                        [this, now, next](store_outcome outcome, std::uint64_t version) {
+                            claiming_ = false;
+                            if (outcome == store_outcome::done) {
+                                row_version_ = version;
+                                on_claimed(now, next);
+                            }
+                            else if (outcome == store_outcome::unavailable) {
+                                open_claim_.reset();
+                                next_read_ = hooks_.now() + read_pause;
+                            }
+                            else {
+                                // The record tells who leads.
+                                read_record();
+                            }
+                        });
 }
 
 void coordination::on_claimed(time_point sent, const assignment::leader_record& claimed)
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -28,8 +28,8 @@
 constexpr int first_failure = 500;
 
 constexpr std::array<std::string_view, 9> connection_headers{
-    "connection", "keep-alive", "proxy-connection", "te",    "trailer",
-    "upgrade",    "expect",     "content-length",   "transfer-encoding"};
+    "connection", "keep-alive",     "proxy-connection", "te", "trailer", "upgrade",
+    "expect",     "content-length", "transfer-encoding"};
 
 bool same_name(std::string_view a, std::string_view b)
 {
@@ -38,7 +38,8 @@
     });
 }
 
-template <typename Number> std::optional<Number> parse_number(std::string_view text)
+template <typename Number>
+std::optional<Number> parse_number(std::string_view text)
 {
     Number value = 0;
     const auto* end = text.data() + text.size();
@@ -125,14 +126,14 @@
     const std::string request_id(net::find_header(headers, names.request_id).value_or(""));
     if (!routes_ || closed_) {
         ++counters_.refused;
-        auto response = own_answer(request_id, 503,
-                                   closed_ ? "the node stops" : "no manifest is known yet");
+        auto response =
+            own_answer(request_id, 503, closed_ ? "the node stops" : "no manifest is known yet");
         response.headers.push_back({names.retry_after, seconds_text(default_retry_after)});
         exchange.respond(std::move(response));
         return;
     }
-    const auto* route = routes_->find(net::find_header(headers, "host").value_or(""),
-                                      exchange.request.path);
+    const auto* route =
+        routes_->find(net::find_header(headers, "host").value_or(""), exchange.request.path);
     if (route == nullptr) {
         exchange.respond(own_answer(request_id, 404, "no route"));
         return;
@@ -154,8 +155,8 @@
         time = std::min(time, route->timeout);
     }
     request.deadline = now + time;
-    request.aim = now + (route->aim.count() > 0 ? std::min(route->aim, time)
-                                                : time / default_aim_divisor);
+    request.aim =
+        now + (route->aim.count() > 0 ? std::min(route->aim, time) : time / default_aim_divisor);
     request.park_limit = now + time / park_divisor;
     const auto key =
         parse_number<std::uint32_t>(net::find_header(headers, names.shard_key).value_or(""));
@@ -179,8 +180,9 @@
     repeats_[request.service].on_request(now);
     auto& stored = pending_.emplace(id, std::move(request)).first->second;
     if (stored.sharded && !stored.key) {
-        end(id, own_answer(stored.request_id, 400, "the service is divided by key, and the request "
-                                                   "names none"));
+        end(id, own_answer(stored.request_id, 400,
+                           "the service is divided by key, and the request "
+                           "names none"));
         return;
     }
     dispatch(stored);
@@ -227,8 +229,8 @@
         return;
     }
     const auto now = loop_.now();
-    const auto aim = std::max(milliseconds{0},
-                              std::chrono::duration_cast<milliseconds>(request.aim - now));
+    const auto aim =
+        std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
     const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_);
     if (!picked) {
         refuse(request, reason::overloaded, default_retry_after, "all targets refused");
@@ -252,18 +254,17 @@
     message.idempotent = request.route.idempotent;
     message.worth = request.route.rank;
     message.deadline = std::chrono::duration_cast<milliseconds>(request.deadline - now);
-    message.aim = std::max(milliseconds{0},
-                           std::chrono::duration_cast<milliseconds>(request.aim - now));
+    message.aim =
+        std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
     message.method = request.exchange.request.method;
     message.path = request.exchange.request.path;
     message.body = request.exchange.request.body;
     for (const auto& header : request.exchange.request.headers) {
-        const bool own = same_name(header.name, names.request_id) ||
-                         same_name(header.name, names.deadline) ||
-                         same_name(header.name, names.expected_target) ||
-                         same_name(header.name, names.caller) ||
-                         std::any_of(connection_headers.begin(), connection_headers.end(),
-                                     [&](auto name) { return same_name(name, header.name); });
+        const bool own =
+            same_name(header.name, names.request_id) || same_name(header.name, names.deadline) ||
+            same_name(header.name, names.expected_target) || same_name(header.name, names.caller) ||
+            std::any_of(connection_headers.begin(), connection_headers.end(),
+                        [&](auto name) { return same_name(name, header.name); });
         if (!own) {
             message.headers.emplace_back(header.name, header.value);
         }
@@ -289,12 +290,10 @@
     if (node == self) {
         // The answer may come within the call, which must not change the request
         // that is being dispatched.
-        hooks_.run_here({self, request.number}, std::move(message),
-                        [this, self](wire::forward_reply reply) {
-                            loop_.defer([this, self, reply = std::move(reply)] {
-                                on_reply(self, reply);
-                            });
-                        });
+        hooks_.run_here(
+            {self, request.number}, std::move(message), [this, self](wire::forward_reply reply) {
+                loop_.defer([this, self, reply = std::move(reply)] { on_reply(self, reply); });
+            });
         return;
     }
     if (!hooks_.send(address, node, std::move(message))) {
@@ -440,8 +439,7 @@
         reply.number = request.number;
         reply.request_id = request.request_id;
         const bool unsent = unsent_since && request.sent >= *unsent_since;
-        reply.outcome =
-            unsent ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
+        reply.outcome = unsent ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
         reply.reason =
             request::to_text(unsent ? reason::peer_unreachable : reason::connection_lost);
         on_reply(request.node, reply);
@@ -517,8 +515,7 @@
 void entry::deliver(pending_request& request, const wire::forward_reply& reply)
 {
     ++counters_.answered;
-    hooks_.on_answer_time(
-        std::chrono::duration_cast<milliseconds>(loop_.now() - request.arrived));
+    hooks_.on_answer_time(std::chrono::duration_cast<milliseconds>(loop_.now() - request.arrived));
     net::http_response response;
     response.status = reply.status;
     response.body = reply.body;
@@ -544,8 +541,7 @@
         fail(request, 502, why);
         return;
     }
-    const milliseconds wait =
-        spread(retry_after.count() > 0 ? retry_after : default_retry_after);
+    const milliseconds wait = spread(retry_after.count() > 0 ? retry_after : default_retry_after);
     log("refused", request,
         {{"reason", request::to_text(why)},
          {"cause", cause},
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -89,9 +89,9 @@
         time_point arrived;
         time_point aim;
         time_point deadline;
-        time_point park_limit; ///< until then it waits for an owner
-        std::uint32_t sends = 0;    ///< that may have reached a target
-        std::uint32_t tries = 0;    ///< all of them
+        time_point park_limit;   ///< until then it waits for an owner
+        std::uint32_t sends = 0; ///< that may have reached a target
+        std::uint32_t tries = 0; ///< all of them
         bool parked = false;
         bool under_way = false;
         std::uint64_t number = 0;
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -163,8 +163,7 @@
         });
 }
 
-wire::forward_reply gate::reply_for(const active_request& entry,
-                                    const net::http_response& answer)
+wire::forward_reply gate::reply_for(const active_request& entry, const net::http_response& answer)
 {
     const auto& names = protocol_.names;
     wire::forward_reply reply;
@@ -228,12 +227,11 @@
             reply.request_id = entry.request.request_id;
             reply.outcome =
                 refused ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
-            const reason why = refused ? reason::no_target
-                               : result.failure == net::http_failure::timeout
-                                   ? reason::deadline_sent
-                               : result.failure == net::http_failure::malformed
-                                   ? reason::malformed_answer
-                                   : reason::connection_lost;
+            const reason why =
+                refused                                          ? reason::no_target
+                : result.failure == net::http_failure::timeout   ? reason::deadline_sent
+                : result.failure == net::http_failure::malformed ? reason::malformed_answer
+                                                                 : reason::connection_lost;
             reply.reason = request::to_text(why);
             hooks_.on_failure(entry.request, why, "the target gave no whole answer");
         }
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -72,8 +72,9 @@
 } // namespace
 
 process::process(std::string file, const platform_protocol& protocol)
-    : file_(std::move(file)), settings_(load_settings(file_)), protocol_(protocol), random_(random_seed()),
-      self_{random_() | 1}, journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
+    : file_(std::move(file)), settings_(load_settings(file_)), protocol_(protocol),
+      random_(random_seed()), self_{random_() | 1},
+      journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
       watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
       store_(make_store()), gate_(make_gate()), coordination_(make_coordination()),
       entry_(make_entry())
@@ -346,8 +347,8 @@
         content = protocol_.parse_manifest(text);
     }
     catch (const routing::manifest_error& failure) {
-        log("manifest_refused", {{"cause", failure.what()},
-                                 {"in_force", routes_ ? routes_->content().version : 0}});
+        log("manifest_refused",
+            {{"cause", failure.what()}, {"in_force", routes_ ? routes_->content().version : 0}});
         return;
     }
     if (routes_ && content.version <= routes_->content().version) {
@@ -433,32 +434,28 @@
 
 void process::release(const assignment::release_order& order)
 {
-    gate_.order(protocol_.release(order), release_timeout,
-                [this, order](const net::http_result& result) {
-                    // Without a target, or with one that takes no grants, no key is held.
-                    const bool none = !result.response &&
-                                      result.failure == net::http_failure::connect;
-                    const bool unsharded = result.response &&
-                                           result.response->status == status_not_found;
-                    const bool answered =
-                        result.response && result.response->status == status_ok;
-                    const bool done = answered || (order.service.empty() && (none || unsharded));
-                    std::string handover;
-                    if (answered) {
-                        handover = net::find_header(result.response->headers,
-                                                    protocol_.names.handover)
-                                       .value_or("");
-                    }
-                    log("released", {{"first", order.first},
-                                     {"last", order.last},
-                                     {"fence", order.stamp.value},
-                                     {"confirmed", done},
-                                     {"handover", !handover.empty()}});
-                    coordination_.on_release_result(order.id,
-                                                    done ? assignment::order_outcome::done
-                                                         : assignment::order_outcome::unknown,
-                                                    std::move(handover));
-                });
+    gate_.order(
+        protocol_.release(order), release_timeout, [this, order](const net::http_result& result) {
+            // Without a target, or with one that takes no grants, no key is held.
+            const bool none = !result.response && result.failure == net::http_failure::connect;
+            const bool unsharded = result.response && result.response->status == status_not_found;
+            const bool answered = result.response && result.response->status == status_ok;
+            const bool done = answered || (order.service.empty() && (none || unsharded));
+            std::string handover;
+            if (answered) {
+                handover = net::find_header(result.response->headers, protocol_.names.handover)
+                               .value_or("");
+            }
+            log("released", {{"first", order.first},
+                             {"last", order.last},
+                             {"fence", order.stamp.value},
+                             {"confirmed", done},
+                             {"handover", !handover.empty()}});
+            coordination_.on_release_result(order.id,
+                                            done ? assignment::order_outcome::done
+                                                 : assignment::order_outcome::unknown,
+                                            std::move(handover));
+        });
 }
 
 void process::on_target_changed()
@@ -531,8 +528,7 @@
         entry_.close();
     }
     const bool idle = entry_.pending() == 0 && gate_.active() == 0 &&
-                      now - last_request_ >= stop_quiet &&
-                      coordination_.member().is_empty(now);
+                      now - last_request_ >= stop_quiet && coordination_.member().is_empty(now);
     if ((elapsed >= stop_notice && idle) || elapsed >= settings_.bounds.grace - stop_margin) {
         log("stopped", {{"pending", entry_.pending()}, {"running", gate_.active()}});
         loop_.stop();
--- a/src/sidecar/protocol.h
+++ b/src/sidecar/protocol.h
@@ -31,7 +31,7 @@
     std::string caller;          ///< service on the host where the request began
     std::string target_id;       ///< in answers to health questions
     std::string shard_key;
-    std::string handover;        ///< token in the answer to a release
+    std::string handover; ///< token in the answer to a release
 };
 
 /// What a target says of itself.
--- a/src/sidecar/record_text.cpp
+++ b/src/sidecar/record_text.cpp
@@ -37,9 +37,12 @@
     for (const auto& before : record.earlier) {
         earlier.push_back({{"host", before.host}, {"members", to_json(before.members)}});
     }
-    return json{{"term", record.term},       {"beat", record.beat},
-                {"leader", to_string(record.leader)}, {"host", record.host},
-                {"address", record.address}, {"members", to_json(record.members)},
+    return json{{"term", record.term},
+                {"beat", record.beat},
+                {"leader", to_string(record.leader)},
+                {"host", record.host},
+                {"address", record.address},
+                {"members", to_json(record.members)},
                 {"earlier", std::move(earlier)}}
         .dump();
 }
--- a/src/sidecar/store_session.cpp
+++ b/src/sidecar/store_session.cpp
@@ -139,8 +139,8 @@
     call(protocol_.watch_manifest(watched_to_, wait), wait + call_timeout,
          [this](store_outcome outcome, const net::http_response* answer) {
              if (outcome != store_outcome::done) {
-                 const bool lost = answer != nullptr &&
-                                   answer->status == protocol_.history_lost_status;
+                 const bool lost =
+                     answer != nullptr && answer->status == protocol_.history_lost_status;
                  if (lost) {
                      read_manifest();
                  }
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -6,8 +6,7 @@
 
 using assignment::target_phase;
 
-target_watch::target_watch(target_watch_settings settings, std::string service,
-                           std::string address)
+target_watch::target_watch(target_watch_settings settings, std::string service, std::string address)
     : settings_(settings), service_(std::move(service)), address_(std::move(address))
 {
 }
@@ -124,8 +123,7 @@
     if (status_.id.empty() || status_.phase == target_phase::absent) {
         return false;
     }
-    return !leaving_since_ ||
-           now - *leaving_since_ < settings_.drain - settings_.drain_margin;
+    return !leaving_since_ || now - *leaving_since_ < settings_.drain - settings_.drain_margin;
 }
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -12,10 +12,10 @@
 namespace bulrushgw::sidecar {
 
 struct target_watch_settings {
-    milliseconds drain{2000};    ///< bound after the confirmation of a leave
-    milliseconds silence{800};   ///< without any answer while several are awaited
-    unsigned unanswered = 3;     ///< calls without an answer before it counts as silent
-    unsigned refused = 2;        ///< refused connections before it counts as gone
+    milliseconds drain{2000};  ///< bound after the confirmation of a leave
+    milliseconds silence{800}; ///< without any answer while several are awaited
+    unsigned unanswered = 3;   ///< calls without an answer before it counts as silent
+    unsigned refused = 2;      ///< refused connections before it counts as gone
     /// Time before the bound at which the last request is sent, for its way.
     milliseconds drain_margin{300};
 };
@@ -31,8 +31,7 @@
     bool on_heartbeat(time_point now, const heartbeat& beat);
     /// The target leaves or is gone. Binds from the return on. `unix_time` tells the
     /// lives that are meant when the target was not known: those that began before.
-    void on_deregistration(time_point now, const std::string& target_id,
-                           milliseconds unix_time);
+    void on_deregistration(time_point now, const std::string& target_id, milliseconds unix_time);
     /// The id that the target told with a health answer.
     void on_identity(time_point now, const std::string& target_id, std::uint32_t slots);
     void on_answer(time_point now);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -10,10 +10,10 @@
 #include <variant>
 #include <vector>
 
+#include "assignment/types.h"
 #include "common/boot_clock.h"
 #include "common/errors.h"
 #include "common/ids.h"
-#include "assignment/types.h"
 #include "ownership/messages.h"
 
 namespace bulrushgw::wire {
@@ -71,8 +71,8 @@
     std::string request_id;
     forward_outcome outcome = forward_outcome::unknown;
     std::string reason;
-    placement_version version; ///< with not_owner: what the answering node has
-    std::uint32_t load = 0;    ///< requests at the target, running and queued
+    placement_version version;   ///< with not_owner: what the answering node has
+    std::uint32_t load = 0;      ///< requests at the target, running and queued
     milliseconds retry_after{0}; ///< with not_run: when there will be room
     int status = 0;
     header_pairs headers;
@@ -100,10 +100,10 @@
     std::string reason;
 };
 
-using body = std::variant<ownership::message, forward, forward_reply, cancel, rules_pull,
-                          rules_text, protocol_failure, assignment::report,
-                          assignment::report_reply, assignment::leader_hint,
-                          assignment::directory_update>;
+using body =
+    std::variant<ownership::message, forward, forward_reply, cancel, rules_pull, rules_text,
+                 protocol_failure, assignment::report, assignment::report_reply,
+                 assignment::leader_hint, assignment::directory_update>;
 
 /// `to` none: the sender knows only the address. A receiver with another
 /// incarnation drops frames that name one, except for forwards, which it
--- /dev/null
+++ b/tests/assignment/planner_test.cpp
@@ -0,0 +1,175 @@
+#include "assignment/planner.h"
+
+#include <cmath>
+#include <numeric>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::assignment;
+
+namespace {
+
+constexpr std::uint32_t last_key = key_count - 1;
+
+std::vector<owner_candidate> owners(std::vector<double> capacities)
+{
+    std::vector<owner_candidate> result;
+    for (std::size_t i = 0; i < capacities.size(); ++i) {
+        result.push_back({incarnation_id{i + 1}, "t" + std::to_string(i + 1), capacities[i]});
+    }
+    return result;
+}
+
+std::vector<segment> first_assignment(const key_load_table& keys,
+                                      const std::vector<owner_candidate>& candidates)
+{
+    std::vector<double> loads(candidates.size(), 0);
+    return spread(keys, 0, last_key, candidates, loads);
+}
+
+/// Plays the moves until none is found, and returns the peak of load by capacity
+/// over the mean.
+double peak_after_moves(const key_load_table& keys, std::vector<segment> segments,
+                        const std::vector<owner_candidate>& candidates, int most_rounds)
+{
+    for (int round = 0; round < most_rounds; ++round) {
+        const auto moves = find_moves(keys, segments, candidates, 4);
+        if (moves.empty()) {
+            break;
+        }
+        for (const auto& move : moves) {
+            cut_segments(segments, move.first);
+            cut_segments(segments, move.last + 1);
+            for (auto& item : segments) {
+                if (item.first == move.first && item.last == move.last) {
+                    item.owner = move.to.node;
+                }
+            }
+        }
+    }
+    double capacity = 0;
+    double worst = 0;
+    for (const auto& candidate : candidates) {
+        double load = 0;
+        for (const auto& item : segments) {
+            load += item.owner == candidate.node ? keys.sum(item.first, item.last) : 0;
+        }
+        worst = std::max(worst, load / candidate.capacity);
+        capacity += candidate.capacity;
+    }
+    return worst / (keys.total() / capacity);
+}
+
+} // namespace
+
+TEST_GROUP(planner){};
+
+// Guards against keys that nobody or two targets get at the first assignment.
+TEST(planner, first_assignment_covers_all_keys_once_by_capacity)
+{
+    const key_load_table keys;
+    const auto candidates = owners({1, 1, 2});
+    const auto segments = first_assignment(keys, candidates);
+    std::uint32_t next = 0;
+    for (const auto& item : segments) {
+        LONGS_EQUAL(next, item.first);
+        next = item.last + 1;
+    }
+    LONGS_EQUAL(key_count, next);
+    LONGS_EQUAL(3, segments.size());
+    DOUBLES_EQUAL(2.0,
+                  keys.sum(segments[2].first, segments[2].last) /
+                      keys.sum(segments[0].first, segments[0].last),
+                  0.01);
+}
+
+// Guards against an overload by keys that are busier than the rest and lie close
+// together, on targets of different speed.
+TEST(planner, busy_neighbours_are_spread_by_speed)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 52000; key < 54000; ++key) {
+        keys.add(key, 1.0);
+    }
+    const auto candidates = owners({0.7, 0.7, 1.6, 0.7, 0.7, 1.6});
+    const double peak = peak_after_moves(keys, first_assignment(keys, candidates), candidates, 20);
+    CHECK(peak < 1.3);
+}
+
+// Guards against the neighbours of one very hot key that suffer with it, and against
+// the hot key on a slow target.
+TEST(planner, very_hot_key_stands_alone_on_a_fast_target)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 0; key < key_count; key += 16) {
+        keys.add(key, 0.5);
+    }
+    constexpr std::uint32_t hot = 30001;
+    keys.add(hot, 1500);
+    const auto candidates = owners({0.7, 1.6, 0.7, 0.7});
+    auto segments = first_assignment(keys, candidates);
+    for (int round = 0; round < 20; ++round) {
+        for (const auto& move : find_moves(keys, segments, candidates, 4)) {
+            cut_segments(segments, move.first);
+            cut_segments(segments, move.last + 1);
+            for (auto& item : segments) {
+                if (item.first == move.first && item.last == move.last) {
+                    item.owner = move.to.node;
+                }
+            }
+        }
+    }
+    double beside = 0;
+    for (const auto& item : segments) {
+        const bool with_hot = item.first <= hot && hot <= item.last;
+        if (with_hot) {
+            LONGS_EQUAL(2, item.owner.value);
+        }
+        if (item.owner.value == 2) {
+            beside += keys.sum(item.first, item.last);
+        }
+    }
+    CHECK(beside - keys.of(hot) < 0.2 * (keys.total() - keys.of(hot)));
+}
+
+// Guards against moves that follow chance: each takes keys out of service for the
+// time of the work that runs on them.
+TEST(planner, small_differences_cause_no_move)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 0; key < key_count; key += 1024) {
+        keys.add(key, key % 2048 == 0 ? 0.9 : 1.1);
+    }
+    const auto candidates = owners({1, 1, 1, 1});
+    CHECK_FALSE(find_move(keys, first_assignment(keys, candidates), candidates).has_value());
+}
+
+// Guards against a target that joins and gets no keys until another is overloaded.
+TEST(planner, new_target_gets_keys_without_an_overload)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 0; key < key_count; ++key) {
+        keys.add(key, 0.01);
+    }
+    const auto before = owners({1, 1, 1, 1, 1, 1, 1, 1});
+    const auto segments = first_assignment(keys, before);
+    const auto after = owners({1, 1, 1, 1, 1, 1, 1, 1, 1});
+    const auto move = find_move(keys, segments, after);
+    CHECK(move.has_value());
+    LONGS_EQUAL(9, move->to.node.value);
+}
+
+// Guards against lost keys that pile up on one neighbour.
+TEST(planner, keys_of_a_lost_target_go_to_all_with_room)
+{
+    const key_load_table keys;
+    const auto candidates = owners({1, 1, 1, 1});
+    std::vector<double> loads(4, keys.sum(0, 9999));
+    const auto pieces = spread(keys, 20000, 29999, candidates, loads);
+    LONGS_EQUAL(4, pieces.size());
+    for (const auto& piece : pieces) {
+        CHECK(piece.last - piece.first + 1 < 2600);
+    }
+}
--- /dev/null
+++ b/tests/dispatch/retry_allowance_test.cpp
@@ -0,0 +1,46 @@
+#include "dispatch/retry_allowance.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::dispatch;
+
+TEST_GROUP(retry_allowance){};
+
+// Guards against repeats of all nodes together above the bound in any window.
+TEST(retry_allowance, parts_of_all_nodes_stay_within_the_whole)
+{
+    constexpr std::uint32_t nodes = 10;
+    const allowance_settings settings{0.2, 58, milliseconds{10000}, nodes};
+    std::vector<retry_allowance> all(nodes);
+    for (auto& each : all) {
+        each.configure(settings);
+    }
+    int requests = 0;
+    int repeats = 0;
+    for (long ms = 0; ms < 10000; ms += 10) {
+        for (auto& each : all) {
+            const time_point now(milliseconds{ms});
+            each.on_request(now);
+            ++requests;
+            repeats += each.try_spend(now) ? 1 : 0;
+            repeats += each.try_spend(now) ? 1 : 0;
+        }
+    }
+    CHECK(repeats > 0);
+    CHECK(repeats <= 0.2 * requests + 58);
+}
+
+// Guards against an allowance that never comes back.
+TEST(retry_allowance, old_repeats_are_forgotten)
+{
+    retry_allowance one;
+    one.configure({0, 10, milliseconds{1000}, 1});
+    const time_point start(milliseconds{1});
+    while (one.try_spend(start)) {
+    }
+    CHECK_FALSE(one.try_spend(start + milliseconds{900}));
+    CHECK(one.try_spend(start + milliseconds{1100}));
+}
--- /dev/null
+++ b/tests/dispatch/slot_queue_test.cpp
@@ -0,0 +1,140 @@
+#include "dispatch/slot_queue.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::dispatch;
+
+namespace {
+
+time_point at(long ms)
+{
+    return time_point(milliseconds{ms});
+}
+
+waiting_request request(ticket id, long now, long aim, long deadline, std::uint32_t rank = 0,
+                        std::string kind = "k")
+{
+    return {id, std::move(kind), rank, at(now + aim), at(now + deadline)};
+}
+
+/// Teaches the queue that requests take about `work`.
+void learn(slot_queue& queue, long work, const std::string& kind = "k")
+{
+    for (ticket id = 1000; id < 1060; ++id) {
+        queue.offer(at(0), request(id, 0, 5000, 10000, 0, kind));
+        queue.finish(at(work), id, true);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(slot_queue){};
+
+// Guards against more requests at the target than it runs at once: a full target
+// resets connections, after which the outcome is unknown.
+TEST(slot_queue, no_more_run_than_there_are_slots)
+{
+    slot_queue queue(2);
+    LONGS_EQUAL(1, queue.offer(at(0), request(1, 0, 200, 500)).start.size());
+    LONGS_EQUAL(1, queue.offer(at(0), request(2, 0, 200, 500)).start.size());
+    LONGS_EQUAL(0, queue.offer(at(0), request(3, 0, 200, 500)).start.size());
+    const auto next = queue.finish(at(40), 1, true);
+    LONGS_EQUAL(1, next.start.size());
+    LONGS_EQUAL(3, next.start[0]);
+}
+
+// Guards against a request that waits although it can no longer be answered.
+TEST(slot_queue, hopeless_requests_are_refused_at_once_with_a_time)
+{
+    slot_queue queue(1);
+    learn(queue, 100);
+    queue.offer(at(200), request(1, 200, 200, 500));
+    queue.offer(at(200), request(2, 200, 200, 500));
+    queue.offer(at(200), request(3, 200, 200, 500));
+    const auto verdict = queue.offer(at(200), request(4, 200, 100, 150));
+    LONGS_EQUAL(1, verdict.refuse.size());
+    LONGS_EQUAL(4, verdict.refuse[0].id);
+    CHECK(verdict.refuse[0].retry_after >= milliseconds{50});
+}
+
+// Guards against urgent requests that wait behind others, and against late ones that
+// make the timely ones late too.
+TEST(slot_queue, timely_requests_go_first_by_rank)
+{
+    slot_queue queue(1);
+    learn(queue, 50);
+    queue.offer(at(1000), request(1, 1000, 300, 900));
+    queue.offer(at(1000), request(2, 1000, 10, 900, 0)); // late already
+    queue.offer(at(1000), request(3, 1000, 300, 900, 2));
+    queue.offer(at(1000), request(4, 1000, 300, 900, 1));
+    std::vector<ticket> order;
+    ticket running = 1;
+    for (long now = 1050; order.size() < 3; now += 50) {
+        const auto next = queue.finish(at(now), running, true);
+        LONGS_EQUAL(1, next.start.size());
+        running = next.start[0];
+        order.push_back(running);
+    }
+    CHECK((order == std::vector<ticket>{4, 3, 2}));
+}
+
+// Guards against a queue that keeps requests of a target that takes none any more.
+TEST(slot_queue, nothing_is_kept_without_slots)
+{
+    slot_queue queue(0);
+    LONGS_EQUAL(1, queue.offer(at(0), request(1, 0, 200, 500)).refuse.size());
+}
+
+// Guards against service by order of arrival under overload: one and a half times
+// the load that the target can do, two ranks. Callers must get the urgent kind
+// nearly whole, and most of what is answered must be timely.
+TEST(slot_queue, overload_serves_the_urgent_kind_and_timely_answers)
+{
+    constexpr long work = 60;
+    constexpr std::uint32_t slots = 6;
+    slot_queue queue(slots);
+    learn(queue, work);
+    std::mt19937_64 random(7);
+    std::multimap<long, ticket> ends;
+    std::map<ticket, waiting_request> offered;
+    std::map<std::uint32_t, int> asked;
+    std::map<std::uint32_t, int> served;
+    int timely = 0;
+    int answered = 0;
+    const auto apply = [&](long now, const slot_decisions& decisions) {
+        for (const ticket id : decisions.start) {
+            ends.emplace(now + work, id);
+        }
+    };
+    ticket next = 1;
+    for (long now = 1000; now < 21000; ++now) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const ticket id = ends.begin()->second;
+            ends.erase(ends.begin());
+            const auto& done = offered.at(id);
+            if (at(now) <= done.deadline) {
+                ++served[done.rank];
+                ++answered;
+                timely += at(now) <= done.aim ? 1 : 0;
+            }
+            apply(now, queue.finish(at(now), id, true));
+        }
+        // 150 requests a second against 100 that can be run; a third is urgent.
+        if (random() % 1000 < 150) {
+            const std::uint32_t rank = random() % 3 == 0 ? 0 : 2;
+            auto wanted = request(next, now, 200, 500, rank);
+            ++asked[rank];
+            offered.emplace(next++, wanted);
+            apply(now, queue.offer(at(now), std::move(wanted)));
+        }
+    }
+    CHECK(served[0] >= asked[0] * 95 / 100);
+    CHECK(answered >= (asked[0] + asked[2]) * 60 / 100);
+    CHECK(timely >= answered * 80 / 100);
+}
--- /dev/null
+++ b/tests/dispatch/target_picker_test.cpp
@@ -0,0 +1,88 @@
+#include "dispatch/target_picker.h"
+
+#include <map>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::dispatch;
+
+namespace {
+
+constexpr milliseconds aim{150};
+
+time_point at(long ms)
+{
+    return time_point(milliseconds{ms});
+}
+
+} // namespace
+
+TEST_GROUP(target_picker)
+{
+    target_picker picker;
+    std::mt19937_64 random{3};
+    std::vector<pick_candidate> candidates{{incarnation_id{1}, 6, true, true},
+                                           {incarnation_id{2}, 6, false, false},
+                                           {incarnation_id{3}, 6, false, false}};
+
+    void answer(std::uint64_t node, long took, int times, int load = 1)
+    {
+        for (int i = 0; i < times; ++i) {
+            picker.on_sent(incarnation_id{node});
+            picker.on_answer(at(0), incarnation_id{node}, milliseconds{took}, load);
+        }
+    }
+    std::map<std::uint64_t, int> picks(long now, int times)
+    {
+        std::map<std::uint64_t, int> result;
+        for (int i = 0; i < times; ++i) {
+            ++result[picker.pick(at(now), candidates, {}, aim, random)->value];
+        }
+        return result;
+    }
+};
+
+// Guards against bytes between availability zones for a small gain in time.
+TEST(target_picker, own_zone_is_kept_while_it_answers_within_the_aim)
+{
+    answer(1, 70, 20);
+    answer(2, 40, 20);
+    LONGS_EQUAL(100, picks(10, 100)[1]);
+}
+
+// Guards against a queue in the own zone while others are idle.
+TEST(target_picker, other_zones_are_used_when_the_own_is_full)
+{
+    answer(1, 60, 20);
+    answer(2, 60, 20);
+    answer(3, 60, 20);
+    for (int i = 0; i < 18; ++i) {
+        picker.on_sent(incarnation_id{1});
+    }
+    LONGS_EQUAL(0, picks(10, 100)[1]);
+}
+
+// Guards against a target that fails quickly and therefore gets everything.
+TEST(target_picker, failing_target_is_avoided_and_tried_again)
+{
+    answer(1, 20, 20);
+    for (int i = 0; i < 10; ++i) {
+        picker.on_sent(incarnation_id{1});
+        picker.on_failure(at(100), incarnation_id{1});
+    }
+    LONGS_EQUAL(0, picks(150, 50)[1]);
+    CHECK(picks(3000, 50)[1] > 0);
+}
+
+// Guards against a request that goes back to the target which refused it.
+TEST(target_picker, refusing_targets_are_left_out)
+{
+    const auto other = picker.pick(at(0), candidates, {incarnation_id{1}}, aim, random);
+    CHECK(other.has_value() && other->value != 1);
+    CHECK_FALSE(picker
+                    .pick(at(0), candidates,
+                          {incarnation_id{1}, incarnation_id{2}, incarnation_id{3}}, aim, random)
+                    .has_value());
+}
--- a/tests/net/http_answers_test.cpp
+++ b/tests/net/http_answers_test.cpp
@@ -28,12 +28,12 @@
     void setup() override
     {
         client.emplace(loop, 1, 100000);
-        server = std::make_unique<detail::listener>(
-            loop, endpoint{"127.0.0.1", 0}, [this](h2o_socket_t* socket) {
-                ++connections;
-                socket->data = this;
-                h2o_socket_read_start(socket, on_readable);
-            });
+        server = std::make_unique<detail::listener>(loop, endpoint{"127.0.0.1", 0},
+                                                    [this](h2o_socket_t* socket) {
+                                                        ++connections;
+                                                        socket->data = this;
+                                                        h2o_socket_read_start(socket, on_readable);
+                                                    });
     }
     void teardown() override
     {
@@ -41,7 +41,7 @@
         server.reset();
     }
 
-    static void on_readable(h2o_socket_t* socket, const char* failure)
+    static void on_readable(h2o_socket_t * socket, const char* failure)
     {
         auto& self = *static_cast<TEST_GROUP_CppUTestGrouphttp_answers*>(socket->data);
         if (failure != nullptr) {
--- /dev/null
+++ b/tests/platform/protocol_test.cpp
@@ -0,0 +1,140 @@
+#include "platform/protocol.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::platform;
+
+namespace {
+
+const std::string whole_manifest =
+    R"({"version":"0000001f","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,)"
+    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"listeners":[{"host":"h.example","ruleSet":[)"
+    R"({"name":"r1","routeType":"unsafe","targetLatencyMs":250,"priority":1,)"
+    R"("match":{"prefix":"/a/"},"action":{"service":"s1","timeoutMs":600,"maxAttempts":2}},)"
+    R"({"name":"r2","routeType":"safe","targetLatencyMs":200,"priority":2,"match":{"prefix":"/b/"},)"
+    R"("action":{"trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],)"
+    R"("timeoutMs":500,"maxAttempts":3}}]}],"clusters":[{"name":"s1","healthPath":"/health",)"
+    R"("maxConnections":110,"sharded":true,"warmS":3.0,"new":[1]},{"name":"s2"}]})";
+
+net::http_request beat(const std::string& body)
+{
+    return {"POST", "/v1/Instances.Heartbeat/i-1", {}, body};
+}
+
+} // namespace
+
+TEST_GROUP(platform_protocol){};
+
+// Guards against a field that is read under a wrong name.
+TEST(platform_protocol, manifest_is_decoded_whole)
+{
+    const auto manifest = detail::parse_manifest(whole_manifest);
+    LONGS_EQUAL(31, manifest.version);
+    LONGS_EQUAL(15000, manifest.limits.idle_time.count());
+    LONGS_EQUAL(2, manifest.routes.size());
+    const auto& first = manifest.routes[0];
+    STRCMP_EQUAL("h.example", first.host.c_str());
+    CHECK_FALSE(first.idempotent);
+    LONGS_EQUAL(600, first.timeout.count());
+    LONGS_EQUAL(250, first.aim.count());
+    LONGS_EQUAL(2, first.attempts);
+    LONGS_EQUAL(1, first.rank);
+    const auto& second = manifest.routes[1];
+    CHECK(second.idempotent);
+    LONGS_EQUAL(2, second.destinations.size());
+    LONGS_EQUAL(10, second.destinations[1].weight);
+    CHECK(manifest.services[0].sharded);
+    LONGS_EQUAL(3000, manifest.services[0].warm_up.count());
+    CHECK_FALSE(manifest.services[1].sharded);
+}
+
+// Guards against a manifest that is taken in part: the last good one stays in force.
+TEST(platform_protocol, broken_manifests_are_refused_whole)
+{
+    const auto broken = [](const std::string& from, const std::string& to) {
+        std::string text = whole_manifest;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    CHECK_THROWS(routing::manifest_error, detail::parse_manifest(whole_manifest.substr(0, 200)));
+    CHECK_THROWS(routing::manifest_error, detail::parse_manifest("[]"));
+    CHECK_THROWS(routing::manifest_error, detail::parse_manifest(broken("0000001f", "1f")));
+    CHECK_THROWS(routing::manifest_error, detail::parse_manifest(broken("\"/a/\"", "\"a\"")));
+    CHECK_THROWS(routing::manifest_error, detail::parse_manifest(broken("600", "-1")));
+    CHECK_THROWS(routing::manifest_error, detail::parse_manifest(broken("\"r1\"", "7")));
+    CHECK_THROWS(routing::manifest_error,
+                 detail::parse_manifest(broken("\"weight\":90", "\"weight\":\"x\"")));
+}
+
+// Guards against a heartbeat of another writer that names a target to use.
+TEST(platform_protocol, heartbeats_are_decoded_or_refused)
+{
+    const auto call = detail::parse_control(
+        beat(R"({"service":"s1","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,)"
+             R"("state":"draining","warmupLeftMs":12,"sequence":4,"born":1700000000000})"));
+    const auto& read = std::get<sidecar::heartbeat>(call);
+    STRCMP_EQUAL("i-1", read.target.id.c_str());
+    CHECK(read.target.phase == assignment::target_phase::draining);
+    LONGS_EQUAL(6, read.target.slots);
+    LONGS_EQUAL(4, read.sequence);
+    CHECK(read.target.born == 1700000000000);
+    for (const char* body :
+         {"", "{}", "[1]", R"({"service":1,"address":"a","slots":6,"state":"ready","sequence":1})",
+          R"({"service":"s","address":"a","slots":6,"state":"asleep","sequence":1})",
+          R"({"service":"s","address":"a","slots":-6,"state":"ready","sequence":1})",
+          R"({"service":"s","address":"a","slots":6,"state":"ready","sequence":1.5})"}) {
+        CHECK_THROWS(parse_error, detail::parse_control(beat(body)));
+    }
+    CHECK(std::holds_alternative<sidecar::deregistration>(
+        detail::parse_control({"POST", "/v1/Instances.Deregister/i-1", {}, ""})));
+    CHECK(std::holds_alternative<sidecar::unknown_call>(
+        detail::parse_control({"GET", "/v1/Instances.Heartbeat/i-1", {}, ""})));
+}
+
+// Guards against orders whose fields the target does not know.
+TEST(platform_protocol, orders_are_encoded)
+{
+    const auto grant = detail::grant({1, "s", 4096, 8191, fence{12}, milliseconds{900}, "5c0e"});
+    STRCMP_EQUAL(R"({"fence":12,"from":4096,"handover":"5c0e","holdMs":900,"target":8191})",
+                 grant.body.c_str());
+    STRCMP_EQUAL("/v1/grant", grant.path.c_str());
+    const auto release = detail::release({1, "s", 4096, 8191, fence{12}});
+    STRCMP_EQUAL(R"({"fence":12,"from":4096,"target":8191})", release.body.c_str());
+}
+
+// Guards against a value that comes back from the store changed.
+TEST(platform_protocol, store_values_survive_base64)
+{
+    for (const std::string& text : {std::string(), std::string("a"), std::string("ab"),
+                                    std::string("abc"), std::string("\0\xff{}", 4)}) {
+        CHECK(detail::decode_base64(detail::encode_base64(text)) == text);
+    }
+    STRCMP_EQUAL("bm9kZS0x", detail::encode_base64("node-1").c_str());
+    CHECK_THROWS(sidecar::store_format_error, detail::decode_base64("a"));
+    CHECK_THROWS(sidecar::store_format_error, detail::decode_base64("!!!!"));
+}
+
+// Guards against a store answer that is taken for an empty row or a version of 0.
+TEST(platform_protocol, store_answers_are_decoded_or_refused)
+{
+    const auto row = detail::parse_row(
+        R"({"rows":[{"table":"my","part":"","key":"k","value":"bm9kZS0x","ver":412}],)"
+        R"("morePages":false,"ver":530,"nowMs":51230})");
+    LONGS_EQUAL(412, row.version);
+    STRCMP_EQUAL("node-1", row.value.c_str());
+    LONGS_EQUAL(0, detail::parse_row(R"({"rows":[],"ver":3})").version);
+    const auto page = detail::parse_feed(
+        R"({"rows":[{"table":"op","part":"","key":"config","value":"bm9kZS0x","ver":7},)"
+        R"({"table":"op","part":"","key":"other","value":"bm9kZS0x","ver":8}],"ver":9})",
+        "config");
+    LONGS_EQUAL(1, page.rows.size());
+    LONGS_EQUAL(9, page.next);
+    for (const char* body : {"", "[]", "{}", R"({"rows":[{}],"ver":1})", R"({"rows":[1],"ver":1})",
+                             R"({"rows":[{"ver":1}],"ver":1})"}) {
+        CHECK_THROWS(sidecar::store_format_error, detail::parse_row(body));
+    }
+    CHECK_THROWS(sidecar::store_format_error, detail::parse_version(R"({"ver":"7"})"));
+}
--- /dev/null
+++ b/tests/routing/route_index_test.cpp
@@ -0,0 +1,66 @@
+#include "routing/route_index.h"
+
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw::routing;
+
+namespace {
+
+route make_route(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    route result;
+    result.name = name;
+    result.host = host;
+    result.prefix = prefix;
+    result.destinations = {{name, 1}};
+    return result;
+}
+
+std::string found(const route_index& index, const char* host, const char* path)
+{
+    const auto* match = index.find(host, path);
+    return match == nullptr ? "" : match->name;
+}
+
+} // namespace
+
+TEST_GROUP(route_index)
+{
+    manifest content;
+    void setup() override
+    {
+        content.routes = {make_route("a", "x.example", "/a/"),
+                          make_route("ab", "x.example", "/a/b/"),
+                          make_route("root", "y.example", "/")};
+    }
+};
+
+// Guards against a request that goes to a service of a shorter prefix or another host.
+TEST(route_index, host_and_longest_prefix_select)
+{
+    const route_index index(content);
+    STRCMP_EQUAL("a", found(index, "x.example", "/a/1").c_str());
+    STRCMP_EQUAL("ab", found(index, "x.example", "/a/b/1?q=/a/").c_str());
+    STRCMP_EQUAL("a", found(index, "X.Example:8080", "/a/bc").c_str());
+    STRCMP_EQUAL("root", found(index, "y.example", "/a/b/1").c_str());
+    STRCMP_EQUAL("", found(index, "x.example", "/a").c_str());
+    STRCMP_EQUAL("", found(index, "x.example", "/b/a/").c_str());
+    STRCMP_EQUAL("", found(index, "z.example", "/a/1").c_str());
+    STRCMP_EQUAL("", found(index, "", "").c_str());
+}
+
+// Guards against parts of a split that get another share than their weight.
+TEST(route_index, destinations_get_their_weights)
+{
+    route split = make_route("s", "x", "/");
+    split.destinations = {{"one", 90}, {"two", 10}};
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 1000; ++i) {
+        ++counts[choose_destination(split, i / 1000.0).service];
+    }
+    LONGS_EQUAL(900, counts["one"]);
+    LONGS_EQUAL(100, counts["two"]);
+    STRCMP_EQUAL("two", choose_destination(split, 1.0).service.c_str());
+}
--- a/tests/sidecar/assignment_world.cpp
+++ b/tests/sidecar/assignment_world.cpp
@@ -391,8 +391,7 @@
     beside.seen.push_back({order.first, order.last, order.stamp.value, 0});
     trace(on, "release " + std::to_string(order.first) + "-" + std::to_string(order.last));
     answer(assignment::order_outcome::done,
-           static_cast<std::int64_t>(draw() *
-                                     static_cast<double>(settings_.longest_work.count())) *
+           static_cast<std::int64_t>(draw() * static_cast<double>(settings_.longest_work.count())) *
                us_per_ms);
 }
 
--- /dev/null
+++ b/tests/sidecar/journal_test.cpp
@@ -0,0 +1,66 @@
+#include "sidecar/journal.h"
+
+#include <algorithm>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::sidecar;
+
+TEST_GROUP(journal)
+{
+    std::string written;
+    std::size_t room = 1000000;
+
+    line_sink sink()
+    {
+        return [this](std::string_view bytes) {
+            const auto size = std::min(room, bytes.size());
+            written.append(bytes.substr(0, size));
+            room -= size;
+            return size;
+        };
+    }
+    static time_point at(long ms)
+    {
+        return time_point(milliseconds{ms});
+    }
+    long lines() const
+    {
+        return std::count(written.begin(), written.end(), '\n');
+    }
+};
+
+// Guards against a volume of lines that grows with the load.
+TEST(journal, lines_of_one_event_are_bounded_and_counted)
+{
+    journal log("h", sink(), {std::size_t{64} * 1024, 5});
+    for (int i = 0; i < 100; ++i) {
+        log.write(at(1000 + i), "refused", {{"request", i}});
+    }
+    log.flush(at(1200));
+    LONGS_EQUAL(5, lines());
+    log.flush(at(2100));
+    LONGS_EQUAL(6, lines());
+    CHECK(written.find(R"("event":"lines_withheld","of":"refused","count":95)") !=
+          std::string::npos);
+}
+
+// Guards against a node that waits for the reader of its log, or loses lines without
+// a word.
+TEST(journal, stalled_reader_costs_lines_that_are_counted)
+{
+    room = 0;
+    journal log("h", sink(), {1000, 1000});
+    for (int i = 0; i < 100; ++i) {
+        log.write(at(1000), "refused", {{"request", i}});
+        log.flush(at(1000));
+    }
+    CHECK(log.dropped() > 80);
+    room = 1000000;
+    log.flush(at(1500));
+    log.flush(at(1600));
+    CHECK(written.find("\"event\":\"lines_dropped\",\"count\":" + std::to_string(log.dropped())) !=
+          std::string::npos);
+}
--- /dev/null
+++ b/tests/sidecar/settings_test.cpp
@@ -0,0 +1,58 @@
+#include "sidecar/settings.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw::sidecar;
+
+namespace {
+
+const std::string whole =
+    R"({"host":"h1","zone":"z","service":"s","target":"10.0.0.1:80","store":"10.0.0.9:90",)"
+    R"("descriptors":4100,"new_field":[1],"addresses":{"requests":"10.0.0.1:1",)"
+    R"("ready":"10.0.0.1:2","control":"10.0.0.1:3","inner":"10.0.0.1:4",)"
+    R"("metrics":"10.0.0.1:5"},"bounds":{"drain_ms":2000,"grace_s":6,"longest_hold_ms":900,)"
+    R"("retry_ratio":0.2,"retry_slack":58,"retry_window_s":10}})";
+
+std::string failure_of(const std::string& from, const std::string& to)
+{
+    std::string text = whole;
+    text.replace(text.find(from), from.size(), to);
+    try {
+        parse_settings("node.json", text);
+    }
+    catch (const settings_error& failure) {
+        return failure.what();
+    }
+    return "";
+}
+
+} // namespace
+
+TEST_GROUP(sidecar_settings){};
+
+// Guards against a bound that is read in the wrong unit.
+TEST(sidecar_settings, whole_file_is_read)
+{
+    const auto values = parse_settings("node.json", whole);
+    STRCMP_EQUAL("h1", values.host.c_str());
+    LONGS_EQUAL(4, values.addresses.inner.port);
+    LONGS_EQUAL(6000, values.bounds.grace.count());
+    LONGS_EQUAL(10000, values.bounds.retry_window.count());
+    // No hold outlives what targets accept.
+    LONGS_EQUAL(900, values.times.lease.count());
+}
+
+// Guards against a start with a setting that is missing or of a wrong type.
+TEST(sidecar_settings, problems_name_file_field_and_expectation)
+{
+    STRCMP_EQUAL("node.json: field \"zone\": expected a non-empty string",
+                 failure_of("\"zone\":\"z\",", "").c_str());
+    STRCMP_EQUAL("node.json: field \"addresses.inner\": expected an address such as 10.0.0.1:8080",
+                 failure_of("10.0.0.1:4", "10.0.0.1").c_str());
+    CHECK(failure_of("\"drain_ms\":2000", "\"drain_ms\":\"2s\"").find("bounds.drain_ms") !=
+          std::string::npos);
+    CHECK(failure_of("{\"host\"", "[{\"host\"").find("one JSON object") != std::string::npos);
+    CHECK_THROWS(settings_error, load_settings("/nonexistent/node.json"));
+}
