--- /dev/null
+++ b/standins/platform_model.cpp
@@ -0,0 +1,246 @@
+#include "standins/platform_model.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace bulrushgw::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int ok = 200;
+constexpr milliseconds beat_interval{300};
+constexpr std::size_t max_answer_bytes = 4096;
+
+std::string to_base64(const std::string& bytes)
+{
+    std::string result((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(result.data()),
+                                     reinterpret_cast<const unsigned char*>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+    result.resize(static_cast<std::size_t>(size));
+    return result;
+}
+
+/// Value of a query parameter. The sidecar's names need no decoding.
+std::string parameter(const std::string& path, const std::string& name)
+{
+    const auto at = path.find(name + "=");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const auto begin = at + name.size() + 1;
+    return path.substr(begin, path.find('&', begin) - begin);
+}
+
+std::uint64_t unix_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+net::http_response answer(int status, std::string body = "{}", net::header_list headers = {})
+{
+    return {status, std::move(headers), std::move(body)};
+}
+
+} // namespace
+
+platform_store::platform_store(net::loop& loop, const net::endpoint& address,
+                               const std::string& manifest)
+    : loop_(loop),
+      server_(loop, address, [this](const net::http_exchange& exchange) { handle(exchange); })
+{
+    rows_[{"op", "config"}] = {to_base64(manifest), ++version_};
+}
+
+std::string platform_store::rows_after(const std::string& table, const std::string& first,
+                                       std::uint64_t after) const
+{
+    json rows = json::array();
+    for (const auto& [key, content] : rows_) {
+        if (key.first == table && (first.empty() || key.second == first) &&
+            content.version > after) {
+            rows.push_back({{"table", key.first},
+                            {"part", ""},
+                            {"key", key.second},
+                            {"value", content.value},
+                            {"ver", content.version}});
+        }
+    }
+    return json{{"rows", rows}, {"morePages", false}, {"ver", version_}, {"nowMs", 1}}.dump();
+}
+
+std::pair<int, std::string> platform_store::transact(const std::string& body)
+{
+    constexpr int conflict = 412;
+    const json root = json::parse(body);
+    for (const json& item : root.at("precondition")) {
+        const row_key key{item.at("table"), item.at("key")};
+        const auto found = rows_.find(key);
+        const std::uint64_t version = found == rows_.end() ? 0 : found->second.version;
+        if (version != item.at("ver").get<std::uint64_t>()) {
+            return {conflict, rows_after(key.first, key.second, 0)};
+        }
+    }
+    ++version_;
+    for (const json& item : root.at("puts")) {
+        rows_[{item.at("table"), item.at("key")}] = {item.at("value"), version_};
+    }
+    return {ok, json{{"ver", version_}, {"nowMs", 1}}.dump()};
+}
+
+void platform_store::handle(const net::http_exchange& exchange)
+{
+    constexpr int unavailable = 503;
+    constexpr int not_found = 404;
+    const std::string& path = exchange.request.path;
+    if (!up_) {
+        exchange.respond(answer(unavailable));
+    }
+    else if (path.starts_with("/v1/rows-tx")) {
+        auto [status, body] = transact(exchange.request.body);
+        exchange.respond(answer(status, std::move(body)));
+    }
+    else if (path.starts_with("/v1/rows-get")) {
+        exchange.respond(
+            answer(ok, rows_after(parameter(path, "table"), parameter(path, "from"), 0)));
+    }
+    else if (path.starts_with("/v1/rows-feed")) {
+        // Nobody changes the watched table here, so the wait is always full.
+        const milliseconds wait{std::strtol(parameter(path, "waitMs").c_str(), nullptr, 10)};
+        const auto after = std::strtoull(parameter(path, "after").c_str(), nullptr, 10);
+        loop_.after(wait, [this, exchange, path, after] {
+            exchange.respond(answer(ok, rows_after(parameter(path, "table"), "", after)));
+        });
+    }
+    else {
+        exchange.respond(answer(not_found));
+    }
+}
+
+platform_target::platform_target(net::loop& loop, platform_target_settings settings,
+                                 platform_history& history, std::vector<platform_target*>& all)
+    : loop_(loop), settings_(std::move(settings)), history_(history), all_(all),
+      id_("i-" + std::to_string(settings_.address.port)), born_(unix_ms()),
+      client_(loop, 2, max_answer_bytes),
+      server_(loop, settings_.address,
+              [this](const net::http_exchange& exchange) { handle(exchange); })
+{
+    all_.push_back(this);
+    loop_.every(beat_interval, [this] { beat(); });
+}
+
+void platform_target::beat()
+{
+    const json body{{"service", settings_.service},
+                    {"address", net::to_string(settings_.address)},
+                    {"zone", "z"},
+                    {"version", "v1"},
+                    {"slots", settings_.slots},
+                    {"state", "ready"},
+                    {"warmupLeftMs", 0},
+                    {"born", born_},
+                    {"sequence", ++sequence_}};
+    client_.send(settings_.control, {"POST", "/v1/Instances.Heartbeat/" + id_, {}, body.dump()},
+                 beat_interval, [](const net::http_result&) {});
+}
+
+bool platform_target::holds(std::uint32_t first, std::uint32_t last) const
+{
+    return std::any_of(holds_.begin(), holds_.end(), [&](const hold& item) {
+        return item.first <= last && item.last >= first && item.until > loop_.now();
+    });
+}
+
+void platform_target::handle(const net::http_exchange& exchange)
+{
+    const std::string& path = exchange.request.path;
+    if (path == "/v1/grant") {
+        grant(exchange);
+    }
+    else if (path == "/v1/release") {
+        release(exchange);
+    }
+    else if (path == "/health") {
+        exchange.respond(answer(ok, "", {{"Instance-Id", id_}, {"Server-Load", "0,0,6"}}));
+    }
+    else {
+        run(exchange);
+    }
+}
+
+void platform_target::run(const net::http_exchange& exchange)
+{
+    constexpr int misdirected = 421;
+    constexpr int unavailable = 503;
+    const auto& headers = exchange.request.headers;
+    const std::string id(net::find_header(headers, "Request-Id").value_or(""));
+    const auto key = net::find_header(headers, "Shard-Key");
+    const auto number = static_cast<std::uint32_t>(
+        std::strtoul(std::string(key.value_or("0")).c_str(), nullptr, 10));
+    const bool misplaced = settings_.sharded && !holds(number, number);
+    if (misplaced || net::find_header(headers, "Expect-Instance") != id_) {
+        history_.foreign_keys += misplaced ? 1 : 0;
+        exchange.respond(answer(misdirected, "", {{"Not-Executed", "1"}}));
+        return;
+    }
+    if (running_ >= settings_.slots) {
+        ++history_.over_slots;
+        exchange.respond(answer(unavailable, "", {{"Not-Executed", "1"}}));
+        return;
+    }
+    ++running_;
+    ++history_.runs[id];
+    loop_.after(settings_.work, [this, exchange, id] {
+        --running_;
+        exchange.respond(
+            answer(ok, "done " + id, {{"Request-Id", id}, {"Response-Seal", "seal-" + id}}));
+    });
+}
+
+void platform_target::grant(const net::http_exchange& exchange)
+{
+    const json order = json::parse(exchange.request.body);
+    hold next;
+    next.first = order.at("from");
+    next.last = order.at("target");
+    next.fence = order.at("fence");
+    next.until = loop_.now() + milliseconds{order.at("holdMs").get<std::int64_t>()};
+    for (const auto* other : all_) {
+        history_.shared_keys += other != this && other->holds(next.first, next.last) ? 1 : 0;
+    }
+    std::erase_if(holds_, [&](const hold& item) {
+        return item.first >= next.first && item.last <= next.last;
+    });
+    holds_.push_back(next);
+    exchange.respond(answer(ok));
+}
+
+void platform_target::release(const net::http_exchange& exchange)
+{
+    const json order = json::parse(exchange.request.body);
+    const std::uint32_t first = order.at("from");
+    const std::uint32_t last = order.at("target");
+    std::vector<hold> rest;
+    for (const hold& item : holds_) {
+        if (item.first < first) {
+            rest.push_back({item.first, std::min(item.last, first - 1), item.fence, item.until});
+        }
+        if (item.last > last) {
+            rest.push_back({std::max(item.first, last + 1), item.last, item.fence, item.until});
+        }
+    }
+    holds_ = std::move(rest);
+    loop_.after(settings_.work, [exchange] {
+        exchange.respond(answer(ok, "{}", {{"Handover", "token"}}));
+    });
+}
+
+} // namespace bulrushgw::standin
--- /dev/null
+++ b/standins/standin_platform_main.cpp
@@ -0,0 +1,70 @@
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "standins/platform_model.h"
+
+DEFINE_string(store, "", "address of the store");
+DEFINE_string(manifest, "", "file of the manifest in force");
+DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded]");
+
+namespace {
+
+using namespace bulrushgw;
+
+std::vector<std::string> split(const std::string& text, char by)
+{
+    std::vector<std::string> parts;
+    std::istringstream input(text);
+    for (std::string part; std::getline(input, part, by);) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+standin::platform_target_settings target_settings(const std::string& text)
+{
+    const auto parts = split(text, '/');
+    standin::platform_target_settings result;
+    result.address = net::parse_endpoint(parts.at(0));
+    result.control = net::parse_endpoint(parts.at(1));
+    result.service = parts.at(2);
+    result.sharded = parts.size() > 3;
+    return result;
+}
+
+} // namespace
+
+/// Runs until SIGTERM and prints what the targets saw, as one line.
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    net::loop loop;
+    std::ifstream file(FLAGS_manifest);
+    std::ostringstream manifest;
+    manifest << file.rdbuf();
+    const standin::platform_store store(loop, net::parse_endpoint(FLAGS_store), manifest.str());
+    standin::platform_history history;
+    std::vector<standin::platform_target*> all;
+    std::vector<std::unique_ptr<standin::platform_target>> targets;
+    for (const auto& text : split(FLAGS_targets, ',')) {
+        targets.push_back(
+            std::make_unique<standin::platform_target>(loop, target_settings(text), history, all));
+    }
+    loop.on_signal([&] { loop.stop(); });
+    std::cout << "listening on " << FLAGS_store << std::endl;
+    loop.run();
+    std::uint64_t repeated = 0;
+    for (const auto& [id, runs] : history.runs) {
+        repeated += runs > 1 ? 1 : 0;
+    }
+    std::cout << "runs=" << history.runs.size() << " repeated=" << repeated
+              << " foreign_keys=" << history.foreign_keys << " shared_keys=" << history.shared_keys
+              << " over_slots=" << history.over_slots << std::endl;
+    return 0;
+}
