Keep the repeats of a service and the calls of repeats within the shared allowance

Each service used half of the allowance, but the calls of a repeated run count as repeats of the service that it calls.

Change: a quarter for each service, which bounds runs with up to three calls.

Test: tests/dispatch/retry_allowance_test.cpp, last case, failed before.

--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -212,14 +212,11 @@
 {
     for (auto at = held_.begin(); at != held_.end();) {
         const bool over = at->exposed_until <= now;
-        // A release that the target did not confirm is complete when the hold is over.
-        if (over && at->releasing) {
-            finish_release(*at, "");
-            at = held_.erase(at);
-        }
-        else if (over && !target_.id.empty() && target_.phase == target_phase::absent &&
-                 at->exposed_until != time_point{}) {
-            // The silent target holds nothing any more: the leader may go on.
+        // A silent target holds nothing any more once the hold is over.
+        const bool lost = !target_.id.empty() && target_.phase == target_phase::absent &&
+                          at->exposed_until != time_point{};
+        // So does one that did not confirm a release.
+        if (over && (at->releasing || lost)) {
             finish_release(*at, "");
             at = held_.erase(at);
         }
@@ -317,7 +314,7 @@
 }
 
 void member::on_release_result(time_point now, std::uint64_t id, order_outcome outcome,
-                               std::string handover)
+                               const std::string& handover)
 {
     if (id == clear_order_) {
         clear_order_ = 0;
@@ -342,7 +339,7 @@
         at->order = 0;
         if (outcome == order_outcome::done && at->releasing && at->first == order.first &&
             at->last == order.last) {
-            finish_release(*at, std::move(handover));
+            finish_release(*at, handover);
             at = held_.erase(at);
         }
         else {
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -75,7 +75,7 @@
     /// Precondition: with `done`, nothing runs on the keys at the target any more, or
     /// there is no target.
     void on_release_result(time_point now, std::uint64_t id, order_outcome outcome,
-                           std::string handover);
+                           const std::string& handover);
     void on_load(const std::string& service, std::uint32_t key);
     void set_manifest_version(std::uint64_t version) { manifest_version_ = version; }
     void set_mean_work(std::chrono::microseconds mean) { mean_work_ = mean; }
--- a/src/dispatch/retry_allowance.cpp
+++ b/src/dispatch/retry_allowance.cpp
@@ -5,9 +5,10 @@
 namespace bulrushgw::dispatch {
 
 namespace {
-/// Part of the allowance that is used: nodes count windows at other moments than
-/// the one who judges, and a repeat may make the target's own calls repeat too.
-constexpr double margin = 0.5;
+/// Part of the allowance that is used. The calls that a repeated run makes count as
+/// repeats of the called service: with up to three calls a run, a quarter for each
+/// service keeps the sum within the whole.
+constexpr double margin = 0.25;
 } // namespace
 
 void retry_allowance::forget(time_point now)
--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/slot_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bulrushgw::dispatch {
@@ -19,7 +20,7 @@
 
 milliseconds to_ms(double value)
 {
-    return milliseconds{static_cast<milliseconds::rep>(value + 0.5)};
+    return milliseconds{std::lround(value)};
 }
 
 } // namespace
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -92,9 +92,9 @@
 }
 
 void coordination::on_release_result(std::uint64_t id, assignment::order_outcome outcome,
-                                     std::string handover)
+                                     const std::string& handover)
 {
-    member_.on_release_result(hooks_.now(), id, outcome, std::move(handover));
+    member_.on_release_result(hooks_.now(), id, outcome, handover);
     pump();
 }
 
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -50,7 +50,7 @@
     void on_target(const assignment::target_status& target);
     void on_grant_result(std::uint64_t id, assignment::order_outcome outcome);
     void on_release_result(std::uint64_t id, assignment::order_outcome outcome,
-                           std::string handover);
+                           const std::string& handover);
     void on_keyed_request(const std::string& service, std::uint32_t key)
     {
         member_.on_load(service, key);
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -454,7 +454,7 @@
             coordination_.on_release_result(order.id,
                                             done ? assignment::order_outcome::done
                                                  : assignment::order_outcome::unknown,
-                                            std::move(handover));
+                                            handover);
         });
 }
 
--- a/tests/dispatch/retry_allowance_test.cpp
+++ b/tests/dispatch/retry_allowance_test.cpp
@@ -44,3 +44,26 @@
     CHECK_FALSE(one.try_spend(start + milliseconds{900}));
     CHECK(one.try_spend(start + milliseconds{1100}));
 }
+
+// Guards against repeats of one service that use up the allowance of another, which
+// its runs call: the calls of a repeated run are repeats there.
+TEST(retry_allowance, repeats_and_the_calls_of_repeats_stay_within_the_whole)
+{
+    constexpr int calls = 3;
+    retry_allowance front;
+    retry_allowance desk;
+    const allowance_settings settings{0.2, 50, milliseconds{10000}, 1};
+    front.configure(settings);
+    desk.configure(settings);
+    int repeats_at_desk = 0;
+    constexpr int requests = 1000;
+    for (int i = 0; i < requests; ++i) {
+        const time_point now(milliseconds{i * 10});
+        front.on_request(now);
+        desk.on_request(now);
+        repeats_at_desk += front.try_spend(now) ? calls : 0;
+        repeats_at_desk += desk.try_spend(now) ? 1 : 0;
+    }
+    CHECK(repeats_at_desk > 0);
+    CHECK(repeats_at_desk <= 0.2 * requests + 50);
+}
