--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -115,7 +115,8 @@
         member.leased_once = true;
         member.lease_bound = now + with_drift(times_.lease, times_.drift_permille);
     }
-    reply.clear_wanted = !was_empty_start_ && body.cleared_term != view_.term && !member.inherits &&
+    reply.clear_wanted = !was_empty_start_ && may_hold_unknown(body.target) &&
+                         body.cleared_term != view_.term && !member.inherits &&
                          now < old_leases_end();
     reply.directory_version = view_.version;
     if (body.term != view_.term || body.directory_version != view_.version) {
@@ -375,6 +376,12 @@
     return accepted * 2 > members.size() ? std::optional{latest} : std::nullopt;
 }
 
+// A target of a service without keys holds none. One that is not known yet may.
+bool leader::may_hold_unknown(const target_status& target) const
+{
+    return target.id.empty() || sharded_.contains(target.service);
+}
+
 const leader::member_state* leader::member_on(const std::string& host) const
 {
     for (const auto& [id, member] : members_) {
@@ -397,9 +404,10 @@
         for (const auto& entry : before.members) {
             const auto* member = member_on(entry.host);
             const bool same = members_.contains(entry.node);
-            const bool known =
-                member != nullptr && member->recorded &&
-                (same ? member->leased_once : member->last.cleared_term == view_.term);
+            const bool known = member != nullptr && member->recorded &&
+                               (same ? member->leased_once
+                                     : member->last.cleared_term == view_.term ||
+                                           !may_hold_unknown(member->last.target));
             if (!known) {
                 return false;
             }
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -112,6 +112,7 @@
     majority_since(const std::vector<leader_record::member>& members) const;
     [[nodiscard]] std::optional<time_point> accepted_by(const std::string& host) const;
     [[nodiscard]] bool knows_all_holdings() const;
+    [[nodiscard]] bool may_hold_unknown(const target_status& target) const;
     [[nodiscard]] const member_state* member_on(const std::string& host) const;
     [[nodiscard]] time_point old_leases_end() const;
     [[nodiscard]] leader_record make_record(time_point now) const;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -40,6 +40,7 @@
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
 constexpr int status_not_found = 404;
+constexpr int status_bad_request = 400;
 
 std::uint64_t random_seed()
 {
@@ -298,7 +299,6 @@
 
 void process::on_control(const net::http_exchange& exchange)
 {
-    constexpr int status_bad_request = 400;
     control_call call;
     try {
         call = protocol_.parse_control(exchange.request);
@@ -438,8 +438,9 @@
         protocol_.release(order), release_timeout, [this, order](const net::http_result& result) {
             // Without a target, or with one that takes no grants, no key is held.
             const bool none = !result.response && result.failure == net::http_failure::connect;
-            const bool unsharded = result.response && result.response->status == status_not_found;
-            const bool answered = result.response && result.response->status == status_ok;
+            const int status = result.response ? result.response->status : 0;
+            const bool unsharded = status == status_not_found || status == status_bad_request;
+            const bool answered = status == status_ok;
             const bool done = answered || (order.service.empty() && (none || unsharded));
             std::string handover;
             if (answered) {
@@ -516,6 +517,7 @@
 // The time before the kill is over: clients learn what became of their requests.
 void process::end_pending()
 {
+    entry_.close();
     entry_.end_all();
     loop_.run_until([] { return false; }, final_writes);
 }
@@ -529,7 +531,13 @@
     }
     const bool idle = entry_.pending() == 0 && gate_.active() == 0 &&
                       now - last_request_ >= stop_quiet && coordination_.member().is_empty(now);
-    if ((elapsed >= stop_notice && idle) || elapsed >= settings_.bounds.grace - stop_margin) {
+    if (elapsed >= stop_notice && idle && !closing_since_) {
+        // A request that comes now is refused, not cut off by the exit.
+        closing_since_ = now;
+        entry_.close();
+    }
+    const bool closed = closing_since_ && idle && now - *closing_since_ >= stop_quiet;
+    if (closed || elapsed >= settings_.bounds.grace - stop_margin) {
         log("stopped", {{"pending", entry_.pending()}, {"running", gate_.active()}});
         loop_.stop();
     }
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -83,6 +83,7 @@
     assignment::target_phase seen_phase_ = assignment::target_phase::absent;
     bool accepted_before_ = false;
     std::optional<time_point> stopping_since_;
+    std::optional<time_point> closing_since_; ///< new requests are refused
     time_point last_request_{};
     time_point next_pull_{};
     bool asked_identity_ = false;
