--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -25,7 +25,6 @@
 public:
     struct hooks {
         std::function<time_point()> now;
-        std::function<void(std::function<void()>)> defer;
         std::function<void(const std::string& address, incarnation_id to, const wire::body&)> send;
         std::function<void(const assignment::grant_order&)> grant;
         std::function<void(const assignment::release_order&)> release;
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -100,7 +100,8 @@
     return response;
 }
 
-void entry::log(std::string_view event, const pending_request& request, journal::fields details)
+void entry::log(std::string_view event, const pending_request& request,
+                const journal::fields& details)
 {
     const auto now = loop_.now();
     journal::fields line{
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -122,7 +122,8 @@
                                                 const std::string& text) const;
     [[nodiscard]] milliseconds spread(milliseconds time);
     pending_request* find_sent(incarnation_id from, const wire::forward_reply& reply);
-    void log(std::string_view event, const pending_request& request, journal::fields details);
+    void log(std::string_view event, const pending_request& request,
+             const journal::fields& details);
 
     net::loop& loop_;
     entry_settings settings_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -123,7 +123,6 @@
 {
     coordination::hooks hooks;
     hooks.now = [this] { return loop_.now(); };
-    hooks.defer = [this](std::function<void()> action) { loop_.defer(std::move(action)); };
     hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
         send(address, to, content);
     };
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -80,7 +80,6 @@
     std::shared_ptr<const routing::route_index> routes_;
     std::string manifest_text_;
     std::uint64_t seen_changes_ = 0;
-    assignment::target_phase seen_phase_ = assignment::target_phase::absent;
     bool accepted_before_ = false;
     std::optional<time_point> stopping_since_;
     std::optional<time_point> closing_since_; ///< new requests are refused
--- a/tests/sidecar/assignment_world.cpp
+++ b/tests/sidecar/assignment_world.cpp
@@ -121,7 +121,6 @@
     each.frozen_until_us = 0;
     coordination::hooks hooks;
     hooks.now = [this, on] { return clock_of(on); };
-    hooks.defer = [this](std::function<void()> action) { at(now_us_, std::move(action)); };
     hooks.send = [this, on](const std::string& address, incarnation_id to,
                             const wire::body& content) { send(on, address, to, content); };
     hooks.grant = [this, on](const assignment::grant_order& order) { grant(on, order); };
