--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -33,7 +33,18 @@
     time_point claim_sent; ///< when it was sent; the store's confirmation counts from here
 };
 
-/// Not thread-safe.
+namespace detail {
+
+/// The time that a reply carried as `report_reply::stamp`.
+inline time_point from_stamp(std::uint64_t stamp)
+{
+    return time_point(milliseconds(stamp));
+}
+
+} // namespace detail
+
+/// Implemented by three files: reports and members (leader.cpp), which term is in
+/// force (leader_term.cpp), and the keys (leader_keys.cpp). Not thread-safe.
 class leader {
 public:
     leader(timing times, leader_identity self, term_start start);
--- /dev/null
+++ b/src/assignment/leader_term.cpp
@@ -0,0 +1,211 @@
+#include "assignment/leader.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace bulrushgw::assignment {
+
+time_point leader::old_leases_end() const
+{
+    if (was_empty_start_) {
+        return start_.claimed;
+    }
+    const auto authority = with_drift(times_.authority, times_.drift_permille);
+    time_point over = start_.claimed;
+    for (const auto& before : start_.earlier) {
+        time_point ends =
+            start_.claimed + with_drift(times_.store_silence_limit, times_.drift_permille);
+        if (const auto accepted = accepted_by(before.host)) {
+            ends = *accepted;
+        }
+        else if (before.members.size() < least_confirming_members) {
+            ends = start_.claimed + authority;
+        }
+        else if (const auto since = majority_since(before.members)) {
+            ends = *since + authority;
+        }
+        over = std::max(over, ends);
+    }
+    return over + with_drift(times_.lease, times_.drift_permille);
+}
+
+// A leader is over once its process accepted this term, or another one runs on its
+// host.
+std::optional<time_point> leader::accepted_by(const std::string& host) const
+{
+    if (host == self_.host) {
+        return start_.claimed;
+    }
+    const auto found = accepted_.find(host);
+    return found == accepted_.end() ? std::nullopt : std::optional{found->second};
+}
+
+// The time at which a majority of these members, or later incarnations of their
+// hosts, had accepted this term.
+std::optional<time_point>
+leader::majority_since(const std::vector<leader_record::member>& members) const
+{
+    std::size_t accepted = 0;
+    time_point latest = start_.claimed;
+    for (const auto& before : members) {
+        if (const auto at = accepted_by(before.host)) {
+            ++accepted;
+            latest = std::max(latest, *at);
+        }
+    }
+    return accepted * 2 > members.size() ? std::optional{latest} : std::nullopt;
+}
+
+// A target of a service without keys holds none. One that is not known yet may.
+bool leader::may_hold_unknown(const target_status& target) const
+{
+    return target.id.empty() || sharded_.contains(target.service);
+}
+
+const leader::member_state* leader::member_on(const std::string& host) const
+{
+    for (const auto& [id, member] : members_) {
+        if (member.last.host == host) {
+            return &member;
+        }
+    }
+    return nullptr;
+}
+
+// True when each host that may have had keys before has told what its target holds:
+// by the process that got the leases, or by a new one whose target was cleared. All
+// earlier leaders must be over, for they could still give leases.
+bool leader::knows_all_holdings() const
+{
+    for (const auto& before : start_.earlier) {
+        if (!accepted_by(before.host)) {
+            return false;
+        }
+        for (const auto& entry : before.members) {
+            const auto* member = member_on(entry.host);
+            const bool same = members_.contains(entry.node);
+            const bool known = member != nullptr && member->recorded &&
+                               (same ? member->leased_once
+                                     : member->last.cleared_term == view_.term ||
+                                           !may_hold_unknown(member->last.target));
+            if (!known) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+bool leader::has_authority(time_point now) const
+{
+    return now - confirmed_at(now) < times_.authority &&
+           now - store_confirmed_ < times_.store_silence_limit;
+}
+
+// A later leader acts once a majority of the recorded members has accepted its
+// term. While the store, or a majority, confirms this term, none does.
+time_point leader::confirmed_at(time_point now) const
+{
+    time_point by_members = majority_ack(recorded_, now);
+    for (const auto& list : unresolved_) {
+        by_members = std::min(by_members, majority_ack(list, now));
+    }
+    return std::max(store_confirmed_, by_members);
+}
+
+time_point leader::majority_ack(const std::vector<leader_record::member>& members,
+                                time_point now) const
+{
+    if (members.size() < least_confirming_members) {
+        return {};
+    }
+    std::vector<time_point> acks;
+    for (const auto& entry : members) {
+        const auto found = members_.find(entry.node);
+        const bool is_self = entry.node == self_.node;
+        acks.push_back(is_self                   ? now
+                       : found == members_.end() ? time_point{}
+                                                 : found->second.acked);
+    }
+    std::sort(acks.begin(), acks.end(), std::greater<>());
+    return acks[acks.size() / 2];
+}
+
+// The leader before could give a member's keys away until a majority had accepted
+// this term, or until it was over itself. A lease is given only for a report that
+// was sent later: what the member then still holds was not given away.
+bool leader::is_sent_in_force(const report& body) const
+{
+    if (was_empty_start_) {
+        return true;
+    }
+    time_point since = start_.claimed;
+    for (const auto& before : start_.earlier) {
+        const auto over = accepted_by(before.host);
+        const auto majority = before.members.size() < least_confirming_members
+                                  ? std::optional{start_.claimed}
+                                  : majority_since(before.members);
+        if (!over && !majority) {
+            since = std::max(since, start_.claimed + with_drift(times_.store_silence_limit,
+                                                                times_.drift_permille));
+        }
+        else {
+            since = std::max(since, std::min(over.value_or(time_point::max()),
+                                             majority.value_or(time_point::max())));
+        }
+    }
+    return body.echo != 0 && detail::from_stamp(body.echo) >= since;
+}
+
+leader_record leader::make_record(time_point now) const
+{
+    leader_record record;
+    record.term = view_.term;
+    record.beat = beat_;
+    record.leader = self_.node;
+    record.host = self_.host;
+    record.address = self_.address;
+    record.members.push_back({self_.node, self_.host, self_.address});
+    for (const auto& [id, member] : members_) {
+        if (id != self_.node) {
+            record.members.push_back({id, member.last.host, member.last.address});
+        }
+    }
+    if (now < old_leases_end()) {
+        record.earlier = start_.earlier;
+    }
+    return record;
+}
+
+std::optional<leader_record> leader::take_record(time_point now)
+{
+    if (write_under_way_) {
+        return std::nullopt;
+    }
+    leader_record record = make_record(now);
+    if (record.members == recorded_ && now - last_write_ < times_.record_interval) {
+        return std::nullopt;
+    }
+    record.beat = ++beat_;
+    writing_ = record.members;
+    write_under_way_ = true;
+    last_write_ = now;
+    return record;
+}
+
+void leader::on_record_result(time_point sent, bool written)
+{
+    write_under_way_ = false;
+    if (written) {
+        recorded_ = std::move(writing_);
+        unresolved_.clear();
+        store_confirmed_ = std::max(store_confirmed_, sent);
+    }
+    // The store may still carry it out, so it counts beside the confirmed one.
+    else if (std::find(unresolved_.begin(), unresolved_.end(), writing_) == unresolved_.end()) {
+        unresolved_.push_back(std::move(writing_));
+    }
+}
+
+} // namespace bulrushgw::assignment
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -418,11 +418,6 @@
     return result;
 }
 
-time_point member::next_due(time_point now) const
-{
-    return report_now_ ? now : next_report_;
-}
-
 serve_verdict member::may_serve(time_point now, const std::string& service, std::uint32_t key) const
 {
     for (const auto& item : held_) {
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -96,8 +96,6 @@
     std::optional<outgoing_report> take_report(time_point now);
     std::vector<grant_order> take_grants(time_point now);
     std::vector<release_order> take_releases(time_point now);
-    /// When `on_tick` is needed next.
-    [[nodiscard]] time_point next_due(time_point now) const;
 
     [[nodiscard]] serve_verdict may_serve(time_point now, const std::string& service,
                                           std::uint32_t key) const;
@@ -105,7 +103,6 @@
     [[nodiscard]] const directory& view() const { return view_; }
     [[nodiscard]] std::uint64_t term() const { return term_; }
     [[nodiscard]] bool holds_lease(time_point now) const { return now < lease_end_; }
-    [[nodiscard]] time_point lease_end() const { return lease_end_; }
     /// True when no leader answered for `timing::leader_silence`.
     [[nodiscard]] bool is_leader_silent(time_point now) const;
     /// When the leader last answered, or a new one was named.
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -23,7 +23,6 @@
     incarnation_id node;
     std::uint32_t slots = 1;
     bool same_zone = false;
-    bool same_host = false;
 };
 
 struct pick_settings {
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -221,8 +221,7 @@
     for (const auto& node : view.nodes) {
         if (node.target.service == request.service &&
             node.target.phase == assignment::target_phase::ready) {
-            candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone,
-                                  node.node == hooks_.self()});
+            candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone});
         }
     }
     if (candidates.empty()) {
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -23,9 +23,8 @@
 {
     target_picker picker;
     std::mt19937_64 random{3};
-    std::vector<pick_candidate> candidates{{incarnation_id{1}, 6, true, true},
-                                           {incarnation_id{2}, 6, false, false},
-                                           {incarnation_id{3}, 6, false, false}};
+    std::vector<pick_candidate> candidates{
+        {incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, false}, {incarnation_id{3}, 6, false}};
 
     void answer(std::uint64_t node, long took, int times, int load = 1)
     {
