--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,7 +7,7 @@
 build="${BUILD_DIR:-build}"
 stamps="$build/lint"
 mkdir -p "$stamps"
-if [ "$#" -gt 0 ]; then files=("$@"); else mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp'); fi
+if [ "$#" -gt 0 ]; then files=("$@"); else mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'bench/*.cpp'); fi
 common=$(git ls-files --cached --others --exclude-standard '*.h' .clang-tidy | sort | xargs cat | sha256sum | cut -c1-16)
 export build stamps common
 lint_file() {
