--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -47,6 +47,7 @@
 /// force (leader_term.cpp), and the keys (leader_keys.cpp). Not thread-safe.
 class leader {
 public:
+    /// Precondition: the claim of the term is in the store.
     leader(timing times, leader_identity self, term_start start);
 
     /// Services whose keys are divided, from the manifest in force.
@@ -56,6 +57,7 @@
 
     /// Answers a report of this term, or of an earlier one by a member that joins.
     report_reply on_report(time_point now, incarnation_id from, const report& body);
+    /// Takes back and assigns keys, and orders moves. Call at least every 50 ms.
     void on_tick(time_point now);
 
     /// The record to write next, when one is due. The caller writes it under the
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -68,14 +68,19 @@
     /// `term` is not above the known one, unless the leader is silent.
     void on_leader(time_point now, std::uint64_t term, incarnation_id leader,
                    const std::string& address);
+    /// The leader's answer to a report; it may extend the lease.
     void on_reply(time_point now, const report_reply& reply);
+    /// A directory that the leader pushed; it extends no lease.
     void on_directory(time_point now, const directory& content);
+    /// What is known of the target on this host.
     void on_target(time_point now, const target_status& target);
+    /// The answer to an order of `take_grants`.
     void on_grant_result(time_point now, std::uint64_t id, order_outcome outcome);
     /// Precondition: with `done`, nothing runs on the keys at the target any more, or
     /// there is no target.
     void on_release_result(time_point now, std::uint64_t id, order_outcome outcome,
                            const std::string& handover);
+    /// A request for the key was admitted; told with the next report.
     void on_load(const std::string& service, std::uint32_t key);
     void set_manifest_version(std::uint64_t version) { manifest_version_ = version; }
     void set_mean_work(std::chrono::microseconds mean) { mean_work_ = mean; }
@@ -85,6 +90,7 @@
         leaving_ = true;
         report_now_ = true;
     }
+    /// Ends releases whose hold is over. Call at least every 50 ms.
     void on_tick(time_point now);
 
     /// The report to send now, if one is due, and the address for it.
@@ -94,6 +100,7 @@
         report body;
     };
     std::optional<outgoing_report> take_report(time_point now);
+    /// Orders to send now; each needs its result.
     std::vector<grant_order> take_grants(time_point now);
     std::vector<release_order> take_releases(time_point now);
 
--- a/src/dispatch/slot_queue.h
+++ b/src/dispatch/slot_queue.h
@@ -43,6 +43,7 @@
     explicit slot_queue(std::uint32_t slots) : slots_(slots) {}
 
     void set_slots(std::uint32_t slots) { slots_ = slots; }
+    /// Precondition: the ticket is new.
     slot_decisions offer(time_point now, waiting_request request);
     /// `answered`: the target answered after running it, so that the time counts.
     slot_decisions finish(time_point now, ticket id, bool answered);
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -45,6 +45,7 @@
     std::optional<incarnation_id> pick(time_point now, std::span<const pick_candidate> candidates,
                                        const std::vector<incarnation_id>& avoid, milliseconds aim,
                                        std::mt19937_64& random) const;
+    /// A request went to the node; exactly one of the next three calls ends it.
     void on_sent(incarnation_id node) { ++seen_[node].in_flight; }
     /// `load`: requests at the target, running and queued, as its node said with
     /// the answer; -1: not told.
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -28,6 +28,7 @@
         std::function<void(const std::string& address, incarnation_id to, const wire::body&)> send;
         std::function<void(const assignment::grant_order&)> grant;
         std::function<void(const assignment::release_order&)> release;
+        /// The member's directory is another one.
         std::function<void()> on_directory;
         /// Reads and writes of the leader's record, see `store_session`.
         std::function<void(std::function<void(store_outcome, const stored_row&)>)> read_record;
@@ -39,23 +40,30 @@
         std::function<void(std::string_view event, const journal::fields&)> log;
     };
 
+    /// All hooks must be set. `seed` makes the jitter of claims.
     coordination(assignment::timing times, assignment::member_identity self, std::uint64_t seed,
                  hooks with);
 
+    /// Messages of other nodes. Each may send messages and orders through the hooks.
     void on_report(const wire::frame& frame, const assignment::report& body);
     void on_reply(const wire::frame& frame, const assignment::report_reply& reply);
     void on_hint(const assignment::leader_hint& hint);
     void on_update(const assignment::directory_update& update);
+    /// What is known of the target on this host.
     void on_target(const assignment::target_status& target);
+    /// Answers to the orders that the hooks got, each exactly once.
     void on_grant_result(std::uint64_t id, assignment::order_outcome outcome);
     void on_release_result(std::uint64_t id, assignment::order_outcome outcome,
                            const std::string& handover);
+    /// A request for the key was admitted here; it counts as load of the key.
     void on_keyed_request(const std::string& service, std::uint32_t key)
     {
         member_.on_load(service, key);
     }
+    /// `sharded`: the services of that manifest that are divided by key.
     void set_manifest(std::uint64_t version, std::set<std::string> sharded);
     void set_mean_work(std::chrono::microseconds mean) { member_.set_mean_work(mean); }
+    /// Planned stop: the keys of this node's target move away.
     void leave();
     /// Call at least every `tick_interval`.
     void on_tick();
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -57,21 +57,27 @@
         std::function<void(milliseconds)> on_answer_time;
     };
 
+    /// All hooks must be set; `loop` and `protocol` must outlive this object.
     entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
           std::uint64_t seed, hooks with);
 
+    /// Changed bounds of the deployment.
     void set_repeats(const dispatch::allowance_settings& repeats);
     /// From now on new requests are refused.
     void close() { closed_ = true; }
     /// Answers everything that is pending with what is known of it.
     void end_all();
+    /// Requests that arrive later follow it. Until the first, all are refused.
     void set_manifest(std::shared_ptr<const routing::route_index> routes);
+    /// Answers the request exactly once, at the end of its time at the latest.
     void on_request(net::http_exchange exchange);
+    /// A reply that matches no request under way is counted and dropped.
     void on_reply(incarnation_id from, const wire::forward_reply& reply);
     /// Frames to `address` since `unsent_since` were not sent; none: all were.
     void on_disconnect(const std::string& address, std::optional<time_point> unsent_since);
     /// The directory changed: requests that wait for an owner go on.
     void on_directory();
+    /// Requests that wait for an owner look again. Call at least every 50 ms.
     void on_tick();
 
     [[nodiscard]] const entry_counters& counters() const { return counters_; }
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -38,6 +38,7 @@
             on_failure;
     };
 
+    /// All hooks must be set; the references must outlive this object.
     gate(net::loop& loop, net::endpoint target, const platform_protocol& protocol,
          target_watch& watch, hooks with);
 
@@ -47,6 +48,7 @@
     void cancel(request_key key);
     /// The target's status or slots changed.
     void on_target();
+    /// Refuses what can no longer be answered in time. Call at least every 50 ms.
     void on_tick();
     /// Sends an order to the target outside of the slots.
     void order(const net::http_request& request, milliseconds timeout,
