Start anew when the leader takes the process for an earlier one

A process whose report came after one of a later incarnation got no lease any more and went on without. It now exits, and the platform starts it again. Not tested: the case needs a report that is delayed past a restart of its host.

--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -483,6 +483,12 @@
     coordination_.set_mean_work(gate_.mean_work());
     coordination_.on_tick();
     entry_.on_tick();
+    if (coordination_.member().is_superseded()) {
+        // The leader took another process for a later one of this host. This one gets
+        // no lease any more; the platform starts a new one.
+        log("superseded", {{"term", coordination_.member().term()}});
+        loop_.stop();
+    }
     if (stopping_since_) {
         finish_when_idle();
     }
