Expect of new targets what the service's others do, and refuse at once what overload pushes back

Cause, new targets: an unknown target was taken for one that answers in 30 ms and is idle. Change: time and load of a target of which nothing, or nothing new, is known are the means of its service; a told load loses half of its weight in the mean time of a request, and a refusal tells the load too. A test plays 195 nodes, 33 known and 14 new targets.

Cause, overload: the queue looked only at the work ahead of a request, not at what arrives meanwhile and goes before it. Change: offered_load measures the work that arrives by rank; a request that it will push back beyond its deadline is refused when that is known, and when late requests have no hope, one that cannot start in time.

--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -22,6 +22,8 @@
 /// With this many times the mean left until its aim, a request is nearly sure to be
 /// timely: work times spread by as much as their mean.
 constexpr double sure_run = 1.5;
+/// Part of the slots that is left to a request, at least, whatever is more urgent.
+constexpr double least_share = 0.02;
 /// Kinds that are remembered; the names come from the manifest, which may be large.
 constexpr std::size_t max_kinds = 256;
 
@@ -49,6 +51,7 @@
 slot_decisions slot_queue::offer(time_point now, waiting_request request)
 {
     slot_decisions result;
+    offered_.add(now, request.rank, expected(request.kind));
     queue_.push_back(std::move(request));
     decide(now, result);
     return result;
@@ -134,6 +137,25 @@
     into.start.push_back(request.id);
 }
 
+// A request waits for the work ahead of it, and for what arrives meanwhile and goes before
+// it. Late ones wait for all that arrives; when there is no hope for them, one must start
+// before it is late.
+bool slot_queue::is_hopeless(time_point now, const waiting_request& request, double ahead_ms) const
+{
+    const double wait = ahead_ms / slots_;
+    const auto pushed_back = [&](double urgent) {
+        return to_ms(wait / std::max(least_share, 1 - urgent / slots_));
+    };
+    const auto work = static_cast<double>(expected(request.kind).count());
+    const auto late_start = now + pushed_back(offered_.total(now));
+    const bool late_hopeless = late_start + to_ms(work * short_run) >= request.deadline;
+    if (is_late(now, request) || !late_hopeless) {
+        return late_hopeless;
+    }
+    const double urgent = offered_.up_to(now, request.rank, !is_sure(now, request));
+    return now + pushed_back(urgent) + to_ms(work * short_run) >= request.aim;
+}
+
 // Goes through the queue in the order of service and adds up the work ahead.
 void slot_queue::decide(time_point now, slot_decisions& into)
 {
@@ -153,7 +175,7 @@
         const auto work = static_cast<double>(expected(request.kind).count());
         const bool has_slot = running_.size() < slots_;
         const double wait = has_slot || slots_ == 0 ? 0 : ahead_ms / slots_;
-        if (slots_ == 0 || now + to_ms(wait + work * short_run) >= request.deadline) {
+        if (slots_ == 0 || is_hopeless(now, request, has_slot ? 0 : ahead_ms)) {
             into.refuse.push_back({request.id, to_ms(std::max(wait, work))});
             continue;
         }
--- a/src/dispatch/slot_queue.h
+++ b/src/dispatch/slot_queue.h
@@ -5,7 +5,9 @@
 /// connections, after which a request that was sent may or may not have run. When
 /// more arrives than the target can do, the requests that can still be answered
 /// within their aim go first, by rank, and those that can no longer be answered
-/// in time are refused at once, with the time at which there will be room.
+/// in time are refused at once, with the time at which there will be room. So are those
+/// that requests still to come would push back until it is too late: under overload a
+/// caller learns that at once, not at the end of its time.
 
 #include <chrono>
 #include <cstdint>
@@ -14,6 +16,7 @@
 #include <vector>
 
 #include "common/boot_clock.h"
+#include "dispatch/offered_load.h"
 
 namespace bulrushgw::dispatch {
 
@@ -68,6 +71,9 @@
     };
 
     void decide(time_point now, slot_decisions& into);
+    /// True when a request with `ahead_ms` of work before it will not be answered in time.
+    [[nodiscard]] bool is_hopeless(time_point now, const waiting_request& request,
+                                   double ahead_ms) const;
     void sort(time_point now);
     void start(time_point now, const waiting_request& request, slot_decisions& into);
     [[nodiscard]] bool is_late(time_point now, const waiting_request& request) const;
@@ -77,6 +83,7 @@
     std::vector<waiting_request> queue_;
     std::map<ticket, running_request> running_;
     std::map<std::string, double, std::less<>> work_ms_; ///< mean by kind
+    offered_load offered_;
     double mean_ms_ = 0;
     double mean_count_ = 0; ///< answers in the mean
 };
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -50,6 +50,9 @@
     /// `load`: requests at the target, running and queued, as its node said with
     /// the answer; -1: not told.
     void on_answer(time_point now, incarnation_id node, milliseconds took, int load);
+    /// The node refused the request, which did not run, for lack of room. `load`: as in
+    /// `on_answer`.
+    void on_refusal(time_point now, incarnation_id node, int load);
     /// The target refused, failed or did not answer.
     void on_failure(time_point now, incarnation_id node);
     /// The request ended without telling anything about the target.
@@ -60,15 +63,26 @@
 private:
     struct seen_target {
         std::uint32_t in_flight = 0; ///< of this node
-        std::uint32_t others = 0;    ///< of other nodes, as of the last answer
-        double mean_ms = 0;
-        double failures = 0; ///< decaying share of failed requests
+        double others = 0;           ///< of other nodes, as last told
+        time_point told{};           ///< when; the epoch: never
+        double mean_ms = 0;          ///< 0: no answer so far
+        double failures = 0;         ///< decaying share of failed requests
         time_point last_failure{};
     };
 
-    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate,
-                              milliseconds aim) const;
+    /// What the targets of one service have in common: expected of a target of which
+    /// nothing, or nothing new, is known.
+    struct service_state {
+        double mean_ms = 0;
+        double others_by_slot = 0;
+    };
+
+    [[nodiscard]] service_state state_of(std::span<const pick_candidate> candidates) const;
+    [[nodiscard]] const seen_target* find(incarnation_id node) const;
+    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate, milliseconds aim,
+                              const service_state& service) const;
     void end_one(incarnation_id node);
+    void note_load(time_point now, seen_target& seen, int load);
 
     pick_settings settings_;
     std::map<incarnation_id, seen_target> seen_;
--- a/tests/dispatch/slot_queue_test.cpp
+++ b/tests/dispatch/slot_queue_test.cpp
@@ -24,12 +24,14 @@
     return {id, std::move(kind), rank, at(now + aim), at(now + deadline)};
 }
 
-/// Teaches the queue that requests take about `work`.
+/// Teaches the queue that requests take about `work`, so long before the test that their
+/// arrivals count no more as load.
 void learn(slot_queue& queue, long work, const std::string& kind = "k")
 {
+    constexpr long before = -60000;
     for (ticket id = 1000; id < 1060; ++id) {
-        queue.offer(at(0), request(id, 0, 5000, 10000, 0, kind));
-        queue.finish(at(work), id, true);
+        queue.offer(at(before), request(id, before, 5000, 10000, 0, kind));
+        queue.finish(at(before + work), id, true);
     }
 }
 
@@ -182,3 +184,56 @@
     CHECK(answered >= 40 * 38);
     CHECK(timely >= answered * 85 / 100);
 }
+
+// Guards against requests that are held until their time is over and then refused, because
+// those still to come go before them: one and a half times the load that the target can
+// do, two ranks, work times that spread by as much as their mean. What is not served must
+// be refused while its caller can still go elsewhere, and the slots must stay at work.
+TEST(slot_queue, overload_refuses_at_once_what_it_will_not_serve)
+{
+    constexpr std::uint32_t slots = 5;
+    constexpr long aim = 300;
+    constexpr long deadline = 1200;
+    slot_queue queue(slots);
+    learn(queue, 100);
+    std::mt19937_64 random(5);
+    std::lognormal_distribution<double> work(std::log(100.0) - 0.25, 0.7);
+    std::multimap<long, ticket> ends;
+    std::map<ticket, std::pair<waiting_request, long>> offered; // and its arrival
+    int answered = 0;
+    int timely = 0;
+    int refused = 0;
+    int held = 0;
+    const auto apply = [&](long now, const slot_decisions& decisions) {
+        for (const ticket id : decisions.start) {
+            ends.emplace(now + std::lround(work(random)), id);
+        }
+        for (const auto& item : decisions.refuse) {
+            ++refused;
+            held += now - offered.at(item.id).second > aim / 2 ? 1 : 0;
+        }
+    };
+    ticket next = 1;
+    for (long now = 1000; now < 41000; ++now) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const ticket id = ends.begin()->second;
+            ends.erase(ends.begin());
+            const auto& done = offered.at(id).first;
+            answered += at(now) <= done.deadline ? 1 : 0;
+            timely += at(now) <= done.aim ? 1 : 0;
+            apply(now, queue.finish(at(now), id, true));
+        }
+        // 75 requests a second against 50 that can be run; half of them are urgent.
+        if (random() % 1000 < 75) {
+            auto wanted = request(next, now, aim, deadline, random() % 2 == 0 ? 0 : 3);
+            offered.emplace(next++, std::pair{wanted, now});
+            apply(now, queue.offer(at(now), std::move(wanted)));
+        }
+        if (now % 50 == 0) {
+            apply(now, queue.on_tick(at(now)));
+        }
+    }
+    CHECK(answered >= 50 * 40 * 90 / 100);
+    CHECK(timely >= answered * 85 / 100);
+    CHECK(held <= refused / 10);
+}
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -63,6 +63,62 @@
     LONGS_EQUAL(0, picks(10, 100)[1]);
 }
 
+// Guards against new targets that get everything: each of 195 nodes sees few answers, and
+// 14 of 47 targets have just joined. Requests come at two thirds of what all can run.
+TEST(target_picker, new_targets_get_their_share_from_many_nodes)
+{
+    constexpr std::size_t nodes = 195;
+    constexpr std::uint64_t targets = 47;
+    constexpr std::uint64_t known = 33;
+    constexpr std::uint32_t slots = 5;
+    constexpr long work = 60;
+    std::vector<target_picker> pickers(nodes);
+    std::map<std::uint64_t, int> running;
+    std::multimap<long, std::pair<std::size_t, std::uint64_t>> ends; // node and target
+    int full = 0;
+    int asked = 0;
+    int to_new = 0;
+    const auto play = [&](long from, long until, std::uint64_t present) {
+        std::vector<pick_candidate> all;
+        for (std::uint64_t id = 1; id <= present; ++id) {
+            all.push_back({incarnation_id{id}, slots, true});
+        }
+        full = asked = to_new = 0;
+        for (long now = from; now < until; ++now) {
+            while (!ends.empty() && ends.begin()->first <= now) {
+                const auto [node, target] = ends.begin()->second;
+                ends.erase(ends.begin());
+                pickers[node].on_answer(at(now), incarnation_id{target}, milliseconds{work},
+                                        --running[target]);
+            }
+            const int arrivals = static_cast<int>(present * slots) * 2 / 3;
+            for (int i = 0; i < arrivals; ++i) {
+                if (random() % work != 0) {
+                    continue;
+                }
+                const std::size_t node = random() % nodes;
+                const auto target = pickers[node].pick(at(now), all, {}, aim, random)->value;
+                ++asked;
+                to_new += target > known ? 1 : 0;
+                pickers[node].on_sent(incarnation_id{target});
+                if (running[target] >= static_cast<int>(slots)) {
+                    ++full;
+                    pickers[node].on_refusal(at(now), incarnation_id{target}, running[target]);
+                    continue;
+                }
+                ++running[target];
+                ends.emplace(now + work, std::pair{node, target});
+            }
+        }
+    };
+    play(0, 5000, known);
+    play(5000, 6000, targets);
+    // Their share is 30 in 100.
+    CHECK(to_new <= asked * 40 / 100);
+    CHECK(to_new >= asked * 20 / 100);
+    CHECK(full <= asked * 20 / 100);
+}
+
 // Guards against a target that fails quickly and therefore gets everything.
 TEST(target_picker, failing_target_is_avoided_and_tried_again)
 {
