Drop second copies of answers, cut off bytes without end, and stop without cutting runs

Second copy: an answer with another request id, which a target may send late on a connection in use again, ended the call as malformed, so that the caller lost its own answer behind it. Now it is read and dropped, at most two, and the connection is closed after the call. A sealed answer or a refusal without an id is of no known request.

Bytes without end: interim answers without headers and chunk extensions had no limit but the time-out.

Planned stop: a node whose keys nobody could take over (the leader stopped while the store was silent) served them until its exit and cut off what ran then.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -125,6 +125,13 @@
     http_failure failure = http_failure::connect;
 };
 
+/// What a caller says of the head of an answer.
+enum class head_verdict {
+    accept,
+    skip,   ///< the answer to an earlier request: this call's own may follow it
+    refuse, ///< no answer to this call
+};
+
 /// Keeps connections to a few addresses and reuses them. A connection that the
 /// server closed while it was idle is replaced; if the server closes it during the
 /// write, the call ends as `closed`, because bytes may have arrived. Not thread-safe.
@@ -148,12 +155,13 @@
     /// the first byte is written, which may be within this function; when it returns
     /// false, the call ends as `not_sent`. It must not destroy the client. Throws
     /// `address_error` when the address is not an IP number. `accept_head`, when set,
-    /// sees the status and headers of the answer; when it returns false, the call
-    /// ends as `malformed` and its connection is closed, because what else comes on
-    /// it belongs to another call. It must not call this client.
+    /// sees the status and headers of an answer and must not call this client. An answer
+    /// that it skips is read and dropped; at most two are, and the connection is closed
+    /// after the call. When it refuses, or an answer to skip has no end of its own, the
+    /// call ends as `malformed` and its connection is closed.
     call_id send(const endpoint& address, const http_request& request, milliseconds timeout,
                  callback on_result, std::function<bool()> before_write = {},
-                 std::function<bool(const http_response&)> accept_head = {});
+                 std::function<head_verdict(const http_response&)> accept_head = {});
     /// Closes the connection of the call, which cancels it at the server.
     void cancel(call_id call);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -28,6 +28,11 @@
 constexpr std::size_t max_idle_destinations = 64;
 /// Bytes that the head of an answer may take beside its body.
 constexpr std::size_t max_head_bytes = std::size_t{64} * 1024;
+/// Bytes around each byte of a body: a chunk of one byte takes five more. A server that
+/// sends more, such as interim answers or chunk extensions without end, does not answer.
+constexpr std::size_t most_framing = 8;
+/// Answers to earlier requests that may come before the one that is waited for.
+constexpr unsigned max_skipped = 2;
 /// Calls that wait for a connection to one address; further calls are refused.
 constexpr std::size_t max_waiting_per_address = 10000;
 constexpr int informational = 100;
@@ -120,12 +125,16 @@
         std::uint64_t timer = 0;
         http_response response;
         std::size_t head_bytes = 0;
-        bool value_begun = false; ///< the last header has a value
+        bool value_begun = false;   ///< the last header has a value
+        std::size_t received = 0;   ///< bytes on the connection since the request
+        std::size_t body_bytes = 0; ///< of these, also those of skipped answers
         bool complete = false;
         bool rejected = false; ///< above a limit, or not accepted by the caller
+        bool skipping = false; ///< the present answer belongs to an earlier request
+        unsigned skipped = 0;
         callback on_result;
         std::function<bool()> before_write;
-        std::function<bool(const http_response&)> accept_head;
+        std::function<head_verdict(const http_response&)> accept_head;
     };
 
     net::loop& owner;
@@ -365,18 +374,22 @@
         return 0;
     }
     if (entry.accept_head) {
-        bool accepted = false;
+        auto verdict = head_verdict::refuse;
         try {
-            accepted = entry.accept_head(entry.response);
+            verdict = entry.accept_head(entry.response);
         }
         catch (const std::exception&) {
             // An exception must not cross the parser's C frames.
-            accepted = false;
+            verdict = head_verdict::refuse;
         }
-        if (!accepted) {
+        // One that ends with its connection leaves no place for the right answer.
+        const bool may_skip = verdict == head_verdict::skip && entry.skipped < max_skipped &&
+                              http_should_keep_alive(parser) != 0;
+        if (verdict != head_verdict::accept && !may_skip) {
             entry.rejected = true;
             return stop;
         }
+        entry.skipping = may_skip;
     }
     return entry.head_only ? skip_body : 0;
 }
@@ -388,6 +401,7 @@
         entry.rejected = true;
         return 1;
     }
+    entry.body_bytes += size;
     entry.response.body.append(text, size);
     return 0;
 }
@@ -396,8 +410,11 @@
 {
     call& entry = call_of(parser);
     const int status = static_cast<int>(parser->status_code);
-    if (status >= informational && status < first_final && status != switching_protocols) {
+    const bool interim =
+        status >= informational && status < first_final && status != switching_protocols;
+    if (interim || entry.skipping) {
         // The final answer follows.
+        entry.skipped += std::exchange(entry.skipping, false) ? 1 : 0;
         entry.response = {};
         entry.value_begun = false;
         return 0;
@@ -419,10 +436,14 @@
     const std::size_t size = input->size;
     std::size_t used = 0;
     if (size > 0) {
+        entry.received += size;
         used = http_parser_execute(&on.parser, &parsing, input->bytes, size);
         h2o_buffer_consume(&input, size);
     }
     const auto parsed = HTTP_PARSER_ERRNO(&on.parser);
+    const bool endless =
+        entry.received > (max_skipped + 1) * max_head_bytes + (1 + most_framing) * entry.body_bytes;
+    entry.rejected = entry.rejected || (endless && !entry.complete);
     if (!entry.complete && (entry.rejected || (parsed != HPE_OK && parsed != HPE_PAUSED))) {
         close(on);
         fail(entry, http_failure::malformed);
@@ -434,7 +455,7 @@
     }
     if (entry.complete) {
         const bool reusable = failure == nullptr && used == size && !on.write_pending &&
-                              http_should_keep_alive(&on.parser) != 0;
+                              entry.skipped == 0 && http_should_keep_alive(&on.parser) != 0;
         complete(on, reusable);
     }
     else if (failure != nullptr) {
@@ -534,10 +555,10 @@
     }
 }
 
-http_client::call_id http_client::send(const endpoint& address, const http_request& request,
-                                       milliseconds timeout, callback on_result,
-                                       std::function<bool()> before_write,
-                                       std::function<bool(const http_response&)> accept_head)
+http_client::call_id
+http_client::send(const endpoint& address, const http_request& request, milliseconds timeout,
+                  callback on_result, std::function<bool()> before_write,
+                  std::function<head_verdict(const http_response&)> accept_head)
 {
     auto& self = *state_;
     auto& to = self.find_destination(address);
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t max_answer_bytes = std::size_t{768} * 1024;
 constexpr std::size_t max_order_answer_bytes = std::size_t{16} * 1024;
 constexpr int first_failure = 500;
+/// Mean times of a run that a stopping node allows for one: work times spread by as much
+/// as their mean, so nearly all end within four.
+constexpr int longest_run = 4;
 } // namespace
 
 gate::gate(net::loop& loop, net::endpoint target, const platform_protocol& protocol,
@@ -84,10 +87,19 @@
     }
 }
 
+bool gate::ends_too_late(const active_request& entry) const
+{
+    return end_ && loop_.now() + longest_run * queue_.expected(entry.request.route) > *end_;
+}
+
 void gate::admit(dispatch::ticket id)
 {
     const auto& entry = active_.at(id);
     const auto now = loop_.now();
+    if (ends_too_late(entry)) {
+        refuse(id, reason::shut_down, milliseconds{0}, "the node stops");
+        return;
+    }
     dispatch::waiting_request waiting;
     waiting.id = id;
     waiting.kind = entry.request.route;
@@ -141,6 +153,10 @@
                "the target stopped taking the request while it was queued");
         return;
     }
+    if (ends_too_late(entry)) {
+        refuse(id, reason::shut_down, milliseconds{0}, "the node stops");
+        return;
+    }
     entry.sent = true;
     entry.target_id = watch_.status().id;
     const auto left = std::chrono::duration_cast<milliseconds>(entry.deadline - now);
@@ -148,8 +164,7 @@
         target_, message_for(entry), left + answer_grace,
         [this, id](const net::http_result& result) { on_result(id, result); }, {},
         [this, expected = request.request_id](const net::http_response& head) {
-            const auto echo = net::find_header(head.headers, protocol_.names.request_id);
-            return !echo || *echo == expected;
+            return judge_head(protocol_.names, head, expected);
         });
 }
 
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -45,6 +46,9 @@
     void run(request_key key, wire::forward request, completion done);
     /// Ends the request at the target by closing its connection.
     void cancel(request_key key);
+    /// The process ends at this time: requests that would not be answered before are
+    /// refused, so that none is cut off at work.
+    void stop_at(time_point end) { end_ = end; }
     /// The target's status or slots changed.
     void on_target();
     /// Refuses what can no longer be answered in time. Call at least every 50 ms.
@@ -82,6 +86,7 @@
     [[nodiscard]] net::http_request message_for(const active_request& entry) const;
     [[nodiscard]] wire::forward_reply reply_for(const active_request& entry,
                                                 const net::http_response& answer);
+    [[nodiscard]] bool ends_too_late(const active_request& entry) const;
     [[nodiscard]] static std::uint32_t key_of(const wire::forward& request);
 
     net::loop& loop_;
@@ -95,6 +100,7 @@
     std::map<dispatch::ticket, active_request> active_;
     std::map<request_key, dispatch::ticket> tickets_;
     dispatch::ticket next_ticket_ = 1;
+    std::optional<time_point> end_; ///< of the process, once it stops
 };
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/target_answer.h
+++ b/src/sidecar/target_answer.h
@@ -2,6 +2,8 @@
 
 /// What an answer of the target says of its request. Pure.
 
+#include <string_view>
+
 #include "net/http.h"
 #include "request/outcomes.h"
 #include "sidecar/protocol.h"
@@ -14,6 +16,12 @@
     request::reason why = request::reason::none;
 };
 
+/// Whether the head is of the answer to the request with `request_id`. A target may send
+/// a second copy of an earlier answer first, which only the echoed id tells apart; one
+/// that bears the target's mark without an id may be of any request. Thread-safe.
+net::head_verdict judge_head(const header_names& names, const net::http_response& head,
+                             std::string_view request_id);
+
 /// `answered` only for an answer that may be passed on as it is. Thread-safe.
 answer_verdict judge_answer(const header_names& names, const net::http_response& answer);
 
--- /dev/null
+++ b/tests/sidecar/gate_test.cpp
@@ -0,0 +1,152 @@
+#include "sidecar/gate.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::sidecar;
+
+namespace {
+
+constexpr milliseconds wait_limit{3000};
+constexpr const char* service = "s";
+
+platform_protocol protocol_for_tests()
+{
+    platform_protocol result;
+    result.names.request_id = "x-id";
+    result.names.deadline = "x-left";
+    result.names.answer_seal = "x-seal";
+    result.names.expected_target = "x-target";
+    result.names.not_run = "x-not-run";
+    return result;
+}
+
+wire::forward request_for(std::uint64_t number)
+{
+    wire::forward result;
+    result.number = number;
+    result.service = service;
+    result.route = "r";
+    result.request_id = "r-" + std::to_string(number);
+    result.deadline = milliseconds{2000};
+    result.aim = milliseconds{1000};
+    result.method = "GET";
+    result.path = "/";
+    return result;
+}
+
+} // namespace
+
+// A gate before a target with two slots that answers after `work`.
+TEST_GROUP(gate)
+{
+    net::loop loop;
+    platform_protocol protocol = protocol_for_tests();
+    milliseconds work{20};
+    std::vector<std::string> arrived;
+    std::unique_ptr<net::http_server> target;
+    std::unique_ptr<target_watch> watch;
+    std::unique_ptr<gate> before;
+    std::vector<wire::forward_reply> replies;
+
+    void setup() override
+    {
+        target = std::make_unique<net::http_server>(
+            loop, net::endpoint{"127.0.0.1", 0}, [this](const net::http_exchange& exchange) {
+                const std::string id(
+                    net::find_header(exchange.request.headers, "x-id").value_or(""));
+                arrived.push_back(id);
+                loop.after(work, [exchange, id] {
+                    exchange.respond({200, {{"x-id", id}, {"x-seal", "s"}}, "ok"});
+                });
+            });
+        const auto address = net::to_string(target->address());
+        watch = std::make_unique<target_watch>(target_watch_settings{milliseconds{2000}}, service,
+                                               address);
+        gate::hooks hooks;
+        hooks.may_serve = [](const std::string&, std::uint32_t) {
+            return assignment::serve_verdict::serve;
+        };
+        hooks.on_target_changed = [] {};
+        hooks.on_failure = [](const wire::forward&, request::reason, const std::string&) {};
+        before =
+            std::make_unique<gate>(loop, target->address(), protocol, *watch, std::move(hooks));
+        heartbeat beat;
+        beat.target = {"t1", 1, service, 2, assignment::target_phase::ready};
+        beat.address = address;
+        beat.sequence = 1;
+        CHECK(watch->on_heartbeat(loop.now(), beat));
+        before->on_target();
+    }
+    void teardown() override
+    {
+        before.reset();
+        target.reset();
+    }
+
+    void run(std::uint64_t number)
+    {
+        before->run({incarnation_id{9}, number}, request_for(number),
+                    [this](const wire::forward_reply& reply) { replies.push_back(reply); });
+    }
+    void wait_for(std::size_t count)
+    {
+        CHECK(loop.run_until([&] { return replies.size() >= count; }, wait_limit));
+    }
+};
+
+// Guards against an answer that is passed on without the target's own mark, or a request
+// that runs beside more others than the target has slots.
+TEST(gate, requests_run_within_the_slots)
+{
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        run(i);
+    }
+    LONGS_EQUAL(2, before->running());
+    LONGS_EQUAL(2, before->queued());
+    wait_for(4);
+    for (const auto& reply : replies) {
+        CHECK(reply.outcome == wire::forward_outcome::answered);
+        STRCMP_EQUAL("ok", reply.body.c_str());
+    }
+}
+
+// Guards against requests that are taken just before the end of a planned stop and are cut
+// off at work by the exit: a node whose keys nobody can take over serves them to the end.
+TEST(gate, stopping_node_refuses_what_would_be_cut_off)
+{
+    run(1);
+    wait_for(1); // so that the time of a run is known
+    run(2);
+    before->stop_at(loop.now() + work * 3);
+    run(3);
+    wait_for(3);
+    CHECK(replies[1].request_id == "r-3");
+    CHECK(replies[1].outcome == wire::forward_outcome::not_run);
+    STRCMP_EQUAL("shut-down", replies[1].reason.c_str());
+    CHECK(replies[2].outcome == wire::forward_outcome::answered);
+    LONGS_EQUAL(2, arrived.size());
+}
+
+// Guards against a request that waits for a slot and is started when the end is too near.
+TEST(gate, stopping_node_refuses_what_waits_too_long_for_a_slot)
+{
+    run(1);
+    wait_for(1);
+    for (std::uint64_t i = 2; i <= 4; ++i) {
+        run(i);
+    }
+    before->stop_at(loop.now() + work * 2);
+    wait_for(4);
+    LONGS_EQUAL(3, arrived.size());
+    std::size_t not_run = 0;
+    for (const auto& reply : replies) {
+        not_run += reply.outcome == wire::forward_outcome::not_run ? 1 : 0;
+    }
+    LONGS_EQUAL(1, not_run);
+}
--- a/tests/sidecar/target_answer_test.cpp
+++ b/tests/sidecar/target_answer_test.cpp
@@ -28,6 +28,21 @@
 
 TEST_GROUP(target_answer){};
 
+// Guards against a second copy of an earlier answer, or of an earlier refusal, that is
+// taken for the answer to the request which now uses the connection.
+TEST(target_answer, head_of_another_request_is_told_apart)
+{
+    const auto head = [](int status, net::header_list headers) {
+        return judge_head(names(), {status, std::move(headers), ""}, "1");
+    };
+    CHECK(head(200, whole) == net::head_verdict::accept);
+    CHECK(head(200, {{"x-id", "2"}, {"x-seal", "s"}}) == net::head_verdict::skip);
+    CHECK(head(503, {{"x-id", "2"}, {"x-not-run", "1"}}) == net::head_verdict::skip);
+    CHECK(head(500, {{"x-seal", "s"}}) == net::head_verdict::refuse);
+    CHECK(head(503, {{"x-not-run", "1"}}) == net::head_verdict::refuse);
+    CHECK(head(404, {}) == net::head_verdict::accept);
+}
+
 // Guards against a success that is not the target's own.
 TEST(target_answer, success_needs_id_and_seal)
 {
