--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -58,6 +58,20 @@
     std::function<void()> signal_action;
     std::function<void()> hangup_action;
     h2o_socket_t* signal_socket = nullptr;
+    std::function<void(const std::exception&)> error_hook;
+
+    void call(const std::function<void()>& action) const
+    {
+        try {
+            action();
+        }
+        catch (const std::exception& failure) {
+            if (!error_hook) {
+                throw;
+            }
+            error_hook(failure);
+        }
+    }
 
     void add(timer_id id, time_point at, timer entry)
     {
@@ -74,7 +88,7 @@
             timer& entry = node.mapped();
             if (entry.period.count() == 0) {
                 due.erase(id);
-                entry.action();
+                call(entry.action);
                 continue;
             }
             // After a pause the missed calls are skipped, not made up for.
@@ -83,7 +97,7 @@
             auto action = entry.action;
             node.key().first = next;
             timers.insert(std::move(node));
-            action();
+            call(action);
         }
     }
 
@@ -92,7 +106,7 @@
         // Actions added meanwhile belong to the next turn, which `wait` starts at once.
         auto actions = std::exchange(deferred, {});
         for (auto& action : actions) {
-            action();
+            call(action);
         }
     }
 
@@ -243,6 +257,11 @@
     sigaction(SIGHUP, &handler, nullptr);
 }
 
+void loop::on_error(std::function<void(const std::exception&)> hook)
+{
+    state_->error_hook = std::move(hook);
+}
+
 time_point loop::now() const
 {
     return boot_clock::now();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -15,7 +16,8 @@
 namespace bulrushgw::net {
 
 /// Runs all sockets and timers of the process on one thread. Not thread-safe.
-/// An exception that leaves an action ends `run` or `run_until` with it.
+/// An exception that leaves an action ends `run` or `run_until` with it, unless
+/// `on_error` was called.
 class loop {
 public:
     using timer_id = std::uint64_t;
@@ -52,6 +54,10 @@
     /// `on_signal` was called before.
     void on_hangup(std::function<void()> action);
 
+    /// Calls `hook` with each exception that leaves an action; the loop goes on with the
+    /// next one. An exception of the hook itself ends `run`.
+    void on_error(std::function<void(const std::exception&)> hook);
+
     /// Current time, read anew on each call.
     [[nodiscard]] time_point now() const;
 
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <stdexcept>
+#include <string>
 #include <vector>
 
 #include "common/errors.h"
@@ -104,3 +105,24 @@
     loop.after(milliseconds{0}, [&] { loop.stop(); });
     loop.run();
 }
+
+// Guards against one unexpected error that takes the whole process down.
+TEST(loop, error_hook_keeps_the_loop_running)
+{
+    std::vector<std::string> errors;
+    loop.on_error([&](const std::exception& failure) { errors.emplace_back(failure.what()); });
+    loop.defer([] { throw std::runtime_error("deferred"); });
+    loop.defer(add(1));
+    loop.after(milliseconds{1}, [] { throw error("timer"); });
+    loop.after(milliseconds{2}, add(2));
+    int calls = 0;
+    const auto repeated = loop.every(milliseconds{5}, [&] {
+        ++calls;
+        throw std::out_of_range("repeated");
+    });
+    CHECK(loop.run_until([&] { return calls >= 2; }, wait_limit));
+    loop.cancel(repeated);
+    LONGS_EQUAL(2, order.size());
+    CHECK((std::vector<std::string>(errors.begin(), errors.begin() + 3) ==
+           std::vector<std::string>{"deferred", "timer", "repeated"}));
+}
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -85,6 +85,7 @@
          {"", "{}", "[1]", R"({"service":1,"address":"a","slots":6,"state":"ready","sequence":1})",
           R"({"service":"s","address":"a","slots":6,"state":"asleep","sequence":1})",
           R"({"service":"s","address":"a","slots":-6,"state":"ready","sequence":1})",
+          R"({"service":"s","address":"a","slots":4294967302,"state":"ready","sequence":1})",
           R"({"service":"s","address":"a","slots":6,"state":"ready","sequence":1.5})"}) {
         CHECK_THROWS(parse_error, detail::parse_control(beat(body)));
     }
@@ -137,4 +138,10 @@
         CHECK_THROWS(sidecar::store_format_error, detail::parse_row(body));
     }
     CHECK_THROWS(sidecar::store_format_error, detail::parse_version(R"({"ver":"7"})"));
+    // Rows of another writer: fields of another type name no row to use.
+    LONGS_EQUAL(0, detail::parse_feed(R"({"rows":[{"key":7},{"key":null},[]],"ver":9})", "config")
+                       .rows.size());
+    CHECK_THROWS(
+        sidecar::store_format_error,
+        detail::parse_feed(R"({"rows":[{"key":"config","removed":"yes"}],"ver":9})", "config"));
 }
