Send whole directories by relays after a restart, and let strong hosts claim first

Cause 1: after all processes were killed, each of the first replies carried the whole directory (about 50 KB with 301 hosts), and each report led to a round of decisions over all members and keys. On a host with a tenth of a core and 20 Mbit/s that takes seconds. Change: a member that was not sent the present version yet gets it with the next push, by relays; a reply carries the change only when the push did not arrive. Rounds that reports cause are 10 ms apart at least.

Change: the wait grows as the host is weaker.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -19,6 +19,9 @@
 /// Least time between two pushes of the directory. Many changes come together when
 /// hosts are lost or moved, and each push costs a message for each member.
 constexpr milliseconds push_interval{50};
+/// Between two rounds of decisions that reports cause: after a restart of all, hundreds of
+/// reports come within a moment, and a round goes over all members and keys.
+constexpr milliseconds urgent_interval{10};
 /// Between two requests for acknowledgements: one may get lost, and a majority is enough.
 constexpr milliseconds confirmation_interval{150};
 /// A directory that was sent this long ago and that the member does not report was
@@ -103,7 +106,7 @@
                                          [&](const auto& entry) { return entry.node == from; });
     urgent_ = urgent_ || is_recorded != member.recorded;
     member.recorded = is_recorded;
-    if (std::exchange(urgent_, false)) {
+    if (urgent_ && now - last_tick_ >= urgent_interval) {
         on_tick(now);
     }
     seal();
@@ -125,11 +128,16 @@
     return reply;
 }
 
-// The version that the member has, or will have once it got what is on its way. One
-// that has answered a later reply and still reports an older version did not get it.
+// The version that the member has, or will have once it got what is on its way or goes out
+// with the next push: after a restart of all, whole directories in each reply would take
+// seconds of the leader's link. One that has answered a later reply and still reports an
+// older version did not get it.
 std::uint64_t leader::base_for(const member_state& member, time_point now) const
 {
     const std::uint64_t has = member.last.directory_version;
+    if (member.sent_version < view_.version && has <= member.sent_version) {
+        return view_.version;
+    }
     const bool on_its_way = has < member.sent_version &&
                             detail::from_stamp(member.last.echo) <= member.sent_at &&
                             now - member.sent_at < push_lost;
@@ -273,6 +281,8 @@
 
 void leader::on_tick(time_point now)
 {
+    urgent_ = false;
+    last_tick_ = now;
     for (auto at = members_.begin(); at != members_.end();) {
         const bool silent = !is_live(at->second, now);
         // A later leader may have taken the member over with its keys. That is ruled
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -164,6 +164,7 @@
     directory_log log_;
     bool unsealed_ = true; ///< the directory may differ from the one in the log
     bool urgent_ = true;   ///< keys can be taken back or assigned now
+    time_point last_tick_{};
     time_point last_push_{};
     time_point last_round_{}; ///< see `take_confirmation_round`
     bool balancing_ = true;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -38,7 +38,8 @@
 /// `own`: a timeout that is disposed of first.
 bool is_idle(h2o_evloop_t& evloop, const h2o_timeout_t& own)
 {
-    const bool only_own = evloop._timeouts.next == &own._link && own._link.next == &evloop._timeouts;
+    const bool only_own =
+        evloop._timeouts.next == &own._link && own._link.next == &evloop._timeouts;
     return only_own && evloop._pending_as_client == nullptr &&
            evloop._pending_as_server == nullptr && evloop._statechanged.head == nullptr;
 }
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/coordination.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "sidecar/record_text.h"
@@ -12,9 +13,13 @@
 /// Jitter of a claim, so that nodes which know no order among them seldom race.
 constexpr milliseconds claim_jitter{30};
 /// When a deployment starts for the first time, nobody leads and no order among the nodes
-/// is known. Each waits for a part of this time by chance before it claims: a part of the
-/// store carries out some hundred conditional writes a second, one after the other.
-constexpr milliseconds first_claim_spread{600};
+/// is known. Each waits before it claims, since a part of the store carries out some hundred
+/// conditional writes a second, one after the other: a host with a whole core for about this
+/// time, one with a tenth of it ten times as long, so that a strong host leads.
+constexpr double first_claim_ms = 60;
+constexpr double whole_core = 1000; ///< of `assignment::member_identity::strength`
+/// A host of unknown strength counts as one of this.
+constexpr double least_strength = 100;
 /// Between two reads of the record while there is none, or the store is away.
 constexpr milliseconds read_pause{150};
 constexpr milliseconds summary_interval{2000};
@@ -414,8 +419,10 @@
 void coordination::consider_claim(time_point now, const assignment::leader_record* record)
 {
     if (record == nullptr && !first_claim_) {
-        std::uniform_int_distribution<milliseconds::rep> wait(0, first_claim_spread.count());
-        first_claim_ = now + milliseconds{wait(random_)};
+        const double mean =
+            first_claim_ms * whole_core / std::max<double>(self_.strength, least_strength);
+        std::uniform_real_distribution<double> wait(mean / 2, mean * 3 / 2);
+        first_claim_ = now + milliseconds{std::lround(wait(random_))};
     }
     if (record == nullptr && now < *first_claim_) {
         next_read_ = *first_claim_;
--- a/tests/net/http_answers_test.cpp
+++ b/tests/net/http_answers_test.cpp
@@ -280,8 +280,9 @@
         CHECK(call().response.has_value());
         std::optional<http_result> result;
         loop.defer([&] {
-            const auto id = client->send(server->address(), {"GET", "/", {}, ""}, milliseconds{1000},
-                                         [&](http_result got) { result = std::move(got); });
+            const auto id =
+                client->send(server->address(), {"GET", "/", {}, ""}, milliseconds{1000},
+                             [&](http_result got) { result = std::move(got); });
             client->cancel(id);
         });
         CHECK(loop.run_until([&] { return result.has_value(); }, milliseconds{3000}));
