Give keys back that a new life of the target may have got

Cause: a node that learned of a new life of its target took it for empty. A grant that the node sent just before may have reached the new life, which then held keys that neither the node nor the leader knew of. When a new leader took over within the hold, it gave them to another target: two holders.

Change: what the old life held or may have held is released at the new one, and reported as held until then. A test of the member fails on the code before.

--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -260,8 +260,14 @@
         !target_.id.empty() && !target.id.empty() && !target_.is_same_life(target);
     target_ = target;
     if (other_life) {
-        // The old life is over and with it all that it held.
-        held_.clear();
+        // The old life is over and with it all that it held. But the new one may have got
+        // a grant that was sent before this node knew of it: it gives those keys back.
+        std::erase_if(held_, [&](const held& item) { return item.exposed_until <= now; });
+        for (auto& item : held_) {
+            item.releasing = true;
+            item.order = 0;
+            item.served_until = {};
+        }
         orders_.clear();
     }
     if (changed) {
--- a/tests/assignment/member_test.cpp
+++ b/tests/assignment/member_test.cpp
@@ -106,6 +106,31 @@
     LONGS_EQUAL(1, test.grant());
 }
 
+// Guards against two holders of a key: a target that has just started got a grant before its
+// node knew of the new life, and the node then took it for empty.
+TEST(member, keys_granted_to_an_unknown_new_life_are_given_back)
+{
+    fixture test;
+    test.exchange({keys(0, 99, 2)});
+    LONGS_EQUAL(1, test.grant());
+    auto next_life = target(target_phase::ready);
+    next_life.id = "t2";
+    next_life.born = 200;
+    test.node_.on_target(test.now_, next_life);
+    LONGS_EQUAL(1, test.node_.holdings(test.now_).size());
+    CHECK(test.node_.may_serve(test.now_, "s", 5) == serve_verdict::not_owner);
+    const auto orders = test.node_.take_releases(test.now_);
+    LONGS_EQUAL(1, orders.size());
+    LONGS_EQUAL(99, orders[0].last);
+    test.node_.on_release_result(test.now_, orders[0].id, order_outcome::done, "");
+    CHECK(test.node_.holdings(test.now_).empty());
+    // The leader keeps them here, under a higher fence.
+    auto kept = keys(0, 99, 5);
+    kept.target = "t2";
+    test.exchange({kept});
+    LONGS_EQUAL(1, test.grant());
+}
+
 // Guards against keys that nobody serves while neighbouring segments of one owner are
 // joined under a new fence: the target holds all of them under the old ones.
 TEST(member, joined_segments_are_served_until_their_new_grant)
--- a/tests/sidecar/assignment_world_test.cpp
+++ b/tests/sidecar/assignment_world_test.cpp
@@ -280,7 +280,9 @@
     constexpr int faults = 25;
     // 315: a leader that is alone in its record went on without the store, while the
     // third leader only knew that the second was over.
-    std::vector<std::uint64_t> seeds{315};
+    // 195: a target got a grant in a new life of which its node did not know yet; the node
+    // then took it for empty, and a new leader gave the keys to another target.
+    std::vector<std::uint64_t> seeds{315, 195};
     for (std::uint64_t seed = 1; seed <= last_seed; ++seed) {
         seeds.push_back(seed);
     }
