Wait for a release that is under way, and grant nothing unreported after a change of term

Cause 1, fits the times, not proven: a node took keys for given back when the hold had run out while its release was still under way. Work that began before a release goes on after it, so only the answer says that it has ended.

Cause 2, by reasoning: after the first report of a term the leader takes the reported holdings for all. Since changes come by relays, a member kept the directory of the term before for longer and could grant keys by it that it had not reported. Now it renews only what it reported.

Both tests fail on the code before.

--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -284,8 +284,9 @@
         // A silent target holds nothing any more once the hold is over.
         const bool lost = !target_.id.empty() && target_.phase == target_phase::absent &&
                           at->exposed_until != time_point{};
-        // So does one that did not confirm a release.
-        if (over && (at->releasing || lost)) {
+        // So does one that did not confirm a release. While the release is under way the
+        // target may still be at work on the keys: work that had begun goes on after it.
+        if (over && ((at->releasing && at->order == 0) || lost)) {
             finish_release(*at, "");
             at = held_.erase(at);
         }
@@ -317,10 +318,13 @@
     }
     const milliseconds hold = hold_for(now);
     for (auto& item : held_) {
+        // After the first report of a term the leader takes the reported holdings for all,
+        // so nothing else is granted by the directory of an earlier term.
+        const bool unreported = view_.term != term_ && item.exposed_until <= now;
         const bool fresh = item.granted != item.stamp;
         const bool due = fresh || item.served_until - now < times_.lease / renew_divisor;
-        if (item.releasing || item.order != 0 || !due || now < item.next_try || hold < least_hold ||
-            now + hold < item.served_until + order_pause) {
+        if (unreported || item.releasing || item.order != 0 || !due || now < item.next_try ||
+            hold < least_hold || now + hold < item.served_until + order_pause) {
             continue;
         }
         item.order = next_order_++;
--- a/tests/assignment/member_test.cpp
+++ b/tests/assignment/member_test.cpp
@@ -131,6 +131,41 @@
     LONGS_EQUAL(1, test.grant());
 }
 
+// Guards against a key that is given on while its last holder is at work on it: the answer
+// to a release is awaited also when the hold has run out meanwhile.
+TEST(member, keys_are_not_given_up_while_their_release_is_under_way)
+{
+    fixture test;
+    test.exchange({keys(0, 99, 2)});
+    LONGS_EQUAL(1, test.grant());
+    auto moving = keys(0, 99, 3);
+    moving.releasing = true;
+    test.exchange({moving});
+    const auto orders = test.node_.take_releases(test.now_);
+    LONGS_EQUAL(1, orders.size());
+    test.pass(milliseconds{2500});
+    CHECK(test.exchange({moving}).released.empty());
+    test.node_.on_release_result(test.now_, orders[0].id, order_outcome::unknown, "");
+    test.pass(milliseconds{50});
+    LONGS_EQUAL(1, test.exchange({moving}).released.size());
+}
+
+// Guards against keys that a new leader does not know of: a member reported that it holds
+// nothing, and then granted keys by the directory of the term before.
+TEST(member, keys_of_the_term_before_are_not_granted_after_a_report)
+{
+    fixture test;
+    test.exchange({keys(0, 99, 2)});
+    test.node_.on_leader(test.now_, term + 1, incarnation_id{3}, "next");
+    LONGS_EQUAL(0, test.grant());
+    fixture other;
+    other.exchange({keys(0, 99, 2)});
+    LONGS_EQUAL(1, other.grant());
+    other.node_.on_leader(other.now_, term + 1, incarnation_id{3}, "next");
+    other.pass(milliseconds{900});
+    CHECK(other.node_.may_serve(other.now_, "s", 5) == serve_verdict::serve); // as reported
+}
+
 // Guards against keys that nobody serves while neighbouring segments of one owner are
 // joined under a new fence: the target holds all of them under the old ones.
 TEST(member, joined_segments_are_served_until_their_new_grant)
