--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -171,7 +171,8 @@
         ahead_ms += std::max(total - done, total / 4);
     }
     // The first in the queue needs only the slot that is free first.
-    const double first_free_ms = ahead_ms / std::max<std::size_t>(running_.size(), 1);
+    const double first_free_ms =
+        ahead_ms / static_cast<double>(std::max<std::size_t>(running_.size(), 1));
     std::vector<waiting_request> left;
     for (auto& request : queue_) {
         const auto work = static_cast<double>(expected(request.kind).count());
