Order the queue of a target by worth for its time, and correct estimates that refuse a kind

(2) Behind long runs only the first queued call was expected to start soon; the next was expected to wait for all of them, and was refused: 215 of the calls in the first 30 s.

Change: work_estimates distrusts a mean when a kind was only refused for a second; slot_forecast estimates each start from the rate at which runs end; slot_policy orders by estimated worth for the time of a slot, and keeps free slots for short urgent kinds by what arrived lately.

--- a/src/dispatch/offered_load.cpp
+++ b/src/dispatch/offered_load.cpp
@@ -1,7 +1,6 @@
 #include "dispatch/offered_load.h"
 
 #include <cmath>
-#include <limits>
 
 namespace bulrushgw::dispatch {
 
@@ -10,9 +9,11 @@
 /// Time constant of the exponential average over arrivals. It is long enough to cover some dozens
 /// of requests at a busy target, and short enough to follow a load that changes within seconds.
 constexpr double decay_time_ms = 2000;
-/// Number of ranks that are counted separately. Requests of further ranks are counted with the
-/// least urgent of these ranks. There is a limit because the manifest may have many ranks.
-constexpr std::size_t max_ranks = 64;
+/// Number of kinds that are counted separately. Requests of further kinds are counted together, as
+/// the kind with the empty name. There is a limit because the manifest may have many routes.
+constexpr std::size_t max_kinds = 64;
+/// A kind with less load than this, in slots, is removed when there are too many kinds.
+constexpr double idle_slots = 0.001;
 
 double decay_factor(time_point from, time_point to)
 {
@@ -22,32 +23,37 @@
 
 } // namespace
 
-void offered_load::add(time_point now, std::uint32_t rank, milliseconds work)
+void offered_load::remove_idle(time_point now)
 {
-    if (ranks_.size() >= max_ranks && !ranks_.contains(rank)) {
-        rank = ranks_.rbegin()->first;
-    }
-    auto& item = ranks_[rank];
-    item.decayed_work_ms = item.decayed_work_ms * decay_factor(item.updated_at, now) +
-                           static_cast<double>(work.count());
-    item.updated_at = now;
+    std::erase_if(kinds_, [now](const auto& item) {
+        const auto& work = item.second;
+        return work.decayed_work_ms * decay_factor(work.updated_at, now) <
+               idle_slots * decay_time_ms;
+    });
 }
 
-double offered_load::load_up_to_rank(time_point now, std::uint32_t rank, bool inclusive) const
+void offered_load::add(time_point now, const std::string& kind, std::uint32_t rank, double work_ms)
 {
-    double work_ms = 0;
-    for (const auto& [item_rank, item] : ranks_) {
-        if (item_rank > rank || (item_rank == rank && !inclusive)) {
-            break;
-        }
-        work_ms += item.decayed_work_ms * decay_factor(item.updated_at, now);
+    const bool is_known = kinds_.contains(kind);
+    if (!is_known && kinds_.size() >= max_kinds) {
+        remove_idle(now);
     }
-    return work_ms / decay_time_ms;
+    auto& item = is_known || kinds_.size() < max_kinds ? kinds_[kind] : kinds_[std::string{}];
+    item.rank = rank;
+    item.decayed_work_ms = item.decayed_work_ms * decay_factor(item.updated_at, now) + work_ms;
+    item.updated_at = now;
 }
 
-double offered_load::total(time_point now) const
+std::vector<offered_load::kind_load> offered_load::loads(time_point now) const
 {
-    return load_up_to_rank(now, std::numeric_limits<std::uint32_t>::max(), true);
+    std::vector<kind_load> result;
+    result.reserve(kinds_.size());
+    for (const auto& [kind, item] : kinds_) {
+        result.push_back(
+            {kind, item.rank,
+             item.decayed_work_ms * decay_factor(item.updated_at, now) / decay_time_ms});
+    }
+    return result;
 }
 
 } // namespace bulrushgw::dispatch
--- a/src/dispatch/offered_load.h
+++ b/src/dispatch/offered_load.h
@@ -1,10 +1,14 @@
 #pragma once
 
-/// Work that arrives at a target, by rank. It shows how many slots the more urgent requests occupy.
-/// This determines how long a less urgent request waits while more urgent requests keep arriving.
+/// Work that arrives at a target, by kind of request. It shows how many slots the requests that run
+/// before others occupy. This determines how long a request waits while more requests that run
+/// before it keep arriving.
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <string>
+#include <vector>
 
 #include "common/boot_clock.h"
 
@@ -13,20 +17,27 @@
 /// Not thread-safe.
 class offered_load {
 public:
-    /// Counts an arriving request of this rank that is expected to take `work`.
-    void add(time_point now, std::uint32_t rank, milliseconds work);
-    /// Number of slots kept busy by requests of ranks below `rank`, and of `rank` itself if
-    /// `inclusive`.
-    [[nodiscard]] double load_up_to_rank(time_point now, std::uint32_t rank, bool inclusive) const;
-    [[nodiscard]] double total(time_point now) const;
+    struct kind_load {
+        std::string kind;
+        std::uint32_t rank = 0;
+        double slots = 0; ///< number of slots that the requests of the kind keep busy
+    };
+
+    /// Counts an arriving request of this kind and rank that is expected to take `work_ms`
+    /// milliseconds. If requests of one kind have different ranks, the rank of the last one counts.
+    void add(time_point now, const std::string& kind, std::uint32_t rank, double work_ms);
+    [[nodiscard]] std::vector<kind_load> loads(time_point now) const;
 
 private:
-    struct rank_load {
+    struct kind_work {
+        std::uint32_t rank = 0;
         double decayed_work_ms = 0; ///< as of `updated_at`
         time_point updated_at{};
     };
 
-    std::map<std::uint32_t, rank_load> ranks_;
+    void remove_idle(time_point now);
+
+    std::map<std::string, kind_work, std::less<>> kinds_;
 };
 
 } // namespace bulrushgw::dispatch
--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -2,33 +2,27 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace bulrushgw::dispatch {
 
 namespace {
 
-/// Weight of one answer in the mean work time of its kind of request.
-constexpr double sample_weight = 0.1;
-/// Weight of one answer in the mean work time over all kinds. Keys are divided among targets by
-/// this mean. Work times vary by as much as their mean, so about 50 answers are needed to
-/// distinguish targets whose speeds differ by a fifth.
-constexpr double overall_sample_weight = 0.04;
-/// Expected work time before the first answer.
-constexpr double initial_work_ms = 50;
 /// Duration of a short run as a part of the mean work time. A request is refused for lack of time
 /// only if even a short run would end too late.
 constexpr double short_run_factor = 0.5;
 /// A request is almost sure to meet its latency goal (`aim`) if it starts with at least this many
 /// times the mean work time left. Work times vary by as much as their mean.
 constexpr double ample_time_factor = 1.5;
-/// Minimum share of the slots that is assumed to be available to a request, even if more urgent
-/// requests take all slots.
+/// Minimum share of the slots that is assumed to be available to a request, even if requests that
+/// run before it take all slots.
 constexpr double min_slot_share = 0.02;
-/// Maximum number of kinds of requests for which a mean work time is kept. When a request of a
-/// further kind is answered, the mean work times of all kinds are cleared. There is a limit because
-/// the kinds are routes of the manifest, and the manifest may be large.
-constexpr std::size_t max_kinds = 256;
+
+double ms_until(time_point now, time_point then)
+{
+    return std::chrono::duration<double, std::milli>(then - now).count();
+}
 
 milliseconds to_ms(double value)
 {
@@ -39,22 +33,13 @@
 
 milliseconds slot_queue::expected(const std::string& kind) const
 {
-    const auto found = mean_ms_by_kind_.find(kind);
-    if (found != mean_ms_by_kind_.end()) {
-        return to_ms(found->second);
-    }
-    return to_ms(overall_mean_ms_ > 0 ? overall_mean_ms_ : initial_work_ms);
-}
-
-std::chrono::microseconds slot_queue::mean_work() const
-{
-    return std::chrono::microseconds{static_cast<std::int64_t>(overall_mean_ms_ * 1000)};
+    return to_ms(work_.expected_ms(kind));
 }
 
 slot_decisions slot_queue::offer(time_point now, waiting_request request)
 {
     slot_decisions result;
-    offered_.add(now, request.rank, expected(request.kind));
+    offered_.add(now, request.kind, request.rank, work_.admission_ms(now, request.kind));
     queue_.push_back(std::move(request));
     decide(now, result);
     return result;
@@ -68,19 +53,7 @@
         return result;
     }
     if (answered) {
-        const double took_ms =
-            std::chrono::duration<double, std::milli>(now - found->second.started).count();
-        overall_answers_ += 1;
-        overall_mean_ms_ +=
-            std::max(overall_sample_weight, 1 / overall_answers_) * (took_ms - overall_mean_ms_);
-        if (mean_ms_by_kind_.size() >= max_kinds &&
-            !mean_ms_by_kind_.contains(found->second.kind)) {
-            mean_ms_by_kind_.clear();
-        }
-        const auto [kind, is_new] = mean_ms_by_kind_.emplace(found->second.kind, took_ms);
-        if (!is_new) {
-            kind->second += sample_weight * (took_ms - kind->second);
-        }
+        work_.record(now, found->second.kind, now - found->second.started);
     }
     running_.erase(found);
     decide(now, result);
@@ -108,106 +81,121 @@
     return result;
 }
 
-bool slot_queue::will_miss_aim(time_point now, const waiting_request& request) const
+double slot_queue::density_of(time_point now, const waiting_request& request, bool late) const
 {
-    return now + expected(request.kind) > request.aim;
+    return policy_.worth_density({request.rank, work_.admission_ms(now, request.kind), late});
 }
 
-bool slot_queue::has_ample_time(time_point now, const waiting_request& request) const
+std::vector<slot_queue::queued_request> slot_queue::take_sorted_queue(time_point now)
 {
-    const auto work_ms = static_cast<double>(expected(request.kind).count());
-    return now + to_ms(work_ms * ample_time_factor) <= request.aim;
+    std::vector<queued_request> result;
+    result.reserve(queue_.size());
+    for (auto& request : std::exchange(queue_, {})) {
+        const double work_ms = work_.admission_ms(now, request.kind);
+        const double left_ms = ms_until(now, request.aim);
+        const double density = density_of(now, request, work_ms > left_ms);
+        const bool has_ample_time = work_ms * ample_time_factor <= left_ms;
+        result.push_back({std::move(request), work_ms, density, has_ample_time});
+    }
+    // Among requests of one density, those with ample time go first. If only the deadline decided,
+    // the oldest requests would go first, and under overload all of them would start just too late
+    // for their latency goal.
+    std::stable_sort(result.begin(), result.end(), [](const auto& a, const auto& b) {
+        return std::tuple(-a.density, !a.has_ample_time, a.request.deadline) <
+               std::tuple(-b.density, !b.has_ample_time, b.request.deadline);
+    });
+    return result;
 }
 
-void slot_queue::sort(time_point now)
+std::vector<slot_queue::kind_density> slot_queue::offered_densities(time_point now) const
 {
-    std::stable_sort(queue_.begin(), queue_.end(),
-                     [&](const waiting_request& a, const waiting_request& b) {
-                         const bool a_late = will_miss_aim(now, a);
-                         const bool b_late = will_miss_aim(now, b);
-                         if (a_late != b_late) {
-                             return b_late;
-                         }
-                         // Within a rank, requests with ample time go first. If only the deadline
-                         // decided, the oldest requests would go first, and under overload all of
-                         // them would start just too late for their latency goal.
-                         const bool a_short_of_time = !has_ample_time(now, a);
-                         const bool b_short_of_time = !has_ample_time(now, b);
-                         return std::tie(a.rank, a_short_of_time, a.deadline) <
-                                std::tie(b.rank, b_short_of_time, b.deadline);
-                     });
+    std::vector<kind_density> result;
+    for (const auto& load : offered_.loads(now)) {
+        const double work_ms = work_.admission_ms(now, load.kind);
+        result.push_back({policy_.worth_density({load.rank, work_ms, false}), load.slots});
+    }
+    return result;
 }
 
-void slot_queue::start(time_point now, const waiting_request& request, slot_decisions& decisions)
+// Compares kinds, as if no request were late: a late request gives way to others of its kind in the
+// order of the queue, but it may use a slot that is free.
+std::uint32_t slot_queue::reserved_for_denser(time_point now, const waiting_request& request,
+                                              const std::vector<kind_density>& offered) const
 {
-    running_[request.id] = {request.kind, now};
-    decisions.start.push_back(request.id);
+    const double own_density = density_of(now, request, false);
+    denser_work denser;
+    for (const auto& load : offered) {
+        if (is_worth_much_more(load.density, own_density)) {
+            denser.offered += load.slots;
+        }
+    }
+    if (denser.offered <= 0) {
+        return 0;
+    }
+    for (const auto& [id, running] : running_) {
+        const double work_ms = work_.admission_ms(now, running.kind);
+        const double density = policy_.worth_density({running.rank, work_ms, false});
+        denser.running += is_worth_much_more(density, own_density) ? 1 : 0;
+    }
+    return policy_.reserved_slots(denser, slots_);
 }
 
-// A request waits for the work ahead of it, and for requests that arrive later but run before it. A
-// request that will miss its latency goal runs after all others, so every arriving request delays
-// it. If a request would miss its deadline when it runs after all others, it is servable only if it
-// can meet its latency goal.
-bool slot_queue::is_unservable(time_point now, const waiting_request& request,
-                               double ahead_ms) const
+// A request waits for the requests ahead of it, and for requests that arrive later but run before
+// it. Once it will miss its latency goal, its density is lower and more of the later arrivals run
+// before it.
+bool slot_queue::is_unservable(time_point now, const queued_request& item, double wait_ms,
+                               const std::vector<kind_density>& offered) const
 {
-    const double wait_ms = ahead_ms / slots_;
-    const auto delayed_wait = [&](double load_ahead) {
-        return to_ms(wait_ms / std::max(min_slot_share, 1 - load_ahead / slots_));
+    const auto delayed_wait_ms = [&](double density, bool inclusive) {
+        double load_ahead = 0;
+        for (const auto& load : offered) {
+            const bool is_ahead = load.density > density || (inclusive && load.density == density);
+            load_ahead += is_ahead ? load.slots : 0;
+        }
+        return wait_ms / std::max(min_slot_share, 1 - load_ahead / slots_);
     };
-    const auto work_ms = static_cast<double>(expected(request.kind).count());
-    const auto latest_start = now + delayed_wait(offered_.total(now));
-    const bool misses_deadline =
-        latest_start + to_ms(work_ms * short_run_factor) >= request.deadline;
-    if (will_miss_aim(now, request) || !misses_deadline) {
-        return misses_deadline;
+    const double short_run_ms = item.work_ms * short_run_factor;
+    const double aim_ms = ms_until(now, item.request.aim);
+    const bool meets_aim =
+        item.work_ms <= aim_ms &&
+        delayed_wait_ms(item.density, !item.has_ample_time) + short_run_ms < aim_ms;
+    if (meets_aim) {
+        return false;
     }
-    const double load_ahead =
-        offered_.load_up_to_rank(now, request.rank, !has_ample_time(now, request));
-    return now + delayed_wait(load_ahead) + to_ms(work_ms * short_run_factor) >= request.aim;
+    const double late_density = density_of(now, item.request, true);
+    const double latest_start_ms = delayed_wait_ms(late_density, true);
+    return latest_start_ms + short_run_ms >= ms_until(now, item.request.deadline);
 }
 
-// Goes through the queue in the order of service, adds up the work ahead of each request, and
-// starts, keeps or refuses it.
+// Goes through the queue in the order of service, estimates the start of each request, and starts,
+// keeps or refuses it.
 void slot_queue::decide(time_point now, slot_decisions& decisions)
 {
     if (queue_.empty()) {
         return;
     }
-    sort(now);
-    double ahead_ms = 0;
+    slot_forecast forecast(slots_);
     for (const auto& [id, item] : running_) {
-        const double expected_ms = static_cast<double>(expected(item.kind).count());
-        const double elapsed_ms =
-            std::chrono::duration<double, std::milli>(now - item.started).count();
-        // A run that exceeds its expected time may end at once or take much longer, so at least
-        // a quarter of the expected time is assumed to remain.
-        ahead_ms += std::max(expected_ms - elapsed_ms, expected_ms / 4);
+        forecast.add_running(work_.admission_ms(now, item.kind));
     }
-    // The first request in the queue waits only for the first slot that becomes free.
-    const double first_free_ms =
-        ahead_ms / static_cast<double>(std::max<std::size_t>(running_.size(), 1));
-    std::vector<waiting_request> still_queued;
-    for (auto& request : queue_) {
-        const auto work_ms = static_cast<double>(expected(request.kind).count());
-        const bool has_slot = running_.size() < slots_;
-        const double wait_ms = has_slot || slots_ == 0 ? 0 : ahead_ms / slots_;
-        const double request_ahead_ms = has_slot               ? 0
-                                        : still_queued.empty() ? first_free_ms
-                                                               : ahead_ms;
-        if (slots_ == 0 || is_unservable(now, request, request_ahead_ms)) {
-            decisions.refuse.push_back({request.id, to_ms(std::max(wait_ms, work_ms))});
+    const auto offered = offered_densities(now);
+    for (auto& item : take_sorted_queue(now)) {
+        const std::uint32_t reserved = reserved_for_denser(now, item.request, offered);
+        const double wait_ms = forecast.wait_ms(reserved);
+        if (slots_ == 0 || is_unservable(now, item, wait_ms, offered)) {
+            work_.on_refusal(now, item.request.kind);
+            decisions.refuse.push_back({item.request.id, to_ms(std::max(wait_ms, item.work_ms))});
             continue;
         }
-        ahead_ms += work_ms;
-        if (has_slot) {
-            start(now, request, decisions);
+        forecast.add_queued(item.work_ms, reserved);
+        if (running_.size() + reserved < slots_) {
+            running_[item.request.id] = {item.request.kind, item.request.rank, now};
+            decisions.start.push_back(item.request.id);
         }
         else {
-            still_queued.push_back(std::move(request));
+            queue_.push_back(std::move(item.request));
         }
     }
-    queue_ = std::move(still_queued);
 }
 
 } // namespace bulrushgw::dispatch
--- a/tests/dispatch/slot_queue_test.cpp
+++ b/tests/dispatch/slot_queue_test.cpp
@@ -256,3 +256,127 @@
                        [](const auto& item) { return item.id == 101; }));
     LONGS_EQUAL(101, queue.finish(at(40), 1, true).start.at(0));
 }
+
+// Guards against an estimate that lets each queued call wait for all long runs. Only one call would
+// then stay queued, and each further one would be refused, although a slot becomes free about every
+// 40 ms.
+TEST(slot_queue, several_short_calls_wait_behind_long_runs)
+{
+    slot_queue queue(9);
+    train_work_time(queue, 360, "report");
+    train_work_time(queue, 22, "call");
+    for (ticket id = 1; id <= 60; ++id) {
+        queue.offer(at(0), request(id, 0, 1000, 2000, 2, "report"));
+    }
+    LONGS_EQUAL(9, queue.running());
+    for (ticket id = 101; id <= 103; ++id) {
+        const auto decisions = queue.offer(at(1), request(id, 1, 100, 250, 1, "call"));
+        CHECK(std::none_of(decisions.refuse.begin(), decisions.refuse.end(),
+                           [](const auto& item) { return item.id > 100; }));
+    }
+}
+
+// Guards against long runs that take all slots of a target on whose short calls other runs depend.
+// The target gets a quarter more work than it can do. A call is answered if it starts well within
+// its time limit; a refused call would fail the run that made it.
+TEST(slot_queue, overload_by_long_runs_leaves_room_for_urgent_calls)
+{
+    constexpr std::uint32_t slots = 9;
+    slot_queue queue(slots);
+    train_work_time(queue, 360, "report");
+    train_work_time(queue, 22, "call");
+    std::mt19937_64 random(3);
+    std::lognormal_distribution<double> report_ms(std::log(360.0) - 0.25, 0.7);
+    std::multimap<long, ticket> run_ends;
+    std::map<ticket, std::pair<waiting_request, long>> offered; // request and arrival time in ms
+    int calls = 0;
+    int calls_in_aim = 0;
+    int calls_in_time = 0;
+    int reports_in_time = 0;
+    const auto apply = [&](long now, const slot_decisions& decisions) {
+        for (const ticket id : decisions.start) {
+            const bool is_call = offered.at(id).first.kind == "call";
+            run_ends.emplace(now + (is_call ? 22 : std::lround(report_ms(random))), id);
+        }
+    };
+    ticket next = 1;
+    for (long now = 1000; now < 61000; ++now) {
+        while (!run_ends.empty() && run_ends.begin()->first <= now) {
+            const ticket id = run_ends.begin()->second;
+            run_ends.erase(run_ends.begin());
+            const auto& done = offered.at(id).first;
+            const bool is_call = done.kind == "call";
+            calls_in_aim += is_call && at(now) <= done.aim ? 1 : 0;
+            calls_in_time += is_call && at(now) <= done.deadline ? 1 : 0;
+            reports_in_time += !is_call && at(now) <= done.deadline ? 1 : 0;
+            apply(now, queue.finish(at(now), id, true));
+        }
+        // 30 calls and 30 reports a second want 0.7 and 10.8 of 9 slots.
+        const auto drawn = random() % 1000;
+        if (drawn < 60) {
+            const bool is_call = drawn < 30;
+            calls += is_call ? 1 : 0;
+            auto wanted = is_call ? request(next, now, 100, 250, 1, "call")
+                                  : request(next, now, 1000, 2000, 2, "report");
+            offered.emplace(next++, std::pair{wanted, now});
+            apply(now, queue.offer(at(now), std::move(wanted)));
+        }
+        if (now % 50 == 0) {
+            apply(now, queue.on_tick(at(now)));
+        }
+    }
+    CHECK(calls_in_time >= calls * 99 / 100);
+    CHECK(calls_in_aim >= calls * 95 / 100);
+    // The reports can use at most the other 8.3 slots, that is 23 runs a second.
+    CHECK(reports_in_time >= 23 * 60 * 80 / 100);
+}
+
+// Guards against idle slots that are kept from late requests for others of the same kind.
+TEST(slot_queue, late_request_takes_a_free_slot)
+{
+    slot_queue queue(9);
+    train_work_time(queue, 100, "sheet");
+    for (ticket id = 1; id <= 200; ++id) {
+        queue.offer(at(static_cast<long>(id)), request(id, static_cast<long>(id), 300, 1200));
+        queue.finish(at(static_cast<long>(id)), id, false);
+    }
+    LONGS_EQUAL(0, queue.running());
+    LONGS_EQUAL(1, queue.offer(at(201), request(500, 201, 10, 900)).start.size());
+}
+
+// Guards against idle slots that are kept for calls that do not come.
+TEST(slot_queue, long_runs_take_all_slots_without_urgent_calls)
+{
+    slot_queue queue(9);
+    train_work_time(queue, 360, "report");
+    train_work_time(queue, 22, "call");
+    for (ticket id = 1; id <= 9; ++id) {
+        LONGS_EQUAL(1, queue.offer(at(0), request(id, 0, 1000, 2000, 2, "report")).start.size());
+    }
+}
+
+// Guards against a kind of request that is refused for ever because it once ran slowly, for example
+// on a cold target: refused requests are never answered, so no answer would correct the estimate.
+TEST(slot_queue, kind_that_ran_slowly_is_tried_again)
+{
+    slot_queue queue(9);
+    queue.offer(at(0), request(1, 0, 2000, 5000, 1, "call"));
+    queue.finish(at(900), 1, true);
+    LONGS_EQUAL(1, queue.offer(at(1000), request(2, 1000, 100, 250, 1, "call")).refuse.size());
+    LONGS_EQUAL(1, queue.offer(at(3000), request(3, 3000, 100, 250, 1, "call")).start.size());
+    queue.finish(at(3022), 3, true);
+    LONGS_EQUAL(1, queue.offer(at(3100), request(4, 3100, 100, 250, 1, "call")).start.size());
+}
+
+// Guards against calls that a target has not run yet and refuses because its other requests take
+// long.
+TEST(slot_queue, unknown_kind_is_tried_beside_long_runs)
+{
+    slot_queue queue(9);
+    train_work_time(queue, 700, "report");
+    for (ticket id = 1; id <= 9; ++id) {
+        queue.offer(at(0), request(id, 0, 1000, 2000, 2, "report"));
+    }
+    queue.finish(at(700), 1, true);
+    LONGS_EQUAL(1, queue.offer(at(701), request(101, 701, 100, 250, 1, "call")).start.size());
+}
