Add a load model of the dispatch decisions, and a ledger of requests not served

bench/dispatch plays the shipped picker, queue, retry allowance and time spent in virtual time, with nested calls, targets of differing speed that turn slow, shed or stop, and clients that return.

--- /dev/null
+++ b/bench/dispatch_main.cpp
@@ -0,0 +1,170 @@
+/// Compares policies for the queue of a target under load and faults, in virtual time.
+
+#include <cmath>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include "bench/dispatch_model.h"
+
+DEFINE_bool(json, false, "print JSON instead of a table");
+DEFINE_int32(seeds, 20, "number of seeds that each scenario is played with, 1 to 1000");
+DEFINE_uint64(first_seed, 1, "first seed");
+DEFINE_string(scenario, "", "scenario to play; empty plays all");
+
+namespace {
+
+using namespace bulrushgw;
+using namespace bulrushgw::bench;
+
+struct named_policy {
+    std::string name;
+    dispatch::slot_policy policy;
+};
+
+/// The shipped policy, and the same with one mechanism switched off.
+std::vector<named_policy> policies()
+{
+    std::vector<named_policy> result{{"shipped", dispatch::default_slot_policy()}};
+    named_policy no_reserve{"no-reserved-slots", dispatch::default_slot_policy()};
+    no_reserve.policy.reserved_slots = [](const dispatch::denser_work&, std::uint32_t) {
+        return std::uint32_t{0};
+    };
+    result.push_back(no_reserve);
+    named_policy by_rank{"rank-only", no_reserve.policy};
+    by_rank.policy.worth_density = [](const dispatch::request_traits& request) {
+        constexpr double late_factor = 1e-6;
+        return std::exp2(-static_cast<double>(request.rank)) * (request.late ? late_factor : 1);
+    };
+    result.push_back(by_rank);
+    return result;
+}
+
+struct spread {
+    double mean = 0;
+    double deviation = 0;
+};
+
+spread spread_of(const std::vector<double>& values)
+{
+    spread result;
+    const auto count = static_cast<double>(values.size());
+    for (const double value : values) {
+        result.mean += value / count;
+    }
+    for (const double value : values) {
+        result.deviation += (value - result.mean) * (value - result.mean) / count;
+    }
+    result.deviation = std::sqrt(result.deviation);
+    return result;
+}
+
+struct result_row {
+    std::string scenario;
+    std::string policy;
+    spread worth;
+    spread nines;
+    load_figures total; ///< summed over the seeds
+};
+
+result_row play(const load_scenario& scenario, const named_policy& policy)
+{
+    result_row row;
+    row.scenario = scenario.name;
+    row.policy = policy.name;
+    std::vector<double> worths;
+    std::vector<double> nines;
+    for (int i = 0; i < FLAGS_seeds; ++i) {
+        const auto figures =
+            play_load(scenario, policy.policy, FLAGS_first_seed + static_cast<std::uint64_t>(i));
+        worths.push_back(figures.worth_share());
+        nines.push_back(figures.nines());
+        for (const auto& [name, counts] : figures.kinds) {
+            auto& sum = row.total.kinds[name];
+            sum.asked += counts.asked;
+            sum.in_aim += counts.in_aim;
+            sum.late += counts.late;
+            sum.refused += counts.refused;
+            sum.refused_again += counts.refused_again;
+            sum.failed += counts.failed;
+        }
+    }
+    row.worth = spread_of(worths);
+    row.nines = spread_of(nines);
+    return row;
+}
+
+void print_table(const std::vector<result_row>& rows)
+{
+    std::printf("%-18s %-18s %6s %6s %6s %6s\n", "scenario", "policy", "worth", "+-", "nines",
+                "+-");
+    for (const auto& row : rows) {
+        std::printf("%-18s %-18s %6.3f %6.3f %6.3f %6.3f\n", row.scenario.c_str(),
+                    row.policy.c_str(), row.worth.mean, row.worth.deviation, row.nines.mean,
+                    row.nines.deviation);
+        for (const auto& [name, counts] : row.total.kinds) {
+            const auto share = [&](std::uint64_t part) {
+                return static_cast<double>(part) / static_cast<double>(counts.asked);
+            };
+            std::printf("    %-12s in aim %.3f  late %.3f  refused %.3f (again %.3f)  failed "
+                        "%.3f\n",
+                        name.c_str(), share(counts.in_aim), share(counts.late),
+                        share(counts.refused), share(counts.refused_again), share(counts.failed));
+        }
+    }
+}
+
+void print_json(const std::vector<result_row>& rows)
+{
+    auto all = nlohmann::json::array();
+    for (const auto& row : rows) {
+        nlohmann::json kinds;
+        for (const auto& [name, counts] : row.total.kinds) {
+            kinds[name] = {{"asked", counts.asked},   {"in_aim", counts.in_aim},
+                           {"late", counts.late},     {"refused", counts.refused},
+                           {"failed", counts.failed}, {"refused_again", counts.refused_again}};
+        }
+        all.push_back({{"scenario", row.scenario},
+                       {"policy", row.policy},
+                       {"worth", row.worth.mean},
+                       {"worth_deviation", row.worth.deviation},
+                       {"nines", row.nines.mean},
+                       {"nines_deviation", row.nines.deviation},
+                       {"kinds", kinds}});
+    }
+    std::printf("%s\n", all.dump(2).c_str());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_seeds < 1 || FLAGS_seeds > 1000) {
+        std::fputs("dispatch: --seeds must be 1 to 1000\n", stderr);
+        return 2;
+    }
+    std::vector<result_row> rows;
+    for (const auto& scenario : load_scenarios()) {
+        if (!FLAGS_scenario.empty() && FLAGS_scenario != scenario.name) {
+            continue;
+        }
+        for (const auto& policy : policies()) {
+            rows.push_back(play(scenario, policy));
+        }
+    }
+    if (rows.empty()) {
+        std::fprintf(stderr, "dispatch: there is no scenario %s\n", FLAGS_scenario.c_str());
+        return 2;
+    }
+    if (FLAGS_json) {
+        print_json(rows);
+    }
+    else {
+        print_table(rows);
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/dispatch_model.cpp
@@ -0,0 +1,447 @@
+#include "bench/dispatch_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <stdexcept>
+#include <tuple>
+#include <vector>
+
+#include "dispatch/retry_allowance.h"
+#include "dispatch/slot_queue.h"
+#include "dispatch/target_picker.h"
+#include "dispatch/time_spent.h"
+
+namespace bulrushgw::bench {
+
+namespace {
+
+constexpr milliseconds hop_delay{1};
+/// As in `sidecar::entry`.
+constexpr milliseconds default_retry_after{150};
+constexpr std::uint32_t max_tries = 4;
+constexpr milliseconds tick_interval{50};
+/// Clients wait for at most this part of the time that they have left before they return.
+constexpr int retry_wait_divisor = 3;
+constexpr std::uint32_t availability_zones = 3;
+
+using callback = std::function<void()>;
+using outcome_callback = std::function<void(bool answered)>;
+
+struct request_state {
+    const load_kind* kind = nullptr;
+    std::size_t entry = 0;
+    time_point first_sent; ///< of the client's first attempt
+    time_point aim;
+    time_point deadline;
+    int returns = 0; ///< how often the client has returned after a refusal
+    std::uint32_t tries = 0;
+    std::vector<incarnation_id> avoid;
+    bool ended = false;
+    outcome_callback on_call_end; ///< only for calls of runs
+};
+using request_ptr = std::shared_ptr<request_state>;
+
+struct waiting_or_running {
+    request_ptr request;
+    time_point sent;
+    time_point started;
+};
+
+struct entry_node {
+    std::size_t zone = 0;
+    dispatch::target_picker picker;
+    dispatch::time_spent spent;
+    std::map<std::string, dispatch::retry_allowance> allowances;
+};
+
+struct model_target {
+    const load_service* service = nullptr;
+    std::size_t index = 0; ///< within the service
+    std::size_t zone = 0;
+    incarnation_id node;
+    dispatch::slot_queue queue{0};
+    std::map<dispatch::ticket, waiting_or_running> jobs;
+};
+
+class model {
+public:
+    model(const load_scenario& scenario, const dispatch::slot_policy& policy, std::uint64_t seed);
+    load_figures run();
+
+private:
+    struct event {
+        time_point at;
+        std::uint64_t order;
+        callback action;
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    void after(boot_clock::duration delay, callback action);
+    [[nodiscard]] double uniform();
+    [[nodiscard]] const load_kind& kind_of(const std::string& name) const;
+    [[nodiscard]] double strength(target_fault kind, const model_target& target) const;
+    [[nodiscard]] bool is_stopped(const model_target& target) const;
+
+    // Clients.
+    void schedule_arrival(const load_kind& kind);
+    void send(const load_kind& kind, std::size_t entry, time_point first_sent, time_point deadline,
+              int returns, outcome_callback on_call_end);
+    void end(const request_ptr& request, bool answered, std::optional<milliseconds> retry_after);
+
+    // Entry nodes.
+    void dispatch(const request_ptr& request);
+    void on_refusal(const request_ptr& request, model_target& target, bool reached_target,
+                    milliseconds retry_after);
+
+    // Targets.
+    void admit(const request_ptr& request, model_target& target);
+    void apply(model_target& target, const dispatch::slot_decisions& decisions);
+    void start(model_target& target, dispatch::ticket id);
+    void call(model_target& target, dispatch::ticket id, const nested_call& wanted, int done,
+              milliseconds rest);
+    void finish(model_target& target, dispatch::ticket id, bool answered);
+    void tick();
+
+    const load_scenario& scenario_;
+    std::mt19937_64 random_;
+    time_point now_{std::chrono::hours{1}};
+    time_point begin_ = now_;
+    std::priority_queue<event> events_;
+    std::uint64_t next_order_ = 0;
+    dispatch::ticket next_ticket_ = 1;
+    std::vector<entry_node> entries_;
+    std::vector<std::unique_ptr<model_target>> targets_;
+    load_figures figures_;
+};
+
+model::model(const load_scenario& scenario, const dispatch::slot_policy& policy, std::uint64_t seed)
+    : scenario_(scenario), random_(seed)
+{
+    for (const auto& service : scenario.services) {
+        for (std::size_t i = 0; i < service.speeds.size(); ++i) {
+            auto target = std::make_unique<model_target>();
+            target->service = &service;
+            target->index = i;
+            target->zone = targets_.size() % availability_zones;
+            target->node = incarnation_id{targets_.size() + 1};
+            target->queue = dispatch::slot_queue(service.slots, policy);
+            entry_node entry;
+            entry.zone = target->zone;
+            entries_.push_back(std::move(entry));
+            targets_.push_back(std::move(target));
+        }
+    }
+}
+
+void model::after(boot_clock::duration delay, callback action)
+{
+    events_.push({now_ + delay, next_order_++, std::move(action)});
+}
+
+double model::uniform()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+const load_kind& model::kind_of(const std::string& name) const
+{
+    const auto found = std::find_if(scenario_.kinds.begin(), scenario_.kinds.end(),
+                                    [&](const auto& kind) { return kind.name == name; });
+    if (found == scenario_.kinds.end()) {
+        throw std::invalid_argument("scenario " + scenario_.name + " has no kind " + name);
+    }
+    return *found;
+}
+
+double model::strength(target_fault kind, const model_target& target) const
+{
+    for (const auto& fault : scenario_.faults) {
+        if (fault.kind == kind && fault.service == target.service->name &&
+            fault.target == target.index && now_ >= begin_ + fault.from &&
+            now_ < begin_ + fault.to) {
+            return fault.strength;
+        }
+    }
+    return 0;
+}
+
+bool model::is_stopped(const model_target& target) const
+{
+    return strength(target_fault::stop, target) > 0;
+}
+
+void model::schedule_arrival(const load_kind& kind)
+{
+    constexpr double ms_per_s = 1000;
+    std::exponential_distribution<double> gap_ms(kind.per_s / ms_per_s);
+    after(std::chrono::microseconds{std::llround(gap_ms(random_) * ms_per_s)}, [this, &kind] {
+        if (now_ < begin_ + scenario_.length) {
+            ++figures_.kinds[kind.name].asked;
+            figures_.worth_owed += kind.worth;
+            send(kind, random_() % entries_.size(), now_, now_ + kind.deadline, 0, {});
+            schedule_arrival(kind);
+        }
+    });
+}
+
+void model::send(const load_kind& kind, std::size_t entry, time_point first_sent,
+                 time_point deadline, int returns, outcome_callback on_call_end)
+{
+    auto request = std::make_shared<request_state>();
+    request->kind = &kind;
+    request->entry = entry;
+    request->first_sent = first_sent;
+    request->deadline = deadline;
+    request->returns = returns;
+    request->on_call_end = std::move(on_call_end);
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline - now_);
+    const auto spent = entries_[entry].spent.observe(kind.name, left);
+    request->aim = now_ + std::clamp(kind.aim - spent, milliseconds{0}, left);
+    entries_[entry].allowances[kind.service].on_request(now_);
+    after(left, [this, request] { end(request, false, std::nullopt); });
+    dispatch(request);
+}
+
+void model::end(const request_ptr& request, bool answered, std::optional<milliseconds> retry_after)
+{
+    if (std::exchange(request->ended, true)) {
+        return;
+    }
+    if (request->on_call_end) {
+        request->on_call_end(answered);
+        return;
+    }
+    const auto& kind = *request->kind;
+    auto& counts = figures_.kinds[kind.name];
+    const auto left = std::chrono::duration_cast<milliseconds>(request->deadline - now_);
+    if (answered) {
+        const bool in_aim = now_ <= request->first_sent + kind.aim;
+        ++(in_aim ? counts.in_aim : counts.late);
+        figures_.worth_earned += kind.worth * (in_aim ? 1 : kind.late_worth);
+    }
+    else if (retry_after && request->returns < kind.client_retries && left > *retry_after) {
+        const auto wait = std::min(*retry_after, left / retry_wait_divisor);
+        after(wait, [this, request] {
+            send(*request->kind, random_() % entries_.size(), request->first_sent,
+                 request->deadline, request->returns + 1, {});
+        });
+    }
+    else if (retry_after) {
+        ++counts.refused;
+        counts.refused_again += request->returns > 0 ? 1 : 0;
+    }
+    else {
+        ++counts.failed;
+    }
+}
+
+void model::dispatch(const request_ptr& request)
+{
+    auto& entry = entries_[request->entry];
+    std::vector<dispatch::pick_candidate> candidates;
+    for (const auto& target : targets_) {
+        if (target->service->name == request->kind->service && !is_stopped(*target)) {
+            candidates.push_back(
+                {target->node, target->service->slots, target->zone == entry.zone});
+        }
+    }
+    const auto aim =
+        std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request->aim - now_));
+    const auto picked = entry.picker.pick(now_, candidates, request->avoid, aim, random_);
+    if (!picked) {
+        const auto extra = milliseconds{std::lround(uniform() * default_retry_after.count() / 2)};
+        end(request, false, default_retry_after + extra);
+        return;
+    }
+    ++request->tries;
+    entry.picker.on_sent(*picked);
+    auto& target = **std::find_if(targets_.begin(), targets_.end(),
+                                  [&](const auto& item) { return item->node == *picked; });
+    after(hop_delay, [this, request, &target] { admit(request, target); });
+}
+
+void model::on_refusal(const request_ptr& request, model_target& target, bool reached_target,
+                       milliseconds retry_after)
+{
+    auto& entry = entries_[request->entry];
+    entry.picker.on_refusal(now_, target.node,
+                            static_cast<int>(target.queue.running() + target.queue.queued()));
+    if (request->ended) {
+        return;
+    }
+    request->avoid.push_back(target.node);
+    const bool may_repeat =
+        !reached_target || entry.allowances[request->kind->service].try_spend(now_);
+    if (!may_repeat || request->tries >= max_tries) {
+        end(request, false, std::max(retry_after, milliseconds{20}));
+        return;
+    }
+    dispatch(request);
+}
+
+void model::admit(const request_ptr& request, model_target& target)
+{
+    const dispatch::ticket id = next_ticket_++;
+    target.jobs[id] = {request, now_, {}};
+    apply(target, target.queue.offer(now_, {id, request->kind->name, request->kind->rank,
+                                            request->aim, request->deadline}));
+}
+
+void model::apply(model_target& target, const dispatch::slot_decisions& decisions)
+{
+    for (const auto& refused : decisions.refuse) {
+        const auto job = target.jobs.extract(refused.id);
+        after(hop_delay,
+              [this, request = job.mapped().request, &target, wait = refused.retry_after] {
+                  on_refusal(request, target, false, wait);
+              });
+    }
+    for (const auto id : decisions.start) {
+        start(target, id);
+    }
+}
+
+void model::start(model_target& target, dispatch::ticket id)
+{
+    const auto& request = target.jobs.at(id).request;
+    if (uniform() < strength(target_fault::shed, target)) {
+        after(hop_delay, [this, id, &target] {
+            const auto job = target.jobs.extract(id);
+            on_refusal(job.mapped().request, target, true, milliseconds{0});
+            apply(target, target.queue.finish(now_, id, false));
+        });
+        return;
+    }
+    const auto& kind = *request->kind;
+    const double slow = std::max(1.0, strength(target_fault::slow, target));
+    const double speed = target.service->speeds[target.index];
+    std::normal_distribution<double> logarithm(-kind.work_spread * kind.work_spread / 2,
+                                               kind.work_spread);
+    const milliseconds work{
+        std::max(1L, std::lround(kind.work.count() * slow / speed * std::exp(logarithm(random_))))};
+    if (!kind.calls.empty() && uniform() < kind.calls.front().share) {
+        after(work / 2, [this, id, &target, &kind, work] {
+            call(target, id, kind.calls.front(), 0, work - work / 2);
+        });
+        return;
+    }
+    after(work, [this, id, &target] { finish(target, id, true); });
+}
+
+// Makes the call number `done` of a run. After the last one the run goes on for `rest`.
+void model::call(model_target& target, dispatch::ticket id, const nested_call& wanted, int done,
+                 milliseconds rest)
+{
+    const auto& request = target.jobs.at(id).request;
+    if (done == wanted.times) {
+        after(rest, [this, id, &target] { finish(target, id, true); });
+        return;
+    }
+    const auto& kind = kind_of(wanted.kind);
+    const auto deadline = std::min(request->deadline, now_ + kind.deadline);
+    if (deadline <= now_) {
+        finish(target, id, false);
+        return;
+    }
+    const std::size_t entry = target.node.value - 1;
+    send(kind, entry, now_, deadline, 0, [this, id, &target, &wanted, done, rest](bool answered) {
+        if (answered) {
+            call(target, id, wanted, done + 1, rest);
+        }
+        else {
+            finish(target, id, false);
+        }
+    });
+}
+
+void model::finish(model_target& target, dispatch::ticket id, bool answered)
+{
+    const auto job = target.jobs.extract(id);
+    const auto& request = job.mapped().request;
+    auto& picker = entries_[request->entry].picker;
+    const bool in_time = answered && now_ <= request->deadline;
+    if (in_time) {
+        picker.on_answer(now_, target.node,
+                         std::chrono::duration_cast<milliseconds>(now_ - job.mapped().sent),
+                         static_cast<int>(target.queue.running() + target.queue.queued()));
+    }
+    else {
+        picker.on_failure(now_, target.node);
+    }
+    end(request, in_time, std::nullopt);
+    apply(target, target.queue.finish(now_, id, in_time));
+}
+
+void model::tick()
+{
+    for (const auto& target : targets_) {
+        apply(*target, target->queue.on_tick(now_));
+    }
+    if (now_ < begin_ + scenario_.length) {
+        after(tick_interval, [this] { tick(); });
+    }
+}
+
+load_figures model::run()
+{
+    dispatch::allowance_settings limits;
+    limits.nodes = static_cast<std::uint32_t>(entries_.size());
+    for (auto& entry : entries_) {
+        for (const auto& service : scenario_.services) {
+            entry.allowances[service.name].configure(limits);
+        }
+    }
+    for (const auto& kind : scenario_.kinds) {
+        if (kind.per_s > 0) {
+            schedule_arrival(kind);
+        }
+    }
+    tick();
+    while (!events_.empty()) {
+        const auto next = events_.top();
+        events_.pop();
+        now_ = next.at;
+        next.action();
+    }
+    return std::move(figures_);
+}
+
+} // namespace
+
+double load_figures::worth_share() const
+{
+    return worth_owed > 0 ? worth_earned / worth_owed : 0;
+}
+
+double load_figures::served_share() const
+{
+    std::uint64_t asked = 0;
+    std::uint64_t served = 0;
+    for (const auto& [name, counts] : kinds) {
+        asked += counts.asked;
+        served += counts.in_aim + counts.late;
+    }
+    return asked > 0 ? static_cast<double>(served) / static_cast<double>(asked) : 0;
+}
+
+double load_figures::nines() const
+{
+    constexpr double best = 1e-6;
+    return -std::log10(std::max(best, 1 - served_share()));
+}
+
+load_figures play_load(const load_scenario& scenario, const dispatch::slot_policy& policy,
+                       std::uint64_t seed)
+{
+    return model(scenario, policy, seed).run();
+}
+
+} // namespace bulrushgw::bench
--- /dev/null
+++ b/bench/dispatch_model.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// Plays a load scenario in virtual time with the shipped decisions: the choice of a target, the
+/// queue of each target, the allowance for retries and the time that a caller has already waited.
+/// Clients, targets, network and the node's message handling are models. The same seed gives the
+/// same result.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "bench/dispatch_scenario.h"
+#include "dispatch/slot_policy.h"
+
+namespace bulrushgw::bench {
+
+/// What became of the requests of one kind that clients sent.
+struct kind_figures {
+    std::uint64_t asked = 0;
+    std::uint64_t in_aim = 0;
+    std::uint64_t late = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t refused_again = 0; ///< returned after a refusal and was refused again
+    std::uint64_t failed = 0;        ///< a call of its run failed, or no answer in time
+};
+
+struct load_figures {
+    double worth_owed = 0;
+    double worth_earned = 0;
+    std::map<std::string, kind_figures> kinds;
+
+    [[nodiscard]] double worth_share() const;
+    /// Share of the requests of clients that were answered, in time or late.
+    [[nodiscard]] double served_share() const;
+    /// -log10 of the share that was not answered.
+    [[nodiscard]] double nines() const;
+};
+
+/// Preconditions: the services and kinds that `scenario` names exist in it.
+[[nodiscard]] load_figures play_load(const load_scenario& scenario,
+                                     const dispatch::slot_policy& policy, std::uint64_t seed);
+
+} // namespace bulrushgw::bench
--- /dev/null
+++ b/bench/dispatch_scenario.cpp
@@ -0,0 +1,137 @@
+#include "bench/dispatch_scenario.h"
+
+namespace bulrushgw::bench {
+
+namespace {
+
+/// Long reports and short calls share the service `records`, whose capacity the reports alone use
+/// up. The ledger's urgent requests depend on the calls.
+load_scenario reports_and_calls()
+{
+    load_scenario result;
+    result.name = "reports-and-calls";
+    result.services = {{"ledger", {0.7, 0.7, 1.6}, 9}, {"records", {0.6, 1.4}, 9}};
+    result.kinds = {
+        {"credit",
+         "ledger",
+         0,
+         3,
+         0.3,
+         65,
+         milliseconds{63},
+         0.3,
+         milliseconds{200},
+         milliseconds{800},
+         1,
+         {{"lookup", 2, 0.7}}},
+        {"report",
+         "records",
+         2,
+         1,
+         0.3,
+         58,
+         milliseconds{360},
+         0.7,
+         milliseconds{1000},
+         milliseconds{2000},
+         1,
+         {}},
+        {"lookup",
+         "records",
+         1,
+         0,
+         0,
+         0,
+         milliseconds{22},
+         0.5,
+         milliseconds{100},
+         milliseconds{250},
+         0,
+         {}},
+    };
+    return result;
+}
+
+/// As above, while one target of `records` runs ten times as long for 3 s.
+load_scenario slow_target()
+{
+    load_scenario result = reports_and_calls();
+    result.name = "slow-target";
+    result.kinds[1].per_s = 35;
+    result.faults = {
+        {target_fault::slow, "records", 1, milliseconds{5000}, milliseconds{8000}, 10},
+        {target_fault::slow, "records", 0, milliseconds{5000}, milliseconds{8000}, 30}};
+    return result;
+}
+
+/// One of three targets rejects most of its requests for 8 s while the others have room.
+load_scenario shedding_target()
+{
+    load_scenario result;
+    result.name = "shedding-target";
+    result.services = {{"bookings", {1.0, 1.0, 1.0}, 9}};
+    result.kinds = {
+        {"book",
+         "bookings",
+         1,
+         2,
+         0.3,
+         100,
+         milliseconds{120},
+         0.5,
+         milliseconds{400},
+         milliseconds{800},
+         1,
+         {}},
+        {"status",
+         "bookings",
+         1,
+         1,
+         0,
+         200,
+         milliseconds{22},
+         0.5,
+         milliseconds{100},
+         milliseconds{250},
+         0,
+         {}},
+    };
+    result.faults = {
+        {target_fault::shed, "bookings", 0, milliseconds{8000}, milliseconds{16000}, 0.7}};
+    return result;
+}
+
+/// One target in four stops after the other, 1.2 s apart, each for 3.5 s.
+load_scenario stops_in_turn()
+{
+    load_scenario result;
+    result.name = "stops-in-turn";
+    result.services = {{"rounds", {0.7, 1.0, 1.0, 1.5}, 9}};
+    result.kinds = {{"sheet",
+                     "rounds",
+                     2,
+                     1,
+                     0.3,
+                     280,
+                     milliseconds{90},
+                     0.5,
+                     milliseconds{300},
+                     milliseconds{1200},
+                     1,
+                     {}}};
+    for (std::size_t target = 0; target < 4; ++target) {
+        const milliseconds from{8000 + 1200 * static_cast<long>(target)};
+        result.faults.push_back(
+            {target_fault::stop, "rounds", target, from, from + milliseconds{3500}, 1});
+    }
+    return result;
+}
+
+} // namespace
+
+std::vector<load_scenario> load_scenarios()
+{
+    return {reports_and_calls(), slow_target(), shedding_target(), stops_in_turn()};
+}
+
+} // namespace bulrushgw::bench
