Avoid targets that refuse requests themselves, and try them again soon

And the failure share of a target that nobody tries never fell: it only counted a quarter after a second.

Change: such a refusal counts as a failure; the share counts half as much after each second without a failure.

The new test of the picker fails with each half of the change alone.

--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -272,7 +272,9 @@
                        milliseconds retry_after)
 {
     auto& entry = entries_[request->entry];
-    entry.picker.on_refusal(now_, target.node,
+    const auto report = reached_target ? &dispatch::target_picker::on_target_refusal
+                                       : &dispatch::target_picker::on_refusal;
+    (entry.picker.*report)(now_, target.node,
                             static_cast<int>(target.queue.running() + target.queue.queued()));
     if (request->ended) {
         return;
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -79,8 +79,9 @@
                 load_report_weight(age, service.mean_answer_ms) * (stats->other_requests - load);
         }
         load += stats->own_in_flight;
-        const bool failed_recently = now - stats->last_failure < settings_.failure_retry_delay;
-        effective_failure_share = failed_recently ? stats->failure_share : stats->failure_share / 4;
+        const double half_lives = std::chrono::duration<double>(now - stats->last_failure) /
+                                  settings_.failure_half_life;
+        effective_failure_share = stats->failure_share * std::exp2(-half_lives);
     }
     const double waiting_factor = std::max(0.0, load + 1 - slots) / slots;
     // A target with few free slots answers later than an idle one.
@@ -150,6 +151,12 @@
     record_load(now, stats_[node], load);
 }
 
+void target_picker::on_target_refusal(time_point now, incarnation_id node, int load)
+{
+    on_failure(now, node);
+    record_load(now, stats_[node], load);
+}
+
 void target_picker::on_failure(time_point now, incarnation_id node)
 {
     end_request(node);
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -33,9 +33,9 @@
     int cross_zone_aim_divisor = 2;
     /// Lower bound of the time by which a target in another zone must be faster.
     milliseconds min_cross_zone_cost{25};
-    /// After this time without a failure, only a quarter of the failure share of a target is
-    /// counted, so that a target that failed is tried again now and then.
-    milliseconds failure_retry_delay{1000};
+    /// The failure share of a target counts half as much after each such time without a failure, so
+    /// that a target that failed is tried again now and then.
+    milliseconds failure_half_life{1000};
 };
 
 /// Not thread-safe.
@@ -49,14 +49,18 @@
                                        const std::vector<incarnation_id>& avoid, milliseconds aim,
                                        std::mt19937_64& random) const;
     /// Notes a request sent to the node. Exactly one call of `on_answer`, `on_refusal`,
-    /// `on_failure` or `on_end` must follow.
+    /// `on_target_refusal`, `on_failure` or `on_end` must follow.
     void on_sent(incarnation_id node) { ++stats_[node].own_in_flight; }
     /// `load` is the number of requests running and queued at the target, as reported by the
     /// target's node with the answer. It is -1 if no load was reported.
     void on_answer(time_point now, incarnation_id node, milliseconds took, int load);
-    /// The node or its target refused the request, for example because the target is overloaded.
-    /// The request did not run. `load`: as in `on_answer`.
+    /// The node refused the request, for example because its target has no room. The request did not
+    /// run. `load`: as in `on_answer`.
     void on_refusal(time_point now, incarnation_id node, int load);
+    /// The target itself refused the request, although its node expected it to have room. It counts
+    /// as a failure, since the target will probably refuse the next request too. `load`: as in
+    /// `on_answer`.
+    void on_target_refusal(time_point now, incarnation_id node, int load);
     /// The target answered with HTTP status 500 or above, or the outcome of the request is unknown.
     void on_failure(time_point now, incarnation_id node);
     /// The request ended without an observation of the target.
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -390,7 +390,12 @@
         return;
     case wire::forward_outcome::not_run:
     case wire::forward_outcome::not_owner:
-        picker_.on_refusal(now, from, static_cast<int>(reply.load));
+        if (request::reason_of(reply.reason, reason::target_refused) == reason::target_refused) {
+            picker_.on_target_refusal(now, from, static_cast<int>(reply.load));
+        }
+        else {
+            picker_.on_refusal(now, from, static_cast<int>(reply.load));
+        }
         --request->sends;
         on_not_run(*request, reply);
         return;
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -142,3 +142,36 @@
                           {incarnation_id{1}, incarnation_id{2}, incarnation_id{3}}, aim, random)
                     .has_value());
 }
+
+// Guards against requests that keep going to a target that rejects most of them while others have
+// room. Once the target answers again, it must get its share back.
+TEST(target_picker, target_that_refuses_is_avoided_until_it_answers)
+{
+    target_picker picker;
+    std::mt19937_64 random(5);
+    const std::vector<pick_candidate> candidates{
+        {incarnation_id{1}, 9, true}, {incarnation_id{2}, 9, true}, {incarnation_id{3}, 9, true}};
+    const incarnation_id refusing{1};
+    const auto share_of_refusing = [&](long from_ms, long to_ms, bool refuses) {
+        int picked_refusing = 0;
+        int picked = 0;
+        for (long now = from_ms; now < to_ms; now += 10) {
+            const time_point at{milliseconds{now}};
+            const auto node = picker.pick(at, candidates, {}, milliseconds{300}, random);
+            picker.on_sent(*node);
+            ++picked;
+            if (*node == refusing && refuses) {
+                ++picked_refusing;
+                picker.on_target_refusal(at, *node, 3);
+                continue;
+            }
+            picked_refusing += *node == refusing ? 1 : 0;
+            picker.on_answer(at, *node, milliseconds{100}, 3);
+        }
+        return static_cast<double>(picked_refusing) / picked;
+    };
+    CHECK(share_of_refusing(100000, 102000, false) > 0.2);
+    CHECK(share_of_refusing(102000, 110000, true) < 0.1);
+    share_of_refusing(110000, 113000, false);
+    CHECK(share_of_refusing(113000, 118000, false) > 0.2);
+}
