Count unknown outcomes apart from refusals, report the busiest keys, and switch off mechanisms in the load model

Seen by reading: a request answered 502 or 504 was counted as refused or not at all, so the ledger could not trust the counters; a report of more than 512 keys of a service kept the lowest, so a leader did not see hot keys above them; the least gain of a renewal was the retry delay of orders. The new cases of the member and entry tests were not run on the code before.

The load model switches each mechanism of the picker off, for the ablation in docs/deciding.md.

--- a/bench/dispatch_main.cpp
+++ b/bench/dispatch_main.cpp
@@ -1,7 +1,10 @@
-/// Compares policies for the queue of a target under load and faults, in virtual time.
+/// Compares the dispatch decisions with and without each mechanism, under load and faults, in
+/// virtual time.
 
+#include <chrono>
 #include <cmath>
 #include <cstdio>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -22,24 +25,37 @@
 
 struct named_policy {
     std::string name;
-    dispatch::slot_policy policy;
+    decision_policy policy;
 };
 
+std::uint32_t reserve_no_slots(const dispatch::denser_work&, std::uint32_t)
+{
+    return 0;
+}
+
+double density_by_rank(const dispatch::request_traits& request)
+{
+    constexpr double late_factor = 1e-6;
+    return std::exp2(-static_cast<double>(request.rank)) * (request.late ? late_factor : 1);
+}
+
 /// The shipped policy, and the same with one mechanism switched off.
 std::vector<named_policy> policies()
 {
-    std::vector<named_policy> result{{"shipped", dispatch::default_slot_policy()}};
-    named_policy no_reserve{"no-reserved-slots", dispatch::default_slot_policy()};
-    no_reserve.policy.reserved_slots = [](const dispatch::denser_work&, std::uint32_t) {
-        return std::uint32_t{0};
-    };
-    result.push_back(no_reserve);
-    named_policy by_rank{"rank-only", no_reserve.policy};
-    by_rank.policy.worth_density = [](const dispatch::request_traits& request) {
-        constexpr double late_factor = 1e-6;
-        return std::exp2(-static_cast<double>(request.rank)) * (request.late ? late_factor : 1);
+    std::vector<named_policy> result{{"shipped", {}}};
+    const auto add = [&](std::string name) -> decision_policy& {
+        return result.emplace_back(named_policy{std::move(name), {}}).policy;
     };
-    result.push_back(by_rank);
+    add("no-reserved-slots").queue.reserved_slots = reserve_no_slots;
+    auto& by_rank = add("rank-only").queue;
+    by_rank.worth_density = density_by_rank;
+    by_rank.reserved_slots = reserve_no_slots;
+    add("refusals-not-failures").counts_target_refusals = false;
+    add("failures-never-fade").picks.failure_half_life = std::chrono::hours{1};
+    auto& any_zone = add("zones-cost-nothing").picks;
+    any_zone.min_cross_zone_cost = milliseconds{0};
+    any_zone.cross_zone_aim_divisor = std::numeric_limits<int>::max();
+    add("no-time-spent").uses_time_spent = false;
     return result;
 }
 
@@ -99,15 +115,16 @@
 
 void print_table(const std::vector<result_row>& rows)
 {
-    std::printf("%-18s %-18s %6s %6s %6s %6s\n", "scenario", "policy", "worth", "+-", "nines",
+    std::printf("%-18s %-22s %6s %6s %6s %6s\n", "scenario", "policy", "worth", "+-", "nines",
                 "+-");
     for (const auto& row : rows) {
-        std::printf("%-18s %-18s %6.3f %6.3f %6.3f %6.3f\n", row.scenario.c_str(),
+        std::printf("%-18s %-22s %6.3f %6.3f %6.3f %6.3f\n", row.scenario.c_str(),
                     row.policy.c_str(), row.worth.mean, row.worth.deviation, row.nines.mean,
                     row.nines.deviation);
         for (const auto& [name, counts] : row.total.kinds) {
-            const auto share = [&](std::uint64_t part) {
-                return static_cast<double>(part) / static_cast<double>(counts.asked);
+            const auto asked = static_cast<double>(counts.asked);
+            const auto share = [asked](std::uint64_t part) {
+                return static_cast<double>(part) / asked;
             };
             std::printf("    %-12s in aim %.3f  late %.3f  refused %.3f (again %.3f)  failed "
                         "%.3f\n",
--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -70,7 +70,7 @@
 
 class model {
 public:
-    model(const load_scenario& scenario, const dispatch::slot_policy& policy, std::uint64_t seed);
+    model(const load_scenario& scenario, const decision_policy& policy, std::uint64_t seed);
     load_figures run();
 
 private:
@@ -111,6 +111,7 @@
     void tick();
 
     const load_scenario& scenario_;
+    decision_policy policy_;
     std::mt19937_64 random_;
     time_point now_{std::chrono::hours{1}};
     time_point begin_ = now_;
@@ -122,8 +123,8 @@
     load_figures figures_;
 };
 
-model::model(const load_scenario& scenario, const dispatch::slot_policy& policy, std::uint64_t seed)
-    : scenario_(scenario), random_(seed)
+model::model(const load_scenario& scenario, const decision_policy& policy, std::uint64_t seed)
+    : scenario_(scenario), policy_(policy), random_(seed)
 {
     for (const auto& service : scenario.services) {
         for (std::size_t i = 0; i < service.speeds.size(); ++i) {
@@ -132,9 +133,10 @@
             target->index = i;
             target->zone = targets_.size() % availability_zones;
             target->node = incarnation_id{targets_.size() + 1};
-            target->queue = dispatch::slot_queue(service.slots, policy);
+            target->queue = dispatch::slot_queue(service.slots, policy.queue);
             entry_node entry;
             entry.zone = target->zone;
+            entry.picker = dispatch::target_picker(policy.picks);
             entries_.push_back(std::move(entry));
             targets_.push_back(std::move(target));
         }
@@ -203,7 +205,8 @@
     request->returns = returns;
     request->on_call_end = std::move(on_call_end);
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - now_);
-    const auto spent = entries_[entry].spent.observe(kind.name, left);
+    const auto observed = entries_[entry].spent.observe(kind.name, left);
+    const auto spent = policy_.uses_time_spent ? observed : milliseconds{0};
     request->aim = now_ + std::clamp(kind.aim - spent, milliseconds{0}, left);
     entries_[entry].allowances[kind.service].on_request(now_);
     after(left, [this, request] { end(request, false, std::nullopt); });
@@ -257,7 +260,8 @@
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request->aim - now_));
     const auto picked = entry.picker.pick(now_, candidates, request->avoid, aim, random_);
     if (!picked) {
-        const auto extra = milliseconds{std::lround(uniform() * default_retry_after.count() / 2)};
+        const auto retry_ms = static_cast<double>(default_retry_after.count());
+        const auto extra = milliseconds{std::lround(uniform() * retry_ms / 2)};
         end(request, false, default_retry_after + extra);
         return;
     }
@@ -272,10 +276,11 @@
                        milliseconds retry_after)
 {
     auto& entry = entries_[request->entry];
-    const auto report = reached_target ? &dispatch::target_picker::on_target_refusal
-                                       : &dispatch::target_picker::on_refusal;
+    const bool counts = reached_target && policy_.counts_target_refusals;
+    const auto report =
+        counts ? &dispatch::target_picker::on_target_refusal : &dispatch::target_picker::on_refusal;
     (entry.picker.*report)(now_, target.node,
-                            static_cast<int>(target.queue.running() + target.queue.queued()));
+                           static_cast<int>(target.queue.running() + target.queue.queued()));
     if (request->ended) {
         return;
     }
@@ -327,8 +332,8 @@
     const double speed = target.service->speeds[target.index];
     std::normal_distribution<double> logarithm(-kind.work_spread * kind.work_spread / 2,
                                                kind.work_spread);
-    const milliseconds work{
-        std::max(1L, std::lround(kind.work.count() * slow / speed * std::exp(logarithm(random_))))};
+    const double mean_ms = static_cast<double>(kind.work.count()) * slow / speed;
+    const milliseconds work{std::max(1L, std::lround(mean_ms * std::exp(logarithm(random_))))};
     if (!kind.calls.empty() && uniform() < kind.calls.front().share) {
         after(work / 2, [this, id, &target, &kind, work] {
             call(target, id, kind.calls.front(), 0, work - work / 2);
@@ -440,7 +445,7 @@
     return -std::log10(std::max(best, 1 - served_share()));
 }
 
-load_figures play_load(const load_scenario& scenario, const dispatch::slot_policy& policy,
+load_figures play_load(const load_scenario& scenario, const decision_policy& policy,
                        std::uint64_t seed)
 {
     return model(scenario, policy, seed).run();
--- a/bench/dispatch_model.h
+++ b/bench/dispatch_model.h
@@ -11,9 +11,18 @@
 
 #include "bench/dispatch_scenario.h"
 #include "dispatch/slot_policy.h"
+#include "dispatch/target_picker.h"
 
 namespace bulrushgw::bench {
 
+/// The decisions that a play uses. An experiment can switch a mechanism off.
+struct decision_policy {
+    dispatch::slot_policy queue = dispatch::default_slot_policy();
+    dispatch::pick_settings picks;
+    bool counts_target_refusals = true; ///< as failures of the target
+    bool uses_time_spent = true;        ///< for the latency goal of requests that return
+};
+
 /// What became of the requests of one kind that clients sent.
 struct kind_figures {
     std::uint64_t asked = 0;
@@ -37,7 +46,7 @@
 };
 
 /// Preconditions: the services and kinds that `scenario` names exist in it.
-[[nodiscard]] load_figures play_load(const load_scenario& scenario,
-                                     const dispatch::slot_policy& policy, std::uint64_t seed);
+[[nodiscard]] load_figures play_load(const load_scenario& scenario, const decision_policy& policy,
+                                     std::uint64_t seed);
 
 } // namespace bulrushgw::bench
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -15,14 +15,15 @@
 constexpr int renewal_lease_divisor = 2;
 /// Delay before a failed order is repeated. The target may be busy or gone.
 constexpr milliseconds order_retry_delay{50};
+/// A grant is not renewed if the renewal would extend the hold by less than this.
+constexpr milliseconds min_renewal_gain{50};
 /// No grant is sent with a shorter hold, because the hold would end before it is of use.
 constexpr milliseconds min_hold{100};
 /// Limit on the reports whose reply is awaited.
 constexpr std::size_t max_open_reports = 64;
 /// Number of reports whose send times are kept for `report_sent_at`.
 constexpr std::size_t max_recent_reports = 32;
-/// Limit on the keys of each service in one report, which must stay small. The lowest keys are
-/// kept, although the busiest ones matter most.
+/// Limit on the keys of each service in one report, which must stay small. The busiest are kept.
 constexpr std::size_t max_reported_keys = 512;
 
 } // namespace
@@ -357,7 +358,7 @@
         const bool due =
             has_new_fence || item.served_until - now < times_.lease / renewal_lease_divisor;
         if (not_reported || item.releasing || item.order_id != 0 || !due || now < item.retry_at ||
-            hold < min_hold || now + hold < item.served_until + order_retry_delay) {
+            hold < min_hold || now + hold < item.served_until + min_renewal_gain) {
             continue;
         }
         item.order_id = next_order_id_++;
@@ -514,6 +515,9 @@
     for (auto& [service, counts] : loads_) {
         key_load load{service, {counts.begin(), counts.end()}};
         if (load.counts.size() > max_reported_keys) {
+            std::nth_element(load.counts.begin(), load.counts.begin() + max_reported_keys,
+                             load.counts.end(),
+                             [](const auto& a, const auto& b) { return a.second > b.second; });
             load.counts.resize(max_reported_keys);
         }
         body.loads.push_back(std::move(load));
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -461,7 +461,6 @@
         dispatch(request);
         return;
     }
-    ++counters_.unknown;
     fail(request, why == reason::deadline_sent ? 504 : 502, why);
 }
 
@@ -601,13 +600,13 @@
 void entry::refuse(pending_request& request, reason why, milliseconds retry_after,
                    const std::string& cause)
 {
-    ++counters_.refused;
     // After an attempt with an unknown outcome the request may have run, so it cannot be
     // reported as not run.
     if (request.sends > 0) {
         fail(request, 502, why);
         return;
     }
+    ++counters_.refused;
     const milliseconds wait =
         add_jitter(retry_after.count() > 0 ? retry_after : default_retry_after);
     log("refused", request,
@@ -623,6 +622,7 @@
 
 void entry::fail(pending_request& request, int status, reason why)
 {
+    ++counters_.unknown;
     log("failed", request,
         {{"reason", request::to_text(why)},
          {"status", status},
--- a/tests/assignment/member_test.cpp
+++ b/tests/assignment/member_test.cpp
@@ -1,5 +1,7 @@
 #include "assignment/member.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace bulrushgw;
@@ -190,3 +192,23 @@
     test.report_and_get_lease({keys(0, 99, 9)});
     CHECK(test.member_.may_serve(test.now_, "s", 95) == serve_verdict::pending);
 }
+
+// Guards against a leader that does not see the load of hot keys, because a report with more keys
+// than its limit kept the lowest keys.
+TEST(member, report_keeps_the_busiest_keys)
+{
+    leased_member tested;
+    auto& member = tested.member_;
+    for (std::uint32_t key = 0; key < 2000; ++key) {
+        member.count_request("s", key);
+    }
+    for (int i = 0; i < 50; ++i) {
+        member.count_request("s", 1999);
+    }
+    const auto sent = tested.report_and_get_lease({keys(0, key_count - 1, 1)});
+    LONGS_EQUAL(1, sent.loads.size());
+    const auto& counts = sent.loads[0].counts;
+    CHECK(counts.size() <= 512);
+    CHECK(std::any_of(counts.begin(), counts.end(),
+                      [](const auto& item) { return item.first == 1999 && item.second == 51; }));
+}
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -236,3 +236,24 @@
     reply(peer, last_forward(), 500); // a second reply to the same message
     LONGS_EQUAL(200, caller->answer->status);
 }
+
+// Guards against counters that call a request refused although its client was told that the outcome
+// is unknown, or that leave such a request out.
+TEST(entry, counters_tell_unknown_outcomes_from_refusals)
+{
+    const auto timed_out = call("/keyed-write/a", milliseconds{20}, "r-1");
+    CHECK(loop.run_until([&] { return timed_out->answer.has_value(); }, milliseconds{1000}));
+    LONGS_EQUAL(504, timed_out->answer->status);
+    LONGS_EQUAL(1, tested_entry->counters().unknown);
+    const auto retried = call("/keyed-read/a", milliseconds{2000}, "r-2");
+    tested_entry->on_connection_reset("n2");
+    wire::forward_reply refusal;
+    refusal.number = last_forward().number;
+    refusal.request_id = "r-2";
+    refusal.outcome = wire::forward_outcome::not_run;
+    refusal.reason = request::to_text(request::reason::overloaded);
+    tested_entry->on_reply(peer, refusal);
+    LONGS_EQUAL(502, retried->answer->status); // the first attempt may have run
+    LONGS_EQUAL(2, tested_entry->counters().unknown);
+    LONGS_EQUAL(0, tested_entry->counters().refused);
+}
