--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -79,8 +79,8 @@
                 load_report_weight(age, service.mean_answer_ms) * (stats->other_requests - load);
         }
         load += stats->own_in_flight;
-        const double half_lives = std::chrono::duration<double>(now - stats->last_failure) /
-                                  settings_.failure_half_life;
+        const double half_lives =
+            std::chrono::duration<double>(now - stats->last_failure) / settings_.failure_half_life;
         effective_failure_share = stats->failure_share * std::exp2(-half_lives);
     }
     const double waiting_factor = std::max(0.0, load + 1 - slots) / slots;
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -54,8 +54,8 @@
     /// `load` is the number of requests running and queued at the target, as reported by the
     /// target's node with the answer. It is -1 if no load was reported.
     void on_answer(time_point now, incarnation_id node, milliseconds took, int load);
-    /// The node refused the request, for example because its target has no room. The request did not
-    /// run. `load`: as in `on_answer`.
+    /// The node refused the request, for example because its target has no room. The request did
+    /// not run. `load`: as in `on_answer`.
     void on_refusal(time_point now, incarnation_id node, int load);
     /// The target itself refused the request, although its node expected it to have room. It counts
     /// as a failure, since the target will probably refuse the next request too. `load`: as in
