Repeat the confirmed members in records that are written while the store is silent

Cause: a record without a host that is down, sent while the store did not answer, may still be applied. The host's next process therefore had no lease until the store was back. Change: such records repeat the confirmed members. The new test of the simulated cluster fails on the code before.

--- a/src/assignment/leader_term.cpp
+++ b/src/assignment/leader_term.cpp
@@ -197,6 +197,11 @@
             record.members.push_back({id, member.last_report.host, member.last_report.address});
         }
     }
+    if (is_store_silent(now)) {
+        // The store may apply any of the writes that it did not answer. They repeat the confirmed
+        // members, so that a process that restarts meanwhile on a recorded host may have a lease.
+        record.members = recorded_.members;
+    }
     record.successors = choose_successors(now);
     if (now < old_leases_end()) {
         record.earlier = start_.earlier;
--- a/tests/sidecar/simulated_cluster_test.cpp
+++ b/tests/sidecar/simulated_cluster_test.cpp
@@ -273,6 +273,28 @@
     }
 }
 
+// Guards against a host that gets no lease when it returns during an outage of the store, because a
+// record without it was sent to the store meanwhile.
+TEST(simulated_cluster, host_that_was_down_for_seconds_returns_without_the_store)
+{
+    for (std::uint64_t seed = 80; seed < 90; ++seed) {
+        simulated_cluster cluster(seed);
+        cluster.run(milliseconds{5000});
+        cluster.set_store_up(false);
+        cluster.run(milliseconds{2000});
+        const auto host = pick_host(cluster, false);
+        cluster.kill_node(host);
+        cluster.run(milliseconds{4000});
+        cluster.start_node(host);
+        cluster.run(milliseconds{800});
+        CHECK(cluster.holds_lease(host));
+        cluster.run(milliseconds{2000});
+        CHECK(cluster.held_share() >= all_keys);
+        cluster.set_store_up(true);
+        check_settled(cluster, "return without the store, seed " + std::to_string(seed));
+    }
+}
+
 // Guards against leases that expire because the election takes too long: the first host to claim
 // began to watch the record only after the whole `timing::leader_silence`.
 TEST(simulated_cluster, no_lease_of_others_expires_when_leaders_are_lost)
