--- a/review/standins/http11.py
+++ b/review/standins/http11.py
@@ -145,8 +145,9 @@
         return None
 
 
-def free_ports(count):
-    """Ports of the loopback address that are free now, below those of outgoing channels."""
+def free_ports(count, taken=set()):  # pylint: disable=dangerous-default-value
+    """Ports of the loopback address that are free now, below those of outgoing channels. No port is
+    returned twice."""
     found = []
     while len(found) < count:
         port = random.randrange(10000, 32000)
@@ -155,6 +156,7 @@
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in found:
+        if port not in taken:
+            taken.add(port)
             found.append(port)
     return found
