Accept a release only with evidence that the target holds the keys no more

Callers saw: after one kill of a sidecar, two targets ran requests for the same keys for 0.5 to 1.0 s (OWNER).

Cause: a new process takes over its predecessor's segments, which the leader marks as releasing until the process knows its target. It had granted none of them, so it counted their hold as ended and reported them as released without a release to the target. The leader believed it. The same cause showed in three other ways: a second kill before the process had a lease freed the keys; the next leader took the empty holdings of the new process as complete; and keys of a target that was gone for good were never released.

Change: a release carries its evidence. For `hold_ended` the leader waits for the end of the lease of the host's earlier processes, which it carries over across restarts and transfers. A process counts what it takes over as held until one lease after its start, reports the rest of that time, and releases keys of a target that it never finds at that bound. The leader does not move the keys of a restarted process before the bound while its target is not known.

Why it works: no process granted keys after the start of its successor, so each hold of an earlier process ends within one lease of that start, and no sooner release is accepted without the target's confirmation.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -86,6 +86,11 @@
     member.last_report_at = now;
     member.leaving = body.leaving;
     member.last_report = body;
+    if (body.earlier_holds_left.count() > 0) {
+        const auto left = std::min(body.earlier_holds_left, times_.hold_margin + times_.lease * 2);
+        member.earlier_holds_end =
+            std::max(member.earlier_holds_end, now + with_drift(left, times_.drift_permille));
+    }
     if (!member.leased_once && !member.inherits) {
         // Until the first lease, each report replaces the holdings of the previous report.
         unassign_segments(from);
@@ -98,7 +103,7 @@
     }
     reconcile_target(from, target_restarted);
     for (const auto& keys : body.released) {
-        accept_released(keys, from);
+        accept_released(now, keys, from);
     }
     accept_loads(body);
     const bool is_recorded = may_have_lease(from, body.host);
@@ -222,17 +227,20 @@
 void leader::supersede(incarnation_id old, incarnation_id next)
 {
     superseded_.insert(old);
+    const member_state previous = members_.at(old);
     // The holdings that the old incarnation reported before its first lease from this leader may be
-    // out of date.
-    if (!members_.at(old).leased_once) {
+    // out of date. Keys that it took over from an even earlier incarnation are not.
+    if (!previous.leased_once && !previous.inherits) {
         unassign_segments(old);
     }
-    // The target may hold keys under the lease of the old incarnation until that lease ends.
-    const auto lease_end = members_.at(old).lease_end_bound;
     members_.erase(old);
     decisions_due_ = true;
-    members_[next].inherits = true;
-    members_[next].lease_end_bound = std::max(members_[next].lease_end_bound, lease_end);
+    auto& member = members_[next];
+    member.inherits = true;
+    // The target may hold keys under the lease of the old incarnation until that lease ends.
+    member.lease_end_bound = std::max(member.lease_end_bound, previous.lease_end_bound);
+    member.earlier_holds_end =
+        std::max({member.earlier_holds_end, previous.earlier_holds_end, previous.lease_end_bound});
     for (auto& item : view_.segments) {
         if (item.owner == old) {
             // The new node grants the keys again with a higher fence. Whether the target is the
@@ -310,10 +318,10 @@
         }
         last_decay_ = now;
     }
-    begin_releases();
+    begin_releases(now);
     for (const auto& service : sharded_services_) {
         fill_gaps(service);
-        if (now >= old_leases_end() || knows_all_holdings()) {
+        if (now >= old_leases_end() || knows_all_holdings(now)) {
             assign_free(now, service);
         }
         if (balancing_ && now >= next_balance_) {
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -151,9 +151,12 @@
         time_point last_report_at;
         time_point term_acked_at;   ///< latest time at which the member knew of this term
         time_point lease_end_bound; ///< latest possible end of its lease, on the leader's clock
-        bool recorded = false;      ///< named in the leader record in the store
-        bool leased_once = false;   ///< had a lease of this leader
-        bool inherits = false; ///< took over the segments of an earlier incarnation of its host
+        /// Latest possible end of the holds that earlier processes of its host granted, on the
+        /// leader's clock.
+        time_point earlier_holds_end;
+        bool recorded = false;    ///< named in the leader record in the store
+        bool leased_once = false; ///< had a lease of this leader
+        bool inherits = false;    ///< took over the segments of an earlier incarnation of its host
         bool leaving = false;
         std::uint64_t sent_version = 0; ///< newest directory version sent to it
         time_point sent_at{};
@@ -167,14 +170,14 @@
 
     void supersede(incarnation_id old, incarnation_id next);
     void accept_holdings(incarnation_id from, const report& body);
-    void accept_released(const released_keys& keys, incarnation_id from);
+    void accept_released(time_point now, const released_keys& keys, incarnation_id from);
     void accept_loads(const report& body);
     void reconcile_target(incarnation_id node, bool target_restarted);
     void unassign_segments(incarnation_id node);
     void update_nodes(time_point now);
     void update_directory_log();
     [[nodiscard]] std::uint64_t base_version_for(const member_state& member, time_point now) const;
-    void begin_releases();
+    void begin_releases(time_point now);
     void assign_free(time_point now, const std::string& service);
     void balance(time_point now, const std::string& service);
     void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
@@ -193,7 +196,7 @@
     [[nodiscard]] bool may_have_lease(incarnation_id node, const std::string& host) const;
     [[nodiscard]] std::vector<incarnation_id> choose_successors(time_point now) const;
     [[nodiscard]] bool can_succeed(incarnation_id node, time_point now) const;
-    [[nodiscard]] bool knows_all_holdings() const;
+    [[nodiscard]] bool knows_all_holdings(time_point now) const;
     [[nodiscard]] bool may_hold_unreported_keys(const target_status& target) const;
     [[nodiscard]] const member_state* member_on(const std::string& host) const;
     [[nodiscard]] time_point old_leases_end() const;
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -82,8 +82,13 @@
     }
 }
 
-void leader::accept_released(const released_keys& keys, incarnation_id from)
+// The end of the holds that a process granted proves nothing about the holds that an earlier
+// process of its host granted. The member repeats the release until it is accepted.
+void leader::accept_released(time_point now, const released_keys& keys, incarnation_id from)
 {
+    if (keys.evidence != release_evidence::confirmed && now < members_.at(from).earlier_holds_end) {
+        return;
+    }
     for (auto& item : view_.segments) {
         if (item.owner != from || !keys.covers(item)) {
             continue;
@@ -164,11 +169,18 @@
     return result;
 }
 
-void leader::begin_releases()
+void leader::begin_releases(time_point now)
 {
     for (auto& item : view_.segments) {
-        if (item.owner && !item.releasing && members_.contains(item.owner) &&
-            members_.at(item.owner).recorded && !can_own_keys(item.owner, item.service) &&
+        const auto owner = members_.find(item.owner);
+        if (item.releasing || owner == members_.end() || !owner->second.recorded) {
+            continue;
+        }
+        // A restarted process mostly finds the same target within a few hundred milliseconds. Until
+        // the holds of its predecessor have ended, the keys cannot be assigned to another target.
+        const bool awaits_target =
+            owner->second.last_report.target.id.empty() && now < owner->second.earlier_holds_end;
+        if (!awaits_target && !can_own_keys(item.owner, item.service) &&
             !candidates(item.service).empty()) {
             begin_release(item);
             mark_changed();
--- a/src/assignment/leader_term.cpp
+++ b/src/assignment/leader_term.cpp
@@ -94,9 +94,10 @@
 }
 
 // True if each host that may hold keys of earlier terms has reported what its target holds: either
-// the process that had the leases, or a new process whose target was cleared. All earlier leaders
-// must have ended, since they could still give leases.
-bool leader::knows_all_holdings() const
+// the process that had the leases, unless holds of a process before it may still run, or a new
+// process whose target was cleared. All earlier leaders must have ended, since they could still
+// give leases.
+bool leader::knows_all_holdings(time_point now) const
 {
     for (const auto& predecessor : start_.earlier) {
         if (!leaders_ended_at(predecessor)) {
@@ -104,12 +105,16 @@
         }
         for (const auto& entry : predecessor.members) {
             const auto* member = member_on(entry.host);
+            if (member == nullptr || !member->recorded) {
+                return false;
+            }
+            const bool holds_no_others = now >= member->earlier_holds_end ||
+                                         !may_hold_unreported_keys(member->last_report.target);
             const bool same_process = members_.contains(entry.node);
-            const bool known =
-                member != nullptr && member->recorded &&
-                (same_process ? member->leased_once
-                              : member->last_report.cleared_term == view_.term ||
-                                    !may_hold_unreported_keys(member->last_report.target));
+            const bool known = same_process
+                                   ? member->leased_once && holds_no_others
+                                   : member->last_report.cleared_term == view_.term ||
+                                         !may_hold_unreported_keys(member->last_report.target);
             if (!known) {
                 return false;
             }
--- a/src/assignment/leader_transfer.cpp
+++ b/src/assignment/leader_transfer.cpp
@@ -44,6 +44,9 @@
         member.last_report_at = entry.live ? now : time_point{};
         // The sender may have extended the lease until it sent the transfer.
         member.lease_end_bound = now + with_drift(times_.lease, times_.drift_permille);
+        if (entry.inherits) {
+            member.earlier_holds_end = member.lease_end_bound;
+        }
         member.recorded = may_have_lease(entry.record.node, entry.record.host);
         member.leased_once = entry.leased;
         member.inherits = entry.inherits;
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -28,7 +28,12 @@
 
 } // namespace
 
-member::member(timing times, member_identity self) : times_(times), self_(std::move(self)) {}
+member::member(timing times, member_identity self)
+    : times_(times), self_(std::move(self)),
+      earlier_holds_end_(self_.started + times_.hold_margin +
+                         with_drift(times_.lease, times_.drift_permille))
+{
+}
 
 void member::on_leader(time_point now, std::uint64_t term, incarnation_id leader,
                        const std::string& address)
@@ -207,8 +212,10 @@
     }
     std::vector<held_range> updated;
     for (const auto& item : view_.segments) {
-        const bool own = item.owner == self_.node && item.target == target_.id &&
-                         !target_.id.empty() && !is_released(item);
+        const bool assigned = item.owner == self_.node && !is_released(item);
+        const bool own = assigned && item.target == target_.id && !target_.id.empty();
+        // A release that an unknown target cannot confirm ends with the hold.
+        const bool release_pending = assigned && item.releasing && target_.id.empty();
         bool covered = false;
         std::uint32_t covered_keys = 0; ///< keys of an own segment that were held before
         for (auto& piece : held_ranges_) {
@@ -248,7 +255,7 @@
             }
             else {
                 piece.releasing = true;
-                if (own) {
+                if (own || release_pending) {
                     piece.range_fence = item.range_fence;
                 }
                 updated.push_back(piece);
@@ -259,7 +266,7 @@
         if (covered_keys > 0 && covered_keys != item.last - item.first + 1) {
             updated.back().served_until = {};
         }
-        if (own && !covered) {
+        if ((own || release_pending) && !covered) {
             held_range added;
             added.service = item.service;
             added.first = item.first;
@@ -267,6 +274,9 @@
             added.range_fence = item.range_fence;
             added.handover = item.handover;
             added.releasing = item.releasing;
+            // The leader may have passed the keys on from an earlier process of this host, whose
+            // grant the target still holds.
+            added.may_hold_until = earlier_holds_end_;
             updated.push_back(std::move(added));
         }
     }
@@ -318,7 +328,7 @@
         // While the release is in progress the target may still be working on the keys: work that
         // has begun continues after the end of the hold.
         if (hold_ended && ((range->releasing && range->order_id == 0) || target_lost)) {
-            finish_release(*range, "");
+            finish_release(*range, release_evidence::hold_ended, "");
             range = held_ranges_.erase(range);
         }
         else {
@@ -327,10 +337,10 @@
     }
 }
 
-void member::finish_release(const held_range& item, std::string handover)
+void member::finish_release(const held_range& item, release_evidence evidence, std::string handover)
 {
     released_.push_back(
-        {item.service, item.first, item.last, item.range_fence, std::move(handover)});
+        {item.service, item.first, item.last, item.range_fence, std::move(handover), evidence});
     report_due_ = true;
 }
 
@@ -456,7 +466,7 @@
         range->order_id = 0;
         if (outcome == order_outcome::done && range->releasing && range->first == order.first &&
             range->last == order.last) {
-            finish_release(*range, handover);
+            finish_release(*range, release_evidence::confirmed, handover);
             range = held_ranges_.erase(range);
         }
         else {
@@ -512,6 +522,8 @@
     body.leaving = leaving_;
     body.cleared_term = cleared_term_;
     body.cpu_millicores = self_.cpu_millicores;
+    body.earlier_holds_left =
+        std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(earlier_holds_end_ - now));
     for (auto& [service, counts] : loads_) {
         key_load load{service, {counts.begin(), counts.end()}};
         if (load.counts.size() > max_reported_keys) {
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -21,6 +21,8 @@
     std::string address;
     std::string zone;
     std::uint32_t cpu_millicores = 0; ///< see `report::cpu_millicores`
+    /// Start of this process. Earlier processes of the host granted no keys after it.
+    time_point started{};
 };
 
 /// Orders the target on this host to serve the keys for the time `hold` from the receipt of the
@@ -154,7 +156,8 @@
         fence granted; ///< fence of the last confirmed grant
         std::string handover;
         time_point served_until{}; ///< the target is certain to hold the keys until this time
-        /// The target may hold the keys until this time. It is certain not to hold them afterwards.
+        /// The target may hold the keys until this time, under a grant of this process or of an
+        /// earlier one. It is certain not to hold them afterwards.
         time_point may_hold_until{};
         bool releasing = false;
         std::uint64_t order_id = 0; ///< id of the order in progress; 0: none
@@ -175,12 +178,14 @@
     void reconcile_held_ranges();
     [[nodiscard]] bool is_released(const segment& item) const;
     void split_held_range(const std::string& service, std::uint32_t start);
-    void finish_release(const held_range& item, std::string handover);
+    void finish_release(const held_range& item, release_evidence evidence, std::string handover);
     void consider_clearing(time_point now);
     [[nodiscard]] milliseconds grant_hold(time_point now) const;
 
     timing times_;
     member_identity self_;
+    /// Latest possible end of the holds that earlier processes of this host granted.
+    time_point earlier_holds_end_;
     std::uint64_t term_ = 0;
     std::uint64_t transfers_ = 0; ///< of the leadership of this term
     incarnation_id leader_;
--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -124,13 +124,23 @@
     bool operator==(const segment&) const = default;
 };
 
-/// Keys that a target certainly no longer holds.
+/// What proves that a target no longer holds released keys.
+enum class release_evidence : std::uint8_t {
+    /// All holds that the reporting process granted have ended. Holds that an earlier process of
+    /// the host granted may still run, which only the leader can rule out.
+    hold_ended,
+    /// The target confirmed the release: it holds the keys no more and runs no request for them.
+    confirmed,
+};
+
+/// Keys that a target no longer holds, as far as `evidence` proves.
 struct released_keys {
     std::string service;
     std::uint32_t first = 0; ///< inclusive
     std::uint32_t last = 0;  ///< inclusive
     fence range_fence;
     std::string handover; ///< token from the target, see `segment::handover`; empty: none
+    release_evidence evidence = release_evidence::hold_ended;
 
     /// True if `item` has the fence under which the keys were released and lies within them. The
     /// leader may have split the segment since.
@@ -169,6 +179,10 @@
     /// Processor share of the host in thousandths of a core. The work of a leader grows with the
     /// number of nodes, so hosts with a larger share are preferred as leader.
     std::uint32_t cpu_millicores = 0;
+    /// Upper bound on the time from the sending of this report until the holds that earlier
+    /// processes of the host granted have ended. Until then the target may hold keys that are not
+    /// in `holdings`. The leader accepts at most two leases.
+    milliseconds earlier_holds_left{0};
 };
 
 struct node_record {
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -162,7 +162,8 @@
     };
     return {settings_.times,
             {self_, settings_.host, net::to_string(settings_.addresses.announced), settings_.zone,
-             static_cast<std::uint32_t>(settings_.processor_share * millicores_per_core)},
+             static_cast<std::uint32_t>(settings_.processor_share * millicores_per_core),
+             loop_.now()},
             random_(),
             std::move(hooks)};
 }
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -58,11 +58,12 @@
 BULRUSHGW_FIELDS(protocol_failure, m.reason)
 BULRUSHGW_FIELDS(assignment::target_status, m.id, m.start_time_ms, m.service, m.slots, m.phase)
 BULRUSHGW_FIELDS(assignment::holding, m.service, m.first, m.last, m.range_fence)
-BULRUSHGW_FIELDS(assignment::released_keys, m.service, m.first, m.last, m.range_fence, m.handover)
+BULRUSHGW_FIELDS(assignment::released_keys, m.service, m.first, m.last, m.range_fence, m.handover,
+                 m.evidence)
 BULRUSHGW_FIELDS(assignment::key_load, m.service, m.counts)
 BULRUSHGW_FIELDS(assignment::report, m.term, m.sequence, m.echo, m.host, m.address, m.zone,
                  m.target, m.holdings, m.released, m.directory_version, m.manifest_version, m.loads,
-                 m.mean_work_us, m.leaving, m.cleared_term, m.cpu_millicores)
+                 m.mean_work_us, m.leaving, m.cleared_term, m.cpu_millicores, m.earlier_holds_left)
 BULRUSHGW_FIELDS(assignment::node_record, m.node, m.host, m.address, m.zone, m.target,
                  m.cpu_millicores)
 BULRUSHGW_FIELDS(assignment::segment, m.service, m.first, m.last, m.owner, m.target, m.range_fence,
@@ -103,6 +104,9 @@
 inline constexpr std::uint64_t highest_enumerator<assignment::target_phase> =
     static_cast<std::uint64_t>(assignment::target_phase::draining);
 template <>
+inline constexpr std::uint64_t highest_enumerator<assignment::release_evidence> =
+    static_cast<std::uint64_t>(assignment::release_evidence::confirmed);
+template <>
 inline constexpr std::uint64_t
     highest_enumerator<forward_outcome> = static_cast<std::uint64_t>(forward_outcome::not_owner);
 
--- a/tests/sidecar/simulated_cluster.cpp
+++ b/tests/sidecar/simulated_cluster.cpp
@@ -158,12 +158,19 @@
     each.node = std::make_unique<coordination>(
         assignment::timing{},
         assignment::member_identity{incarnation_id{next_incarnation_++}, each.address, each.address,
-                                    "zone"},
+                                    "zone", 0, clock_of(host_index)},
         random_(), std::move(hooks));
-    schedule_at_node(host_index, process, us_per_ms, [this, host_index] {
-        hosts_[host_index].node->set_manifest(1, {service});
-        announce(host_index);
-    });
+    schedule_at_node(host_index, process, us_per_ms,
+                     [this, host_index] { hosts_[host_index].node->set_manifest(1, {service}); });
+    // Without a longer discovery no random number is drawn, so that the faults of a seed stay.
+    const auto discovery_us =
+        settings_.longest_discovery > milliseconds{1}
+            ? static_cast<std::int64_t>(random_fraction() *
+                                        static_cast<double>(settings_.longest_discovery.count())) *
+                  us_per_ms
+            : 0;
+    schedule_at_node(host_index, process, us_per_ms + discovery_us,
+                     [this, host_index] { announce(host_index); });
 }
 
 void simulated_cluster::freeze_node(std::size_t host_index, milliseconds time)
@@ -195,6 +202,7 @@
     auto& local_target = hosts_[host_index].local_target;
     local_target.alive = false;
     local_target.holds.clear();
+    local_target.work.clear();
     schedule_at_node(host_index, hosts_[host_index].process, 200 * us_per_ms,
                      [this, host_index] { announce(host_index); });
 }
@@ -209,6 +217,7 @@
     }
     local_target.alive = true;
     local_target.holds.clear();
+    local_target.work.clear();
     local_target.highest_fences.clear();
     if (hosts_[host_index].node != nullptr) {
         schedule_at_node(host_index, hosts_[host_index].process, message_delay_us(),
@@ -431,26 +440,43 @@
         answer(assignment::order_outcome::unknown, order_timeout_us);
         return;
     }
+    const auto work_us = end_holds(host_index, order.first, order.last);
+    local_target.highest_fences.push_back({order.first, order.last, order.range_fence.value, 0});
+    trace(host_index, "release " + std::to_string(order.first) + "-" + std::to_string(order.last));
+    answer(assignment::order_outcome::done, work_us);
+}
+
+// Ends the holds of these keys and returns the time until no request for the keys runs.
+std::int64_t simulated_cluster::end_holds(std::size_t host_index, std::uint32_t first,
+                                          std::uint32_t last)
+{
+    auto& local_target = hosts_[host_index].local_target;
+    auto work_us = static_cast<std::int64_t>(random_fraction() *
+                                             static_cast<double>(settings_.longest_work.count())) *
+                   us_per_ms;
+    // A repeated release is answered once the requests that the first one left running have ended.
+    for (const running_work& item : local_target.work) {
+        if (item.first <= last && item.last >= first) {
+            work_us = std::max(work_us, item.end_us - now_us_);
+        }
+    }
     std::vector<hold> rest;
     for (const hold& item : local_target.holds) {
-        if (item.first > order.last || item.last < order.first) {
+        if (item.first > last || item.last < first) {
             rest.push_back(item);
             continue;
         }
-        if (item.first < order.first) {
-            rest.push_back({item.first, order.first - 1, item.range_fence, item.until_us});
+        if (item.first < first) {
+            rest.push_back({item.first, first - 1, item.range_fence, item.until_us});
         }
-        if (item.last > order.last) {
-            rest.push_back({order.last + 1, item.last, item.range_fence, item.until_us});
+        if (item.last > last) {
+            rest.push_back({last + 1, item.last, item.range_fence, item.until_us});
         }
+        local_target.work.push_back({std::max(item.first, first), std::min(item.last, last),
+                                     now_us_ + work_us, item.until_us});
     }
     local_target.holds = std::move(rest);
-    local_target.highest_fences.push_back({order.first, order.last, order.range_fence.value, 0});
-    trace(host_index, "release " + std::to_string(order.first) + "-" + std::to_string(order.last));
-    answer(assignment::order_outcome::done,
-           static_cast<std::int64_t>(random_fraction() *
-                                     static_cast<double>(settings_.longest_work.count())) *
-               us_per_ms);
+    return work_us;
 }
 
 std::optional<std::size_t> simulated_cluster::leader() const
@@ -518,6 +544,29 @@
                                   std::to_string(now_us_ / us_per_ms) + " ms");
         }
     }
+    check_running_work();
+}
+
+void simulated_cluster::check_running_work()
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        auto& work = hosts_[i].local_target.work;
+        std::erase_if(work, [&](const running_work& item) { return item.end_us <= now_us_; });
+        for (const running_work& item : work) {
+            for (std::size_t j = 0; j < hosts_.size() && item.hold_end_us > now_us_; ++j) {
+                const auto& holds = hosts_[j].local_target.holds;
+                if (j != i && violations_.size() < max_violations &&
+                    std::any_of(holds.begin(), holds.end(), [&](const hold& other) {
+                        return other.first <= item.last && other.last >= item.first;
+                    })) {
+                    violations_.push_back("host " + std::to_string(j) + " holds key " +
+                                          std::to_string(item.first) + " while host " +
+                                          std::to_string(i) + " works on it at " +
+                                          std::to_string(now_us_ / us_per_ms) + " ms");
+                }
+            }
+        }
+    }
 }
 
 } // namespace bulrushgw::sidecar::test
--- a/tests/sidecar/simulated_cluster.h
+++ b/tests/sidecar/simulated_cluster.h
@@ -1,8 +1,9 @@
 #pragma once
 
 /// Simulation of a deployment in virtual time: the real coordination code with a model of the
-/// network, the store and the targets, into which a test injects faults. After each step a checker
-/// verifies that no key is held by two targets.
+/// network, the store and the targets, into which a test injects faults. Targets outlive their
+/// nodes. After each step a checker verifies that no key is held by two targets, and that no target
+/// holds a key on which another one still works under a hold that has not ended.
 
 #include <cstdint>
 #include <functional>
@@ -22,8 +23,11 @@
     std::size_t hosts = 6;
     milliseconds network{2};        ///< longest delay of a message
     milliseconds longest_work{300}; ///< longest time until a target answers a release
-    double clock_error = 0.01;      ///< largest relative rate error of node clocks, either sign
-    double hold_error = 0.02;       ///< largest share by which a hold lasts too long
+    /// Longest time from the start of a node until it knows its target: the health check that
+    /// tells the target's id waits for a slot.
+    milliseconds longest_discovery{1};
+    double clock_error = 0.01; ///< largest relative rate error of node clocks, either sign
+    double hold_error = 0.02;  ///< largest share by which a hold lasts too long
 };
 
 class simulated_cluster {
@@ -80,12 +84,20 @@
         std::uint64_t range_fence = 0; ///< fence of the grant
         std::int64_t until_us = 0;     ///< in simulated time, not a node's clock
     };
+    /// Requests for released keys that the target still runs.
+    struct running_work {
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        std::int64_t end_us = 0;      ///< in simulated time
+        std::int64_t hold_end_us = 0; ///< end that the released hold would have had
+    };
     struct target {
         bool alive = false;
         std::string id;
         std::uint64_t run_number = 0; ///< number of the current run
         std::vector<hold> holds;
         std::vector<hold> highest_fences; ///< highest fences that the target has received
+        std::vector<running_work> work;
     };
     struct host {
         std::string address;
@@ -116,6 +128,8 @@
     void release(std::size_t host, const assignment::release_order& order);
     void announce(std::size_t host);
     void check();
+    void check_running_work();
+    std::int64_t end_holds(std::size_t host, std::uint32_t first, std::uint32_t last);
     void trace(std::size_t host, const std::string& what);
 
     cluster_settings settings_;
--- a/tests/sidecar/simulated_cluster_test.cpp
+++ b/tests/sidecar/simulated_cluster_test.cpp
@@ -357,6 +357,86 @@
     check_invariants(cluster, "all processes killed");
 }
 
+// Guards against keys that get a second holder because a new process reported them as released: it
+// had granted none of them, while its target held them under a grant of the previous process.
+TEST(simulated_cluster, restarted_node_gives_no_keys_away_that_its_target_holds)
+{
+    cluster_settings settings;
+    settings.longest_discovery = milliseconds{800};
+    for (std::uint64_t seed = 100; seed < 120; ++seed) {
+        simulated_cluster cluster(seed, settings);
+        cluster.run(milliseconds{6000});
+        for (int i = 0; i < 4; ++i) {
+            const auto host = pick_host(cluster, i % 2 == 1);
+            cluster.kill_node(host);
+            cluster.run(milliseconds{250});
+            cluster.start_node(host);
+            cluster.run(milliseconds{4000});
+        }
+        check_settled(cluster, "restart of a node, seed " + std::to_string(seed));
+    }
+}
+
+// Guards against the same loss when the second process is killed before it knows its target and
+// has a lease: its leader freed the keys that this process had taken over from the first one.
+TEST(simulated_cluster, two_restarts_in_a_row_give_no_keys_away_that_the_target_holds)
+{
+    cluster_settings settings;
+    settings.longest_discovery = milliseconds{800};
+    for (std::uint64_t seed = 120; seed < 150; ++seed) {
+        simulated_cluster cluster(seed, settings);
+        cluster.run(milliseconds{6000});
+        const auto host = pick_host(cluster, false);
+        for (int i = 0; i < 3; ++i) {
+            cluster.kill_node(host);
+            cluster.run(milliseconds{100});
+            cluster.start_node(host);
+            cluster.run(milliseconds{3 + cluster.random()() % 200});
+        }
+        check_settled(cluster, "restarts in a row, seed " + std::to_string(seed));
+    }
+}
+
+// Guards against the same loss when the leader that knows of the restart is lost as well: the next
+// leader took the holdings of the new process, which had granted nothing yet, for complete.
+TEST(simulated_cluster, loss_of_the_leader_after_a_restart_gives_no_keys_away)
+{
+    cluster_settings settings;
+    settings.longest_discovery = milliseconds{800};
+    for (std::uint64_t seed = 150; seed < 190; ++seed) {
+        simulated_cluster cluster(seed, settings);
+        cluster.run(milliseconds{6000});
+        const auto host = pick_host(cluster, false);
+        const auto leader = pick_host(cluster, true);
+        cluster.kill_node(host);
+        cluster.run(milliseconds{30 + cluster.random()() % 100});
+        cluster.start_node(host);
+        cluster.run(milliseconds{20 + cluster.random()() % 300});
+        cluster.kill_node(leader);
+        cluster.run(milliseconds{100});
+        cluster.start_node(leader);
+        check_settled(cluster, "restart and loss of the leader, seed " + std::to_string(seed));
+    }
+}
+
+// Guards against keys that nobody serves any more: a new process inherited them from the previous
+// one and never reported them as released, because its target was gone for good.
+TEST(simulated_cluster, keys_of_a_lost_target_are_held_again_after_a_restart_of_its_node)
+{
+    cluster_settings settings;
+    settings.longest_discovery = milliseconds{800};
+    for (std::uint64_t seed = 190; seed < 200; ++seed) {
+        simulated_cluster cluster(seed, settings);
+        cluster.run(milliseconds{6000});
+        const auto host = pick_host(cluster, seed % 2 == 0);
+        cluster.kill_node(host);
+        cluster.kill_target(host);
+        cluster.run(milliseconds{100});
+        cluster.start_node(host);
+        check_settled(cluster, "target lost for good, seed " + std::to_string(seed));
+    }
+}
+
 // Guards against two holders of a key, and against a deployment that does not recover, under random
 // faults.
 TEST(simulated_cluster, random_faults_violate_no_invariant)
@@ -384,6 +464,35 @@
     }
 }
 
+// Guards against two holders of a key when nodes restart beside other faults and get to know their
+// targets late.
+TEST(simulated_cluster, random_faults_with_late_discovery_violate_no_invariant)
+{
+    constexpr std::uint64_t last_seed = 2040;
+    constexpr int faults = 25;
+    cluster_settings settings;
+    settings.longest_discovery = milliseconds{1500};
+    for (std::uint64_t seed = 2001; seed <= last_seed; ++seed) {
+        simulated_cluster cluster(seed, settings);
+        cluster.run(milliseconds{4000});
+        for (int i = 0; i < faults; ++i) {
+            if (i % 2 == 0) {
+                const std::size_t host = cluster.random()() % cluster.hosts();
+                cluster.kill_node(host);
+                cluster.run(milliseconds{20 + cluster.random()() % 300});
+                cluster.start_node(host);
+            }
+            else {
+                inject_random_fault(cluster);
+            }
+            cluster.run(milliseconds{50 + cluster.random()() % 1000});
+        }
+        check_invariants(cluster, "seed " + std::to_string(seed));
+        clear_faults(cluster);
+        check_settled(cluster, "seed " + std::to_string(seed));
+    }
+}
+
 // Guards against two leaders of one term, or two holders of a key, when leaders stop as planned
 // beside other faults: messages that are lost or arrive twice, the store down for some hosts, late
 // writes, frozen nodes. A leader that stops while the store is silent transfers its term.
