Use a target after a restart only once it says itself that it is ready

Callers saw: a target had deregistered and its sidecar had confirmed that; all hosts sent it requests again until it exited, and those that ran then were lost (DRAIN).

Cause: what was confirmed was known only in the memory of the process that confirmed it. The next process took a heartbeat from before the deregistration, which arrived 2 s late, for the present state. A new process also began the drain bound anew when it first heard the state draining.

Change: a process that was started beside a running target checks its health, and uses it once the target has answered as ready. Heartbeats before that name the target to check. A target that starts later than one that was ready under this process is used at once. The line target_checked tells the answers.

Why it works: the target outlives its sidecar and answers health checks with 503 once it leaves. An answer to a check that the new process sent is later than anything that the old one confirmed. It needs neither the store nor another process, so it also holds when all of them are killed.

--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -44,7 +44,9 @@
 constexpr milliseconds final_write_time{50};
 /// Minimum time between two requests to peers for the text of a manifest.
 constexpr milliseconds min_pull_interval{200};
-constexpr milliseconds target_id_timeout{1000};
+constexpr milliseconds target_check_timeout{1000};
+/// Pause between two health checks of a target that has not confirmed that it is ready.
+constexpr milliseconds target_check_interval{300};
 constexpr milliseconds journal_interval{200};
 /// Interval of the "state" log line.
 constexpr milliseconds state_interval{2000};
@@ -61,6 +63,7 @@
 constexpr int status_conflict = 409;
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
+constexpr int status_unavailable = 503;
 
 std::uint64_t random_seed()
 {
@@ -457,12 +460,12 @@
         return;
     }
     on_target_changed();
+    check_target();
     exchange.respond(json_response(status_ok, protocol_.confirmation));
 }
 
 void process::on_ready(const net::http_exchange& exchange)
 {
-    constexpr int status_unavailable = 503;
     const bool ready = routes_ && !stopping_since_ && coordination_.member().view().term != 0 &&
                        exchange.request.path == protocol_.ready_path;
     exchange.respond(json_response(ready ? status_ok : status_unavailable, "{}"));
@@ -502,7 +505,7 @@
         request_server_->set_idle_timeout(idle + idle_margin);
     }
     coordination_.set_manifest(version, std::move(sharded));
-    query_target_id();
+    check_target();
 }
 
 void process::on_peer_manifest(const std::string& address, std::uint64_t version)
@@ -515,34 +518,53 @@
     }
 }
 
-// If the target was started before this process, reads its id and slots from the answer to a health
-// check. The answer arrives sooner than the next heartbeat.
-void process::query_target_id()
+// Checks the health of a target that may have been started before this process. The answer tells
+// the target's id and slots sooner than its next heartbeat, and whether it leaves.
+void process::check_target()
 {
+    const auto now = loop_.now();
     const auto* service = routes_ ? routes_->find_service(settings_.service) : nullptr;
-    if (service == nullptr || !watch_.status().id.empty() ||
-        std::exchange(queried_target_id_, true)) {
+    const bool is_due = !first_check_sent_ || (watch_.needs_check(now) && now >= next_check_);
+    if (service == nullptr || check_under_way_ || !is_due) {
         return;
     }
-    gate_.order({"GET", service->health_path, {}, ""}, target_id_timeout, target_id_timeout,
+    first_check_sent_ = true;
+    check_under_way_ = true;
+    gate_.order({"GET", service->health_path, {}, ""}, target_check_timeout, target_check_timeout,
                 [this](const net::http_result& result) {
-                    if (!result.response || result.response->status != status_ok) {
-                        return;
-                    }
-                    const auto& headers = result.response->headers;
-                    const auto id = net::find_header(headers, protocol_.names.target_id);
-                    const auto load = net::find_header(headers, protocol_.names.load);
-                    // The last number of the list is the number of slots.
-                    const auto slots = load ? load->substr(load->rfind(',') + 1) : "";
-                    const auto count = std::strtoul(std::string(slots).c_str(), nullptr, 10);
-                    if (id && count > 0) {
-                        watch_.on_target_id(loop_.now(), std::string(*id),
-                                            static_cast<std::uint32_t>(count));
-                        on_target_changed();
-                    }
+                    check_under_way_ = false;
+                    on_target_health(result);
                 });
 }
 
+void process::on_target_health(const net::http_result& result)
+{
+    const auto now = loop_.now();
+    next_check_ = now + target_check_interval;
+    if (!result.response) {
+        return;
+    }
+    const auto& headers = result.response->headers;
+    const int status = result.response->status;
+    target_health health;
+    health.target_id = net::find_header(headers, protocol_.names.target_id).value_or("");
+    health.is_ready = status == status_ok;
+    // The last number of the list is the number of slots.
+    const std::string load(net::find_header(headers, protocol_.names.load).value_or(""));
+    health.slots =
+        static_cast<std::uint32_t>(std::strtoul(load.c_str() + load.rfind(',') + 1, nullptr, 10));
+    // A target that is full refuses the check like any other request.
+    const bool refused = net::find_header(headers, protocol_.names.not_run).has_value();
+    log("target_checked", {{"target", health.target_id},
+                           {"status", status},
+                           {"refused", refused},
+                           {"slots", health.slots}});
+    if (health.is_ready || (status == status_unavailable && !refused)) {
+        watch_.on_health(now, health);
+        on_target_changed();
+    }
+}
+
 void process::grant(const assignment::grant_order& order)
 {
     gate_.order(protocol_.grant(order), grant_timeout, max_grant_write_delay,
@@ -619,6 +641,7 @@
 void process::on_tick()
 {
     on_target_changed();
+    check_target();
     gate_.on_tick();
     peer_check_.on_tick();
     coordination_.set_mean_work(gate_.mean_work());
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -55,7 +55,8 @@
     void on_peer_manifest(const std::string& address, std::uint64_t version);
     void grant(const assignment::grant_order& order);
     void release(const assignment::release_order& order);
-    void query_target_id();
+    void check_target();
+    void on_target_health(const net::http_result& result);
     void on_target_changed();
     void on_tick();
     void on_signal();
@@ -96,7 +97,9 @@
     std::optional<time_point> closing_since_;
     time_point last_request_{};
     time_point next_pull_{}; ///< earliest time for the next `wire::rules_pull`
-    bool queried_target_id_ = false;
+    bool first_check_sent_ = false;
+    bool check_under_way_ = false;
+    time_point next_check_{};         ///< earliest time for the next health check of the target
     entry_counters logged_counters_;  ///< as of the last "state" log line
     std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
     std::uint64_t recent_errors_ = 0; ///< since `error_window_start_`
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -19,46 +19,88 @@
     }
 }
 
-bool target_watch::on_heartbeat(time_point now, const heartbeat& beat)
+target_phase target_watch::present_phase() const
+{
+    return draining_since_ || !is_proven_ ? target_phase::draining : target_phase::ready;
+}
+
+bool target_watch::is_earlier_run(const assignment::target_status& reported) const
 {
-    const auto& reported = beat.target;
-    if (beat.address != address_ || reported.service != service_ || reported.slots == 0) {
-        return false;
-    }
     const bool deregistered =
         reported.id == deregistered_id_ &&
         (reported.start_time_ms == 0 || reported.start_time_ms <= max_deregistered_start_ms_);
-    if (deregistered) {
-        return false;
-    }
     const bool same_run = !status_.id.empty() && status_.is_same_instance(reported);
     // A delayed heartbeat may arrive after its sender was replaced by a later target.
-    if (!same_run && status_.start_time_ms != 0 && reported.start_time_ms < status_.start_time_ms) {
-        return false;
+    return deregistered || (!same_run && status_.start_time_ms != 0 &&
+                            reported.start_time_ms < status_.start_time_ms);
+}
+
+// True if no earlier process of this host can have confirmed to the target that it leaves, or the
+// target is ready all the same. Otherwise remembers the heartbeat for the health check.
+bool target_watch::is_proven_ready(time_point now, const heartbeat& beat)
+{
+    const auto& reported = beat.target;
+    // The known target ran under this process, and this one started later.
+    const bool is_later_run =
+        is_proven_ && status_.start_time_ms != 0 && reported.start_time_ms > status_.start_time_ms;
+    // `is_earlier_run` ruled out the run that was deregistered at this process.
+    const bool is_after_deregistration = reported.id == deregistered_id_;
+    if (is_later_run || is_after_deregistration || reported.id == checked_id_) {
+        return true;
     }
-    if (same_run && beat.sequence <= sequence_) {
-        return false;
+    if (!unchecked_ || !unchecked_->latest.target.is_same_instance(reported)) {
+        unchecked_ = unchecked_target{beat, now, now};
     }
-    sequence_ = beat.sequence;
+    else if (beat.sequence > unchecked_->latest.sequence) {
+        unchecked_->latest = beat;
+        unchecked_->latest_arrival = now;
+    }
+    return unchecked_->latest_arrival - unchecked_->first_arrival >= settings_.max_heartbeat_delay;
+}
+
+void target_watch::adopt(const assignment::target_status& target, std::uint64_t sequence)
+{
+    const bool same_run = !status_.id.empty() && status_.is_same_instance(target);
     if (!same_run) {
         draining_since_.reset();
         unanswered_ = 0;
         refused_ = 0;
     }
-    const bool changed = !same_run || status_.slots != reported.slots ||
-                         status_.start_time_ms != reported.start_time_ms;
+    if (!same_run || status_.slots != target.slots ||
+        status_.start_time_ms != target.start_time_ms) {
+        ++changes_;
+    }
     const target_phase previous_phase = status_.phase;
-    status_ = reported;
+    status_ = target;
     status_.phase = previous_phase;
-    if (changed) {
-        ++changes_;
+    sequence_ = sequence;
+    unchecked_.reset();
+}
+
+bool target_watch::on_heartbeat(time_point now, const heartbeat& beat)
+{
+    const auto& reported = beat.target;
+    if (beat.address != address_ || reported.service != service_ || reported.slots == 0 ||
+        is_earlier_run(reported)) {
+        return false;
     }
-    if (reported.phase == target_phase::draining) {
+    const bool same_run = !status_.id.empty() && status_.is_same_instance(reported);
+    if (same_run && beat.sequence <= sequence_) {
+        return false;
+    }
+    const bool draining = reported.phase == target_phase::draining;
+    const bool is_known = same_run && is_proven_;
+    if (!is_known && !draining && !is_proven_ready(now, beat)) {
+        return true;
+    }
+    adopt(reported, beat.sequence);
+    is_proven_ = is_known || !draining;
+    if (draining) {
         begin_drain(now);
     }
     // A heartbeat proves that a target counted as absent is alive.
     unanswered_ = 0;
-    set_phase(draining_since_ ? target_phase::draining : target_phase::ready);
+    set_phase(present_phase());
     return true;
 }
 
@@ -74,6 +116,11 @@
 {
     deregistered_id_ = target_id;
     max_deregistered_start_ms_ = static_cast<std::uint64_t>(unix_time.count());
+    if (unchecked_ && unchecked_->latest.target.id == target_id) {
+        const heartbeat latest = unchecked_->latest;
+        adopt(latest.target, latest.sequence);
+        is_proven_ = false;
+    }
     if (target_id == status_.id) {
         if (status_.start_time_ms != 0) {
             max_deregistered_start_ms_ = status_.start_time_ms;
@@ -83,17 +130,39 @@
     }
 }
 
-void target_watch::on_target_id(time_point now, const std::string& target_id, std::uint32_t slots)
+bool target_watch::needs_check(time_point now) const
+{
+    return unchecked_ && now - unchecked_->latest_arrival < settings_.max_check_time;
+}
+
+void target_watch::on_health(time_point now, const target_health& health)
 {
-    if (!status_.id.empty() || target_id.empty() || target_id == deregistered_id_) {
+    const bool is_reported = unchecked_ && unchecked_->latest.target.id == health.target_id;
+    const bool is_known = !status_.id.empty() && !unchecked_;
+    const bool is_deregistered = health.target_id == deregistered_id_ && !is_reported;
+    if (is_known || is_deregistered || health.target_id.empty()) {
         return;
     }
-    status_.id = target_id;
-    status_.service = service_;
-    status_.slots = slots;
-    ++changes_;
     last_answer_ = now;
-    set_phase(target_phase::ready);
+    if (health.is_ready) {
+        checked_id_ = health.target_id;
+    }
+    assignment::target_status found{health.target_id, 0, service_, health.slots};
+    std::uint64_t sequence = 0;
+    if (is_reported) {
+        found = unchecked_->latest.target;
+        sequence = unchecked_->latest.sequence;
+    }
+    if (found.slots == 0) {
+        // The next heartbeat tells the number of slots.
+        return;
+    }
+    // A target that is failing may become ready, so it is checked again.
+    auto checked_again = health.is_ready ? std::nullopt : unchecked_;
+    adopt(found, sequence);
+    unchecked_ = std::move(checked_again);
+    is_proven_ = health.is_ready;
+    set_phase(present_phase());
 }
 
 void target_watch::on_answer(time_point now)
@@ -102,7 +171,7 @@
     unanswered_ = 0;
     refused_ = 0;
     if (!status_.id.empty() && status_.phase == target_phase::absent) {
-        set_phase(draining_since_ ? target_phase::draining : target_phase::ready);
+        set_phase(present_phase());
     }
 }
 
@@ -123,7 +192,7 @@
 
 bool target_watch::accepts(time_point now) const
 {
-    if (status_.id.empty() || status_.phase == target_phase::absent) {
+    if (status_.id.empty() || status_.phase == target_phase::absent || !is_proven_) {
         return false;
     }
     return !draining_since_ || now - *draining_since_ < settings_.drain - settings_.drain_margin;
--- a/standins/platform_model.cpp
+++ b/standins/platform_model.cpp
@@ -17,6 +17,7 @@
 constexpr int ok = 200;
 constexpr milliseconds heartbeat_interval{300};
 constexpr std::size_t max_answer_bytes = 4096;
+constexpr const char* heartbeat_path = "/v1/Instances.Heartbeat/";
 
 std::string to_base64(const std::string& bytes)
 {
@@ -175,7 +176,7 @@
     std::erase(running_targets_, this);
 }
 
-void platform_target::send_heartbeat()
+std::string platform_target::next_heartbeat()
 {
     const json body{{"service", settings_.service},
                     {"address", net::to_string(settings_.address)},
@@ -186,8 +187,30 @@
                     {"warmupLeftMs", 0},
                     {"born", started_ms_},
                     {"sequence", ++sequence_}};
-    client_.send(settings_.control, {"POST", "/v1/Instances.Heartbeat/" + id_, {}, body.dump()},
-                 heartbeat_interval, [](const net::http_result&) {});
+    return body.dump();
+}
+
+void platform_target::send_control(const std::string& path, const std::string& body)
+{
+    client_.send(settings_.control, {"POST", path + id_, {}, body}, heartbeat_interval,
+                 [](const net::http_result&) {});
+}
+
+void platform_target::send_heartbeat()
+{
+    send_control(heartbeat_path, next_heartbeat());
+}
+
+void platform_target::leave(milliseconds delay)
+{
+    loop_.cancel(heartbeat_timer_);
+    leaving_ = true;
+    loop_.after(delay, [this, alive = alive_, late_heartbeat = next_heartbeat()] {
+        if (*alive) {
+            send_control(heartbeat_path, late_heartbeat);
+        }
+    });
+    send_control("/v1/Instances.Deregister/", "");
 }
 
 bool platform_target::holds(std::uint32_t first, std::uint32_t last) const
@@ -207,7 +230,9 @@
         release(exchange);
     }
     else if (path == "/health") {
-        exchange.respond(answer(ok, "", {{"Instance-Id", id_}, {"Server-Load", "0,0,6"}}));
+        constexpr int unavailable = 503;
+        exchange.respond(answer(leaving_ ? unavailable : ok, "",
+                                {{"Instance-Id", id_}, {"Server-Load", "0,0,6"}}));
     }
     else {
         run(exchange);
--- a/standins/platform_model.h
+++ b/standins/platform_model.h
@@ -92,6 +92,10 @@
     platform_target(platform_target&&) = delete;
     platform_target& operator=(platform_target&&) = delete;
 
+    /// The target deregisters and continues to serve, as one that is being replaced does. Its last
+    /// heartbeat before that arrives only after `delay`.
+    void leave(milliseconds delay);
+
 private:
     /// Keys `first` to `last`, both included, held until `until`.
     struct held_range {
@@ -106,6 +110,8 @@
     void grant(const net::http_exchange& exchange);
     void release(const net::http_exchange& exchange);
     void send_heartbeat();
+    [[nodiscard]] std::string next_heartbeat();
+    void send_control(const std::string& path, const std::string& body);
     [[nodiscard]] bool holds(std::uint32_t first, std::uint32_t last) const;
     [[nodiscard]] static bool has_higher_fence(const std::vector<held_range>& seen,
                                                const held_range& next);
@@ -117,6 +123,7 @@
     std::string id_;
     std::uint64_t started_ms_;
     std::uint64_t sequence_ = 0;
+    bool leaving_ = false;
     std::vector<held_range> held_ranges_;
     /// Grants since the target's start, except those whose range a later grant covers.
     std::vector<held_range> granted_;
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -12,6 +12,7 @@
 DEFINE_string(store, "", "address of the store");
 DEFINE_string(manifest, "", "file with the manifest");
 DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded]");
+DEFINE_int32(late_heartbeat_ms, 1500, "delay of the last heartbeat of a target that leaves");
 
 namespace {
 
@@ -41,7 +42,7 @@
 } // namespace
 
 /// Runs until SIGTERM or SIGINT, then prints the targets' counters of runs and violations as
-/// one line.
+/// one line. On SIGHUP the first target leaves.
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
@@ -58,6 +59,7 @@
                                                                      history, running_targets));
     }
     loop.on_signal([&] { loop.stop(); });
+    loop.on_hangup([&] { targets.front()->leave(milliseconds{FLAGS_late_heartbeat_ms}); });
     std::cout << "listening on " << FLAGS_store << std::endl;
     loop.run();
     std::uint64_t repeated = 0;
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -88,6 +88,7 @@
         beat.address = address;
         beat.sequence = 1;
         CHECK(watch->on_heartbeat(loop.now(), beat));
+        watch->on_health(loop.now(), {"t1", 2, true});
         tested_gate->on_target();
     }
     void teardown() override
