Refuse a promise without a request id on a used connection

Callers saw: a request that must run once ran at two targets, or was answered 503 while it ran (TWICE, REFUSED).

Cause: a target that expected another instance answers 421 without a request id. A late second copy of it on a kept connection was accepted as the answer to the next request, since it bears no mark, and 421 counts as "not run" without one.

The test refusal_without_an_id_is_not_accepted_on_a_used_connection states what the code before accepted: a 421 without an id on a used connection.

Change: on a used connection, 408, 421, 429 and 503 without the request's id are refused, and the outcome is unknown. The connection is closed after each answer without an id, by the new verdict accept_last. Two checks of target_answer expect this verdict in place of accept: the answer is accepted as before, and the connection is not used again, which is stricter.

Why it works: a copy follows its answer on the same connection. After an answer without an id there is no such connection, so a true 421 always comes on a new one and stays a promise.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -134,8 +134,9 @@
 /// What to do with a response, decided from its status line and headers.
 enum class head_verdict {
     accept,
-    skip,   ///< belongs to an earlier request; discard it and read the next response
-    refuse, ///< not a response to this call; fail the call
+    accept_last, ///< a response to this call; close the connection after it
+    skip,        ///< belongs to an earlier request; discard it and read the next response
+    refuse,      ///< not a response to this call; fail the call
 };
 
 /// HTTP/1.1 client with a connection pool for each address. A call does not use an idle connection
@@ -169,7 +170,8 @@
     /// `is_new_connection` is true if no earlier call received its response on the connection.
     /// `accept_head` must not call this client. If it skips a response, the client discards that
     /// response and reads the next one. A call skips at most two responses, and a connection on
-    /// which it skipped one is closed when the call ends. The call ends as `malformed` and its
+    /// which it skipped one is closed when the call ends, as is one with the verdict `accept_last`.
+    /// The call ends as `malformed` and its
     /// connection is closed if `accept_head` refuses or throws, skips a third response, or skips a
     /// response that ends only when the connection is closed.
     call_id send(
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -137,6 +137,7 @@
         bool complete = false;
         bool is_rejected = false;       ///< above a limit, or refused by `accept_head`
         bool skipping_response = false; ///< the response being read belongs to an earlier request
+        bool is_last = false;           ///< the connection is closed after the response
         unsigned skipped_responses = 0;
         callback on_result;
         std::function<bool()> before_write;
@@ -398,7 +399,8 @@
         const bool may_skip = verdict == head_verdict::skip &&
                               entry.skipped_responses < max_skipped_responses &&
                               http_should_keep_alive(parser) != 0;
-        if (verdict != head_verdict::accept && !may_skip) {
+        entry.is_last = verdict == head_verdict::accept_last;
+        if (verdict != head_verdict::accept && !entry.is_last && !may_skip) {
             entry.is_rejected = true;
             return stop;
         }
@@ -470,7 +472,7 @@
     }
     if (entry.complete) {
         const bool reusable = failure == nullptr && parsed_bytes == size && !conn.write_pending &&
-                              entry.skipped_responses == 0 &&
+                              entry.skipped_responses == 0 && !entry.is_last &&
                               http_should_keep_alive(&conn.parser) != 0;
         complete(conn, reusable);
     }
--- a/src/sidecar/target_answer.cpp
+++ b/src/sidecar/target_answer.cpp
@@ -15,6 +15,12 @@
 /// Status codes that callers interpret as "the request has not run".
 constexpr std::array<int, 4> not_run_statuses{408, status_misdirected, 429, 503};
 
+bool is_refusal(int status)
+{
+    return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) !=
+           not_run_statuses.end();
+}
+
 } // namespace
 
 net::head_verdict judge_head(const header_names& names, const net::http_response& head,
@@ -24,10 +30,14 @@
     if (echo) {
         return *echo == request_id ? net::head_verdict::accept : net::head_verdict::skip;
     }
-    const bool marked = net::find_header(head.headers, names.answer_seal).has_value() ||
-                        net::find_header(head.headers, names.not_run).has_value();
-    return marked && !is_new_connection && !request_id.empty() ? net::head_verdict::refuse
-                                                               : net::head_verdict::accept;
+    const bool is_marked = net::find_header(head.headers, names.answer_seal).has_value() ||
+                           net::find_header(head.headers, names.not_run).has_value();
+    const bool may_be_copy = !is_new_connection && !request_id.empty();
+    if (may_be_copy && (is_marked || is_refusal(head.status))) {
+        return net::head_verdict::refuse;
+    }
+    // A copy of this answer could not be told from the answer to the next request.
+    return net::head_verdict::accept_last;
 }
 
 answer_verdict judge_answer(const header_names& names, const net::http_response& answer)
@@ -43,9 +53,7 @@
     const bool invalid = (success && (!has(names.answer_seal) || !has(names.request_id))) ||
                          (!encoding.empty() && encoding != "identity");
     // Without the header that marks a refusal, the target may have run the request.
-    const bool unmarked_refusal = std::find(not_run_statuses.begin(), not_run_statuses.end(),
-                                            answer.status) != not_run_statuses.end();
-    if (invalid || unmarked_refusal) {
+    if (invalid || is_refusal(answer.status)) {
         return {wire::forward_outcome::unknown, reason::malformed_answer};
     }
     return {wire::forward_outcome::answered, reason::none};
--- a/tests/net/http_answers_test.cpp
+++ b/tests/net/http_answers_test.cpp
@@ -272,6 +272,24 @@
     }
 }
 
+// Guards against a copy of a response without an id that is taken for the response to the next
+// call.
+TEST(http_answers, connection_is_closed_after_a_response_accepted_as_the_last)
+{
+    answer = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+    std::vector<bool> is_new;
+    for (int i = 0; i < 3; ++i) {
+        const auto result = call([&](const http_response&, bool is_new_connection) {
+            is_new.push_back(is_new_connection);
+            return head_verdict::accept_last;
+        });
+        CHECK(result.response.has_value());
+        LONGS_EQUAL(421, result.response->status);
+    }
+    LONGS_EQUAL(3, connections);
+    CHECK(is_new == std::vector<bool>({true, true, true}));
+}
+
 // Guards against the use of a freed socket after a request is written to an idle connection and
 // cancelled before the next loop iteration. This happens on a busy node. Without memory checks the
 // test fails only by chance; tests/process/memory_test.sh runs it with freed memory overwritten.
--- a/tests/sidecar/target_answer_test.cpp
+++ b/tests/sidecar/target_answer_test.cpp
@@ -40,9 +40,23 @@
     CHECK(head(503, {{"x-id", "2"}, {"x-not-run", "1"}}) == net::head_verdict::skip);
     CHECK(head(500, {{"x-seal", "s"}}) == net::head_verdict::refuse);
     CHECK(head(503, {{"x-not-run", "1"}}) == net::head_verdict::refuse);
-    CHECK(head(503, {{"x-not-run", "1"}}, true) == net::head_verdict::accept);
+    CHECK(head(503, {{"x-not-run", "1"}}, true) == net::head_verdict::accept_last);
     CHECK(head(200, {{"x-id", "2"}, {"x-seal", "s"}}, true) == net::head_verdict::skip);
-    CHECK(head(404, {}) == net::head_verdict::accept);
+    CHECK(head(404, {}) == net::head_verdict::accept_last);
+}
+
+// Guards against a copy of a refusal that bears neither an id nor a mark, such as a 421 of a target
+// that expected another instance: the request on the connection ran, and ran again elsewhere.
+TEST(target_answer, refusal_without_an_id_is_not_accepted_on_a_used_connection)
+{
+    for (const int status : {408, 421, 429, 503}) {
+        CHECK(judge_head(names(), {status, {}, ""}, "1", false) == net::head_verdict::refuse);
+        CHECK(judge_head(names(), {status, {}, ""}, "1", true) == net::head_verdict::accept_last);
+        CHECK(judge_head(names(), {status, {{"x-id", "2"}}, ""}, "1", false) ==
+              net::head_verdict::skip);
+        CHECK(judge_head(names(), {status, {{"x-id", "1"}}, ""}, "1", false) ==
+              net::head_verdict::accept);
+    }
 }
 
 // Guards against a successful answer that the target did not generate itself.
