Send each release on a connection of its own

Callers saw: a key went to another target while the last one still worked on requests for it, and the handover was lost (OWNER).

Cause: orders to targets bear no request id and share kept connections. A late second copy of the answer to a grant (200) was taken for the confirmation of a release.

Change: http_client can be told never to reuse a connection, and the gate sends releases through such a client. Grants and health checks keep their connections: a mistaken answer to a grant costs at most one renewal, since a hold is counted from the sending and the target refuses keys that it does not hold.

Why it works: a second copy of an answer comes on the connection of the first, and the connection of a release has carried no other answer.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -146,9 +146,13 @@
 public:
     using callback = std::function<void(http_result)>;
     using call_id = std::uint64_t;
+    /// A server may send a second copy of a response before the response to the next call on the
+    /// connection. With `never`, each call has a connection of its own, on which no such copy can
+    /// arrive.
+    enum class connection_reuse { allowed, never };
 
-    http_client(loop& loop, std::size_t max_connections_per_address,
-                std::size_t max_response_bytes);
+    http_client(loop& loop, std::size_t max_connections_per_address, std::size_t max_response_bytes,
+                connection_reuse reuse = connection_reuse::allowed);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -147,6 +147,7 @@
     net::loop& event_loop;
     std::size_t max_connections;
     std::size_t max_response_bytes;
+    connection_reuse reuse;
     http_parser_settings parser_settings{};
     std::map<endpoint, std::unique_ptr<destination>> destinations;
     std::unordered_map<call_id, std::unique_ptr<call>> calls;
@@ -155,10 +156,11 @@
     /// Set to false when the client is destroyed; deferred actions check it.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
-    state(net::loop& loop_to_use, std::size_t connections_per_address, std::size_t response_bytes)
+    state(net::loop& loop_to_use, std::size_t connections_per_address, std::size_t response_bytes,
+          connection_reuse reuse_of_connections)
         : event_loop(loop_to_use),
           max_connections(std::max<std::size_t>(connections_per_address, 1)),
-          max_response_bytes(response_bytes)
+          max_response_bytes(response_bytes), reuse(reuse_of_connections)
     {
         http_parser_settings_init(&parser_settings);
         parser_settings.on_status = on_status;
@@ -473,6 +475,7 @@
     if (entry.complete) {
         const bool reusable = failure == nullptr && parsed_bytes == size && !conn.write_pending &&
                               entry.skipped_responses == 0 && !entry.is_last &&
+                              reuse == connection_reuse::allowed &&
                               http_should_keep_alive(&conn.parser) != 0;
         complete(conn, reusable);
     }
@@ -560,8 +563,8 @@
 }
 
 http_client::http_client(loop& loop, std::size_t max_connections_per_address,
-                         std::size_t max_response_bytes)
-    : state_(std::make_unique<state>(loop, max_connections_per_address, max_response_bytes))
+                         std::size_t max_response_bytes, connection_reuse reuse)
+    : state_(std::make_unique<state>(loop, max_connections_per_address, max_response_bytes, reuse))
 {
 }
 
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -22,9 +22,9 @@
 /// Upper bound on the connections to the target for requests. A target is expected to have fewer
 /// slots than this, and its slots limit the admission of requests.
 constexpr std::size_t max_connections = 64;
-/// Upper bound on the connections to the target for the calls of `gate::order`. A release occupies
-/// its connection until the running requests for its keys have ended, and grants must not wait for
-/// releases.
+/// Upper bound on the connections to the target for the calls of `gate::order`, and for those of
+/// `gate::order_on_new_connection`. A release occupies its connection until the running requests
+/// for its keys have ended, and grants must not wait for releases.
 constexpr std::size_t max_order_connections = 16;
 constexpr std::size_t max_answer_bytes = std::size_t{768} * 1024;
 constexpr std::size_t max_order_answer_bytes = std::size_t{16} * 1024;
@@ -38,7 +38,9 @@
            target_watch& watch, hooks callbacks)
     : loop_(loop), target_(std::move(target)), protocol_(protocol), watch_(watch),
       hooks_(std::move(callbacks)), http_(loop, max_connections, max_answer_bytes),
-      orders_(loop, max_order_connections, max_order_answer_bytes)
+      orders_(loop, max_order_connections, max_order_answer_bytes),
+      separate_orders_(loop, max_order_connections, max_order_answer_bytes,
+                       net::http_client::connection_reuse::never)
 {
 }
 
@@ -300,6 +302,19 @@
 
 void gate::order(const net::http_request& request, milliseconds timeout, milliseconds latest_write,
                  std::function<void(const net::http_result&)> done)
+{
+    send_order(orders_, request, timeout, latest_write, std::move(done));
+}
+
+void gate::order_on_new_connection(const net::http_request& request, milliseconds timeout,
+                                   std::function<void(const net::http_result&)> done)
+{
+    send_order(separate_orders_, request, timeout, timeout, std::move(done));
+}
+
+void gate::send_order(net::http_client& client, const net::http_request& request,
+                      milliseconds timeout, milliseconds latest_write,
+                      std::function<void(const net::http_result&)> done)
 {
     const auto is_late = std::make_shared<bool>(false);
     const auto on_result = [this, is_late, done = std::move(done)](const net::http_result& result) {
@@ -318,11 +333,11 @@
         done(result);
         hooks_.on_target_changed();
     };
-    orders_.send(target_, request, timeout, on_result,
-                 [this, is_late, latest = loop_.now() + latest_write] {
-                     *is_late = loop_.now() > latest;
-                     return !*is_late;
-                 });
+    client.send(target_, request, timeout, on_result,
+                [this, is_late, latest = loop_.now() + latest_write] {
+                    *is_late = loop_.now() > latest;
+                    return !*is_late;
+                });
 }
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -63,6 +63,10 @@
     /// of a grant counts from the arrival of the grant at the target.
     void order(const net::http_request& request, milliseconds timeout, milliseconds latest_write,
                std::function<void(const net::http_result&)> done);
+    /// Sends an order as `order` does, on a connection of its own. Orders bear no request id, so on
+    /// a kept connection a second copy of an earlier answer cannot be told from the answer.
+    void order_on_new_connection(const net::http_request& request, milliseconds timeout,
+                                 std::function<void(const net::http_result&)> done);
 
     [[nodiscard]] std::chrono::microseconds mean_work() const { return queue_.mean_work(); }
     [[nodiscard]] std::size_t running() const { return queue_.running(); }
@@ -81,6 +85,9 @@
         std::string target_id;
     };
 
+    void send_order(net::http_client& client, const net::http_request& request,
+                    milliseconds timeout, milliseconds latest_write,
+                    std::function<void(const net::http_result&)> done);
     void apply(const dispatch::slot_decisions& decisions);
     void start(dispatch::ticket id);
     void on_result(dispatch::ticket id, const net::http_result& result);
@@ -103,8 +110,9 @@
     const platform_protocol& protocol_;
     target_watch& watch_;
     hooks hooks_;
-    net::http_client http_;   ///< for requests
-    net::http_client orders_; ///< for the calls of `order`
+    net::http_client http_;            ///< for requests
+    net::http_client orders_;          ///< for the calls of `order`
+    net::http_client separate_orders_; ///< for the calls of `order_on_new_connection`
     dispatch::slot_queue queue_{0};
     std::map<dispatch::ticket, active_request> active_;
     std::map<request_key, dispatch::ticket> tickets_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -589,35 +589,35 @@
 
 void process::release(const assignment::release_order& order)
 {
-    gate_.order(protocol_.release(order), release_timeout, release_timeout,
-                [this, order](const net::http_result& result) {
-                    // An order without a service releases all keys that were granted to the target
-                    // before this process started. A target that does not exist or does not support
-                    // grants holds no keys.
-                    const bool target_missing =
-                        !result.response && result.failure == net::http_failure::connect;
-                    const int status = result.response ? result.response->status : 0;
-                    const bool orders_unsupported =
-                        status == status_not_found || status == status_bad_request;
-                    const bool answered = status == status_ok;
-                    const bool done = answered || (order.service.empty() &&
-                                                   (target_missing || orders_unsupported));
-                    std::string handover;
-                    if (answered) {
-                        handover =
-                            net::find_header(result.response->headers, protocol_.names.handover)
-                                .value_or("");
-                    }
-                    log("released", {{"first", order.first},
-                                     {"last", order.last},
-                                     {"fence", order.range_fence.value},
-                                     {"confirmed", done},
-                                     {"handover", !handover.empty()}});
-                    coordination_.on_release_result(order.id,
-                                                    done ? assignment::order_outcome::done
-                                                         : assignment::order_outcome::unknown,
-                                                    handover);
-                });
+    // A confirmed release lets the keys go to another target, so its answer must not be mistaken.
+    gate_.order_on_new_connection(
+        protocol_.release(order), release_timeout,
+        [this, order](const net::http_result& result) { on_release_result(order, result); });
+}
+
+void process::on_release_result(const assignment::release_order& order,
+                                const net::http_result& result)
+{
+    // An order without a service releases all keys that were granted to the target before this
+    // process started. A target that does not exist or does not support grants holds no keys.
+    const bool target_missing = !result.response && result.failure == net::http_failure::connect;
+    const int status = result.response ? result.response->status : 0;
+    const bool orders_unsupported = status == status_not_found || status == status_bad_request;
+    const bool answered = status == status_ok;
+    const bool done = answered || (order.service.empty() && (target_missing || orders_unsupported));
+    std::string handover;
+    if (answered) {
+        handover =
+            net::find_header(result.response->headers, protocol_.names.handover).value_or("");
+    }
+    log("released", {{"first", order.first},
+                     {"last", order.last},
+                     {"fence", order.range_fence.value},
+                     {"confirmed", done},
+                     {"handover", !handover.empty()}});
+    coordination_.on_release_result(
+        order.id, done ? assignment::order_outcome::done : assignment::order_outcome::unknown,
+        handover);
 }
 
 void process::on_target_changed()
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -55,6 +55,7 @@
     void on_peer_manifest(const std::string& address, std::uint64_t version);
     void grant(const assignment::grant_order& order);
     void release(const assignment::release_order& order);
+    void on_release_result(const assignment::release_order& order, const net::http_result& result);
     void check_target();
     void on_target_health(const net::http_result& result);
     void on_target_changed();
--- a/tests/net/http_answers_test.cpp
+++ b/tests/net/http_answers_test.cpp
@@ -290,6 +290,18 @@
     CHECK(is_new == std::vector<bool>({true, true, true}));
 }
 
+// Guards against a second copy of an earlier response that is taken for the response to a call
+// which must have a connection of its own.
+TEST(http_answers, connections_are_not_reused_if_each_call_needs_its_own)
+{
+    client.emplace(loop, 4, 100000, http_client::connection_reuse::never);
+    answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for (int i = 0; i < 3; ++i) {
+        CHECK(call().response.has_value());
+    }
+    LONGS_EQUAL(3, connections);
+}
+
 // Guards against the use of a freed socket after a request is written to an idle connection and
 // cancelled before the next loop iteration. This happens on a busy node. Without memory checks the
 // test fails only by chance; tests/process/memory_test.sh runs it with freed memory overwritten.
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -185,3 +185,28 @@
     }
     LONGS_EQUAL(1, not_run);
 }
+
+// Guards against keys that go to another target while the last one still works on them: a second
+// copy of the answer to a grant, on the same connection, was taken for the answer to a release.
+TEST(gate, order_on_a_new_connection_uses_no_kept_one)
+{
+    answer_override = [&](const net::http_exchange& exchange) {
+        loop.after(work, [exchange] { exchange.respond({200, {}, ""}); });
+    };
+    std::size_t answers = 0;
+    const auto count = [&](const net::http_result& result) {
+        CHECK(result.response.has_value());
+        ++answers;
+    };
+    const net::http_request order{"POST", "/order", {}, "{}"};
+    tested_gate->order(order, wait_limit, wait_limit, count);
+    CHECK(loop.run_until([&] { return answers == 1; }, wait_limit));
+    LONGS_EQUAL(1, target->connections());
+    for (std::size_t i = 2; i <= 3; ++i) {
+        tested_gate->order_on_new_connection(order, wait_limit, count);
+        CHECK(loop.run_until([&] { return arrived.size() == i; }, wait_limit));
+        LONGS_EQUAL(2, target->connections());
+        CHECK(loop.run_until([&] { return answers == i; }, wait_limit));
+        CHECK(loop.run_until([&] { return target->connections() == 1; }, wait_limit));
+    }
+}
