Close the connection of a client that left without an answer

Callers saw: a client that had closed its sending side read a complete 503 for a request that was running (REFUSED).

Cause: the end of the client's input ends the request in h2o, which frees a request only after a response. The 503 written for this purpose was sent, since the client still reads.

Change: the socket is shut down before that response is written, as for a dropped request. The same holds for requests of a server that is destroyed.

Why it works: the response cannot reach the client, and a closed connection promises nothing.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -65,8 +65,9 @@
 /// loop after the handler has returned. A second call is ignored, and so is a call after the client
 /// disconnected. Response headers that belong to the connection or break the HTTP grammar are left
 /// out. The handler may set `on_cancel`, which is called if the client disconnects before the
-/// response. A client that closes only its sending side counts as disconnected. `on_cancel` is not
-/// called once the server is destroyed. `drop` closes the connection without a response.
+/// response. A client that closes only its sending side counts as disconnected; its connection is
+/// closed without a response, because the request may run. `on_cancel` is not called once the
+/// server is destroyed. `drop` closes the connection without a response.
 struct http_exchange {
     http_request request;
     std::function<void(http_response)> respond;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -361,18 +361,15 @@
     });
 }
 
-// Ends a request whose client disconnected or whose server is being destroyed. A response is
-// written so that h2o frees the request. `on_cancel` is called unless the server is being
-// destroyed. `pending` is passed by value because `send_response` resets the connection's reference
-// to it.
-// NOLINTNEXTLINE(performance-unnecessary-value-param)
+// Ends a request whose client disconnected or whose server is being destroyed. `on_cancel` is
+// called unless the server is being destroyed. `pending` is passed by value because `drop` resets
+// the connection's reference to it. NOLINTNEXTLINE(performance-unnecessary-value-param)
 void http_server::state::abort_request(std::shared_ptr<pending_request> pending) const
 {
     if (pending->request == nullptr) {
         return;
     }
-    pending->request->http1_is_persistent = 0;
-    send_response(*pending, error_response(503, "connection ended"));
+    drop(*pending);
     cancel(pending);
 }
 
@@ -391,7 +388,8 @@
     write_response(*request, response);
 }
 
-// Shuts the socket down, so that writing the response fails and h2o closes the connection.
+// Ends a request without a response. h2o frees a request only after a response, so one is written
+// to the socket after it was shut down: the write fails, and h2o closes the connection.
 void http_server::state::drop(pending_request& pending)
 {
     if (pending.request == nullptr) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -188,6 +188,28 @@
     CHECK(loop.run_until([&] { return server->connections() == 0; }, wait_limit));
 }
 
+// Guards against a promise that a request has not run while it runs: a client that closed its
+// sending side was told 503.
+TEST(http, client_that_closes_its_sending_side_gets_no_answer)
+{
+    serve_without_response();
+    test::raw_client raw(server->address());
+    CHECK(raw.send("POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nbody"));
+    CHECK(loop.run_until([&] { return exchanges.size() == 1; }, wait_limit));
+    bool cancelled = false;
+    *exchanges[0].on_cancel = [&] { cancelled = true; };
+    raw.shut_down_sending();
+    std::string received;
+    CHECK(loop.run_until(
+        [&] {
+            received += raw.received();
+            return raw.closed;
+        },
+        wait_limit));
+    STRCMP_EQUAL("", received.c_str());
+    CHECK(loop.run_until([&] { return cancelled && server->connections() == 0; }, wait_limit));
+}
+
 // Guards against reusing a connection that the server closed while it was idle. The call must
 // either use a new connection or be reported as closed. After a write, it must never be reported as
 // not sent.
