Limit the cost of an unreadable entry to that entry

Looked for in every decoder and encoder.

Deep nesting (300,000 levels), numbers and ports out of range ended no decoder.

Change: encoders replace what is not UTF-8, and a token that cannot be passed on unchanged is dropped. A failed write of the record is repeated after an unreadable read.

--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -500,6 +500,11 @@
         }
         catch (const parse_error& failure) {
             hooks_.log("record_unreadable", {{"cause", failure.what()}});
+            // The write that met this record was not executed. It is repeated, so that this leader
+            // goes on once the record is readable again.
+            if (leader_ && std::exchange(unresolved_beat_, 0) != 0) {
+                leader_->on_record_result(unresolved_beat_sent_, false);
+            }
             return;
         }
     }
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -89,6 +89,11 @@
     return result;
 }
 
+bool is_printable_ascii(char letter)
+{
+    return letter >= ' ' && letter <= '~';
+}
+
 net::http_response json_response(int status, std::string body)
 {
     return {status, {{"content-type", "application/json"}}, std::move(body)};
@@ -609,6 +614,10 @@
     if (answered) {
         handover =
             net::find_header(result.response->headers, protocol_.names.handover).value_or("");
+        // The next target would not recognize a token that cannot be passed on unchanged.
+        if (!std::all_of(handover.begin(), handover.end(), is_printable_ascii)) {
+            handover.clear();
+        }
     }
     log("released", {{"first", order.first},
                      {"last", order.last},
--- a/src/sidecar/protocol.h
+++ b/src/sidecar/protocol.h
@@ -101,8 +101,10 @@
     /// Encodes a call that waits for changes of the manifest after version `after` of the store;
     /// the store answers within `wait`, also without a change.
     std::function<net::http_request(std::uint64_t after, milliseconds wait)> watch_manifest;
-    /// Returns the row from the body of a 200 answer to a read. Throws `store_format_error`.
-    std::function<stored_row(const std::string& body)> parse_row;
+    /// Return the row from the body of a 200 answer to `read_leader` or `read_manifest`. Throw
+    /// `store_format_error`.
+    std::function<stored_row(const std::string& body)> parse_leader;
+    std::function<stored_row(const std::string& body)> parse_manifest_row;
     /// Returns the version of the store, from the body of a 200 answer to a read or a write. It is
     /// the version at the time of the read, or after the write. Throws `store_format_error`.
     std::function<std::uint64_t(const std::string& body)> parse_version;
--- a/src/sidecar/record_text.cpp
+++ b/src/sidecar/record_text.cpp
@@ -117,7 +117,8 @@
                     {"members", to_json(record.members)},
                     {"successors", to_json(record.successors)},
                     {"earlier", std::move(earlier)}};
-    return compress_text(root.dump());
+    // Names of hosts come from their reports and may contain bytes that are not UTF-8.
+    return compress_text(root.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 assignment::leader_record parse_leader_record(const std::string& text)
--- a/src/sidecar/store_session.cpp
+++ b/src/sidecar/store_session.cpp
@@ -77,7 +77,7 @@
              stored_row row;
              if (outcome == store_outcome::done) {
                  try {
-                     row = protocol_.parse_row(answer->body);
+                     row = protocol_.parse_leader(answer->body);
                  }
                  catch (const store_format_error& failure) {
                      set_state(false, failure.what());
@@ -134,7 +134,7 @@
                  return;
              }
              try {
-                 const stored_row row = protocol_.parse_row(answer->body);
+                 const stored_row row = protocol_.parse_manifest_row(answer->body);
                  watched_version_ = protocol_.parse_version(answer->body);
                  failures_ = 0;
                  if (row.version != 0) {
--- a/tests/sidecar/record_text_test.cpp
+++ b/tests/sidecar/record_text_test.cpp
@@ -72,3 +72,15 @@
                        R"("members":[],"earlier":[]})")
                        .term);
 }
+
+// Guards against a leader that can no longer write its record because of one member's name.
+TEST(record_text, names_that_are_not_utf_8_are_encoded)
+{
+    assignment::leader_record record;
+    record.term = 4;
+    record.members = {{incarnation_id{1}, "\xff\xfe", "10.0.0.1:7380"},
+                      {incarnation_id{2}, "h2", "10.0.0.2:7380"}};
+    const auto read = sidecar::parse_leader_record(sidecar::to_text(record));
+    LONGS_EQUAL(2, read.members.size());
+    STRCMP_EQUAL("h2", read.members[1].host.c_str());
+}
--- a/tests/sidecar/simulated_cluster.cpp
+++ b/tests/sidecar/simulated_cluster.cpp
@@ -299,6 +299,12 @@
     }
 }
 
+std::string simulated_cluster::replace_record(std::string value)
+{
+    row_.version = ++versions_;
+    return std::exchange(row_.value, std::move(value));
+}
+
 void simulated_cluster::read(std::size_t from,
                              std::function<void(store_outcome, const stored_row&)> done)
 {
--- a/tests/sidecar/simulated_cluster.h
+++ b/tests/sidecar/simulated_cluster.h
@@ -51,6 +51,8 @@
     void isolate(std::size_t host, bool store_too);
     void heal(std::size_t host);
     void set_store_up(bool up) { store_up_ = up; }
+    /// Another writer changes the value of the leader's record. Returns the previous value.
+    std::string replace_record(std::string value);
     /// Sets the share of store writes whose answer is lost. Such writes are executed at once or up
     /// to 6 s late.
     void set_lost_writes(double share) { lost_writes_ = share; }
--- a/tests/sidecar/simulated_cluster_test.cpp
+++ b/tests/sidecar/simulated_cluster_test.cpp
@@ -437,6 +437,25 @@
     }
 }
 
+// Guards against a leader that never writes its record again after another writer made it unreadable
+// for a while, and so loses its authority.
+TEST(simulated_cluster, unreadable_record_does_not_stop_the_leader)
+{
+    simulated_cluster cluster(7);
+    cluster.run(milliseconds{5000});
+    const auto leader = pick_host(cluster, true);
+    const auto record = cluster.replace_record("no record");
+    cluster.run(milliseconds{3000});
+    CHECK(cluster.held_share() >= all_keys);
+    cluster.replace_record(record);
+    for (int i = 0; i < 300; ++i) {
+        cluster.run(milliseconds{100});
+        CHECK(cluster.held_share() >= all_keys);
+    }
+    CHECK(cluster.leader() == std::optional{leader});
+    check_invariants(cluster, "unreadable record");
+}
+
 // Guards against two holders of a key, and against a deployment that does not recover, under random
 // faults.
 TEST(simulated_cluster, random_faults_violate_no_invariant)
