Cut answers at each byte by a close and by a reset in the test

It now cuts each position both ways, also in the head of an answer without a length.

No change of the code.

--- a/tests/net/http_answers_test.cpp
+++ b/tests/net/http_answers_test.cpp
@@ -247,19 +247,24 @@
     LONGS_EQUAL(200, result.response->status);
 }
 
-// Guards against delivering a truncated response as complete. The response is truncated in its head
-// or body by a closed or a reset connection.
+// Guards against delivering a truncated response as complete. The response is truncated at each
+// byte of its head or body, by a closed and by a reset connection. An empty body must not be taken
+// for the body of a response whose head ended early.
 TEST(http_answers, truncated_response_fails_the_call)
 {
+    const std::string without_length = "HTTP/1.1 200 OK\r\nrequest-id: mine\r\n\r\n";
     const std::vector<std::string> complete_responses{
         "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nabcdef",
-        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"};
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n",
+        without_length};
     for (const auto& text : complete_responses) {
         for (std::size_t size = 1; size < text.size(); ++size) {
             answer = text.substr(0, size);
-            close_after = size % 2 == 0;
-            reset_after = !close_after;
-            CHECK_FALSE(call().response.has_value());
+            for (const bool resets : {false, true}) {
+                close_after = !resets;
+                reset_after = resets;
+                CHECK_FALSE(call().response.has_value());
+            }
         }
     }
     reset_after = false;
@@ -268,7 +273,7 @@
         answer = text;
         const auto result = call();
         CHECK(result.response.has_value());
-        STRCMP_EQUAL("abcdef", result.response->body.c_str());
+        STRCMP_EQUAL(text == without_length ? "" : "abcdef", result.response->body.c_str());
     }
 }
 
