Identify the target again after another one answered

Cause: an answer from the address counted as a sign of life of the known target, whichever target sent it. After refused connections, a 421 of the new target even made the old one present again.

Change: a 421 that names another id, and the first answer after refused connections, leave the known target absent until a health check tells which target runs; an absent target gets no grants.

Open: a renewal that reaches the new target before its first answer or heartbeat.

--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -206,7 +206,13 @@
     const bool answered = result.response.has_value();
     const bool refused = !answered && (result.failure == net::http_failure::connect ||
                                        result.failure == net::http_failure::not_sent);
-    if (answered) {
+    const bool is_other =
+        answered && found != active_.end() && found->second.target_id == watch_.status().id &&
+        is_from_other_target(protocol_.names, *result.response, found->second.target_id);
+    if (is_other) {
+        watch_.on_other_target(now);
+    }
+    else if (answered) {
         watch_.on_answer(now);
     }
     else if (refused) {
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -129,7 +129,10 @@
     hooks.may_serve = [this](const std::string& service, std::uint32_t key) {
         return coordination_.member().may_serve(loop_.now(), service, key);
     };
-    hooks.on_target_changed = [this] { on_target_changed(); };
+    hooks.on_target_changed = [this] {
+        on_target_changed();
+        check_target();
+    };
     hooks.on_failure = [this](const wire::forward& request, request::reason why,
                               const std::string& cause) {
         log("target_request_failed", {{"request", request.request_id},
--- a/src/sidecar/target_answer.cpp
+++ b/src/sidecar/target_answer.cpp
@@ -59,4 +59,11 @@
     return {wire::forward_outcome::answered, reason::none};
 }
 
+bool is_from_other_target(const header_names& names, const net::http_response& answer,
+                          std::string_view expected_id)
+{
+    const auto id = net::find_header(answer.headers, names.target_id);
+    return answer.status == status_misdirected && id && !id->empty() && *id != expected_id;
+}
+
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/target_answer.h
+++ b/src/sidecar/target_answer.h
@@ -30,4 +30,8 @@
 /// Returns `answered` only for an answer that may be passed on unchanged. Thread-safe.
 answer_verdict judge_answer(const header_names& names, const net::http_response& answer);
 
+/// True if the answer says that the target is another one than `expected_id`. Thread-safe.
+bool is_from_other_target(const header_names& names, const net::http_response& answer,
+                          std::string_view expected_id);
+
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -65,6 +65,8 @@
         draining_since_.reset();
         unanswered_ = 0;
         refused_ = 0;
+        is_replaced_ = false;
+        unidentified_answer_.reset();
     }
     if (!same_run || status_.slots != target.slots ||
         status_.start_time_ms != target.start_time_ms) {
@@ -98,9 +100,12 @@
     if (draining) {
         begin_drain(now);
     }
-    // A heartbeat proves that a target counted as absent is alive.
+    // A heartbeat proves that a target counted as absent is alive, unless another one has answered
+    // since: the heartbeat may have been sent before that.
     unanswered_ = 0;
-    set_phase(present_phase());
+    if (!is_replaced_) {
+        set_phase(present_phase());
+    }
     return true;
 }
 
@@ -132,13 +137,30 @@
 
 bool target_watch::needs_check(time_point now) const
 {
-    return unchecked_ && now - unchecked_->latest_arrival < settings_.max_check_time;
+    const auto is_recent = [&](time_point at) { return now - at < settings_.max_check_time; };
+    return (unchecked_ && is_recent(unchecked_->latest_arrival)) ||
+           (unidentified_answer_ && is_recent(*unidentified_answer_));
+}
+
+void target_watch::on_other_target(time_point now)
+{
+    if (!status_.id.empty()) {
+        is_replaced_ = true;
+        unidentified_answer_ = now;
+        set_phase(target_phase::absent);
+    }
 }
 
 void target_watch::on_health(time_point now, const target_health& health)
 {
+    if (unidentified_answer_ && health.target_id == status_.id) {
+        unidentified_answer_.reset();
+        is_replaced_ = false;
+        refused_ = 0;
+        set_phase(present_phase());
+    }
     const bool is_reported = unchecked_ && unchecked_->latest.target.id == health.target_id;
-    const bool is_known = !status_.id.empty() && !unchecked_;
+    const bool is_known = !status_.id.empty() && !unchecked_ && !unidentified_answer_;
     const bool is_deregistered = health.target_id == deregistered_id_ && !is_reported;
     if (is_known || is_deregistered || health.target_id.empty()) {
         return;
@@ -169,8 +191,14 @@
 {
     last_answer_ = now;
     unanswered_ = 0;
+    const bool is_absent = !status_.id.empty() && status_.phase == target_phase::absent;
+    // After refused connections, the answer may come from a target that was started since.
+    if (is_absent && (is_replaced_ || refused_ >= settings_.refused_limit)) {
+        unidentified_answer_ = now;
+        return;
+    }
     refused_ = 0;
-    if (!status_.id.empty() && status_.phase == target_phase::absent) {
+    if (is_absent) {
         set_phase(present_phase());
     }
 }
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -64,8 +64,12 @@
     /// The target answered a health check that this process sent. Ignored if a target is known and
     /// not to be checked, or if the answer is from the deregistered target.
     void on_health(time_point now, const target_health& health);
-    /// True if a target reports itself ready and must confirm this in a health check.
+    /// True if a target reports itself ready and must confirm this in a health check, or if the
+    /// check must tell which target runs after another one ended.
     [[nodiscard]] bool needs_check(time_point now) const;
+    /// The target refused a request because it is not the known target, which has thus ended. The
+    /// known target counts as absent until a health check tells which one runs.
+    void on_other_target(time_point now);
     /// The result of a call to the target: an answer, no valid answer to a call that was sent, or a
     /// call that could not be sent, for example because the target refused the connection.
     void on_answer(time_point now);
@@ -99,7 +103,10 @@
         time_point latest_arrival;
     };
     std::optional<unchecked_target> unchecked_;
-    std::string checked_id_; ///< target that confirmed to this process that it is ready
+    /// Latest answer from the address of an absent target that may have ended.
+    std::optional<time_point> unidentified_answer_;
+    bool is_replaced_ = false; ///< another target than the known one answered
+    std::string checked_id_;   ///< target that confirmed to this process that it is ready
     std::optional<time_point> draining_since_;
     /// The known target was ready under this process. Otherwise it leaves or fails, possibly since
     /// a time before this process was started.
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -24,6 +24,7 @@
     result.names.answer_seal = "x-seal";
     result.names.expected_target = "x-target";
     result.names.not_run = "x-not-run";
+    result.names.target_id = "x-target-id";
     return result;
 }
 
@@ -210,3 +211,16 @@
         CHECK(loop.run_until([&] { return target->connections() == 1; }, wait_limit));
     }
 }
+
+// Guards against a node that keeps a target for the known one after another answered in its place.
+TEST(gate, refusal_of_another_target_makes_the_known_one_absent)
+{
+    answer_override = [](const net::http_exchange& exchange) {
+        exchange.respond({421, {{"x-target-id", "t2"}}, ""});
+    };
+    run(1);
+    wait_for(1);
+    CHECK(replies[0].outcome == wire::forward_outcome::not_run);
+    CHECK(watch->status().phase == assignment::target_phase::absent);
+    CHECK(watch->needs_check(loop.now()));
+}
--- a/tests/sidecar/simulated_cluster_test.cpp
+++ b/tests/sidecar/simulated_cluster_test.cpp
@@ -437,8 +437,8 @@
     }
 }
 
-// Guards against a leader that never writes its record again after another writer made it unreadable
-// for a while, and so loses its authority.
+// Guards against a leader that never writes its record again after another writer made it
+// unreadable for a while, and so loses its authority.
 TEST(simulated_cluster, unreadable_record_does_not_stop_the_leader)
 {
     simulated_cluster cluster(7);
--- a/tests/sidecar/target_watch_test.cpp
+++ b/tests/sidecar/target_watch_test.cpp
@@ -102,7 +102,11 @@
     watch.on_refused(at(20));
     CHECK_FALSE(watch.accepts(at(20)));
     watch.on_answer(at(30));
-    CHECK(watch.accepts(at(30)));
+    CHECK_FALSE(watch.accepts(at(30)));
+    CHECK(watch.needs_check(at(30)));
+    confirm(35, "i-1");
+    CHECK(watch.accepts(at(35)));
+    CHECK_FALSE(watch.needs_check(at(35)));
     for (int i = 0; i < 3; ++i) {
         watch.on_no_answer(at(100));
     }
@@ -193,3 +197,34 @@
     CHECK(watch.status().phase == target_phase::draining);
     CHECK_FALSE(watch.on_heartbeat(at(30), beat("i-1", 4000, 8)));
 }
+
+// Guards against a new target that is granted keys under the fence of the one before it, because
+// its first heartbeat comes later than its first answer.
+TEST(target_watch, another_target_that_answers_makes_the_known_one_absent)
+{
+    watch.on_heartbeat(at(0), beat("i-1", 4000, 1));
+    confirm(10, "i-1");
+    watch.on_other_target(at(100));
+    CHECK(watch.status().phase == target_phase::absent);
+    CHECK(watch.needs_check(at(100)));
+    watch.on_answer(at(110));
+    CHECK(watch.on_heartbeat(at(120), beat("i-1", 4000, 2)));
+    CHECK(watch.status().phase == target_phase::absent);
+    confirm(130, "i-2");
+    STRCMP_EQUAL("i-2", watch.status().id.c_str());
+    CHECK(watch.accepts(at(130)));
+    CHECK(watch.on_heartbeat(at(900), beat("i-2", 5000, 1)));
+    LONGS_EQUAL(5000, watch.status().start_time_ms);
+}
+
+// Guards against a target that stays absent because one answer named another one wrongly.
+TEST(target_watch, known_target_that_answers_the_check_is_present_again)
+{
+    watch.on_heartbeat(at(0), beat("i-1", 4000, 1));
+    confirm(10, "i-1");
+    watch.on_other_target(at(100));
+    confirm(120, "i-1");
+    CHECK(watch.accepts(at(120)));
+    LONGS_EQUAL(4000, watch.status().start_time_ms);
+    CHECK_FALSE(watch.needs_check(at(120)));
+}
