--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -21,7 +21,7 @@
 
 target_phase target_watch::present_phase() const
 {
-    return draining_since_ || !is_proven_ ? target_phase::draining : target_phase::ready;
+    return draining_since_ || !was_ready_ ? target_phase::draining : target_phase::ready;
 }
 
 bool target_watch::is_earlier_run(const assignment::target_status& reported) const
@@ -37,12 +37,12 @@
 
 // True if no earlier process of this host can have confirmed to the target that it leaves, or the
 // target is ready all the same. Otherwise remembers the heartbeat for the health check.
-bool target_watch::is_proven_ready(time_point now, const heartbeat& beat)
+bool target_watch::counts_as_ready(time_point now, const heartbeat& beat)
 {
     const auto& reported = beat.target;
     // The known target ran under this process, and this one started later.
     const bool is_later_run =
-        is_proven_ && status_.start_time_ms != 0 && reported.start_time_ms > status_.start_time_ms;
+        was_ready_ && status_.start_time_ms != 0 && reported.start_time_ms > status_.start_time_ms;
     // `is_earlier_run` ruled out the run that was deregistered at this process.
     const bool is_after_deregistration = reported.id == deregistered_id_;
     if (is_later_run || is_after_deregistration || reported.id == checked_id_) {
@@ -91,12 +91,12 @@
         return false;
     }
     const bool draining = reported.phase == target_phase::draining;
-    const bool is_known = same_run && is_proven_;
-    if (!is_known && !draining && !is_proven_ready(now, beat)) {
+    const bool is_known = same_run && was_ready_;
+    if (!is_known && !draining && !counts_as_ready(now, beat)) {
         return true;
     }
     adopt(reported, beat.sequence);
-    is_proven_ = is_known || !draining;
+    was_ready_ = is_known || !draining;
     if (draining) {
         begin_drain(now);
     }
@@ -124,7 +124,7 @@
     if (unchecked_ && unchecked_->latest.target.id == target_id) {
         const heartbeat latest = unchecked_->latest;
         adopt(latest.target, latest.sequence);
-        is_proven_ = false;
+        was_ready_ = false;
     }
     if (target_id == status_.id) {
         if (status_.start_time_ms != 0) {
@@ -183,7 +183,7 @@
     auto checked_again = health.is_ready ? std::nullopt : unchecked_;
     adopt(found, sequence);
     unchecked_ = std::move(checked_again);
-    is_proven_ = health.is_ready;
+    was_ready_ = health.is_ready;
     set_phase(present_phase());
 }
 
@@ -220,7 +220,7 @@
 
 bool target_watch::accepts(time_point now) const
 {
-    if (status_.id.empty() || status_.phase == target_phase::absent || !is_proven_) {
+    if (status_.id.empty() || status_.phase == target_phase::absent || !was_ready_) {
         return false;
     }
     return !draining_since_ || now - *draining_since_ < settings_.drain - settings_.drain_margin;
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -88,7 +88,7 @@
     /// The phase of a target that is not absent.
     [[nodiscard]] assignment::target_phase present_phase() const;
     [[nodiscard]] bool is_earlier_run(const assignment::target_status& reported) const;
-    [[nodiscard]] bool is_proven_ready(time_point now, const heartbeat& beat);
+    [[nodiscard]] bool counts_as_ready(time_point now, const heartbeat& beat);
     void adopt(const assignment::target_status& target, std::uint64_t sequence);
 
     target_watch_settings settings_;
@@ -110,7 +110,7 @@
     std::optional<time_point> draining_since_;
     /// The known target was ready under this process. Otherwise it leaves or fails, possibly since
     /// a time before this process was started.
-    bool is_proven_ = false;
+    bool was_ready_ = false;
     std::string deregistered_id_; ///< deregistered target, whose late heartbeats are ignored
     /// Unix time. Runs of `deregistered_id_` that started later are accepted.
     std::uint64_t max_deregistered_start_ms_ = 0;
