--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -363,7 +363,9 @@
 
 // Ends a request whose client disconnected or whose server is being destroyed. `on_cancel` is
 // called unless the server is being destroyed. `pending` is passed by value because `drop` resets
-// the connection's reference to it. NOLINTNEXTLINE(performance-unnecessary-value-param)
+// the connection's reference to it.
+//
+// NOLINTNEXTLINE(performance-unnecessary-value-param)
 void http_server::state::abort_request(std::shared_ptr<pending_request> pending) const
 {
     if (pending->request == nullptr) {
