Keep the ports of the leaving target test below the ephemeral range

Of 12 runs of leaving_target_test.sh in a loop beside the linter, one failed with

bulrushgw: cannot listen on 127.0.0.1:32976: Address already in use

The test took its ports from 29000 to 36996, and the system gives outgoing connections ports from 32768 on, so a connection of the test itself or of an earlier one could hold a port that a sidecar has to listen on. The ports now end at 32596.

--- a/tests/process/leaving_target_test.sh
+++ b/tests/process/leaving_target_test.sh
@@ -14,7 +14,8 @@
 trap finish EXIT
 fail() { echo "leaving target test: $1"; tail -n 5 "$work"/*.log; exit 1; }
 
-base=$((29000 + ($$ % 200) * 40))
+# Below the ephemeral port range of the system, whose first port is 32768.
+base=$((29000 + ($$ % 90) * 40))
 port() { echo "127.0.0.1:$((base + $1 * 10 + $2))"; }
 
 cat >"$work/manifest.json" <<JSON
