--- a/tests/process/memory_test.sh
+++ b/tests/process/memory_test.sh
@@ -6,7 +6,8 @@
 build="${BUILD_DIR:-build}"
 fill_byte=165
 for program in net_tests sidecar_tests; do
-    if ! MALLOC_PERTURB_=$fill_byte "$build/$program" >/dev/null 2>&1; then
+    if ! output="$(MALLOC_PERTURB_=$fill_byte "$build/$program" 2>&1)"; then
+        echo "$output" | tail -n 30
         echo "$program fails with freed memory overwritten"
         exit 1
     fi
