Ignore requests whose clients left before they were read

Callers saw: a process that did not read for a while (start, pause, no processor time) ran requests of clients that had already given up, with the full time that the request named.

Cause: the request and the end of the client's input wait in the socket together. The request was handed on as soon as it was read; the end of the input is only seen in the next iteration of the loop, when the request may have been written to a kept connection of the target.

Change: http_server peeks at the socket before it calls the handler and closes the connection of a client that left. Only the address for requests uses this: a message of the platform, such as a deregistration, counts although its sender has left. The metric requests_ignored_total counts these requests.

Why it works: the end of the input of a client that left is in the socket by the time of the read. A client that closes only its sending side already counted as gone and got no answer; its request is now not started either.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -83,6 +83,9 @@
     std::size_t max_connections = 1000; ///< further connections are closed
     /// Time for a client to send a request or to read a response before it is disconnected.
     milliseconds request_timeout{10000};
+    /// Closes the connection of a request without calling the handler if the client has
+    /// disconnected, or closed its sending side, by the time at which the request is read.
+    bool ignore_abandoned_requests = false;
     /// Returns the headers to add to the error responses that the server sends without calling
     /// the handler: 400, 413, 417, 431, and 503 while it stops. May be empty.
     std::function<header_list(int status)> refusal_headers;
@@ -109,6 +112,9 @@
     /// connection that is idle for longer is closed. The time for a client to read a response
     /// remains `request_timeout`.
     void set_idle_timeout(milliseconds time);
+    /// Number of requests for which the handler was not called, because of
+    /// `ignore_abandoned_requests`.
+    [[nodiscard]] std::uint64_t abandoned_requests() const;
     /// Number of open client connections.
     [[nodiscard]] std::size_t connections() const;
     /// The bound address, with the assigned port if port 0 was requested.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -84,6 +84,13 @@
     h2o_send_inline(&request, response.body.data(), has_no_body ? 0 : response.body.size());
 }
 
+/// The unread input of a client.
+enum class client_input {
+    none,
+    available,
+    ended, ///< the client disconnected or closed its sending side
+};
+
 http_response error_response(int status, const char* reason)
 {
     return {status, {{"content-type", "text/plain"}}, std::string(reason) + "\n"};
@@ -139,6 +146,7 @@
     endpoint address;
     std::set<connection*> connections;
     loop::timer_id sweep_timer = 0;
+    std::uint64_t abandoned_requests = 0;
     std::shared_ptr<state> self_until_closed;
     /// Set to false when the server object is destroyed: `on_cancel` is not called after that.
     std::shared_ptr<bool> callbacks_enabled = std::make_shared<bool>(true);
@@ -162,6 +170,7 @@
 
     static void send_response(pending_request& pending, const http_response& response);
     static void drop(pending_request& pending);
+    static client_input peek(const connection& client);
     static void watch_for_disconnect(connection& client);
     static void stop_watching(connection& client);
     static void on_readable(h2o_socket_t* socket, const char* failure);
@@ -296,6 +305,11 @@
     client->active_request = pending;
     void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(request_guard), on_discarded);
     new (memory) request_guard{this, pending};
+    if (limits.ignore_abandoned_requests && peek(*client) == client_input::ended) {
+        ++abandoned_requests;
+        drop(*pending);
+        return;
+    }
     dispatch(pending);
     if (pending->request != nullptr) {
         watch_for_disconnect(*client);
@@ -402,6 +416,17 @@
     send_response(pending, error_response(503, "dropped"));
 }
 
+client_input http_server::state::peek(const connection& client)
+{
+    char byte = 0;
+    const auto bytes = recv(h2o_socket_get_fd(client.socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (bytes > 0) {
+        return client_input::available;
+    }
+    const bool is_open = bytes < 0 && (errno == EAGAIN || errno == EINTR);
+    return is_open ? client_input::none : client_input::ended;
+}
+
 // h2o does not read from the socket while a request waits for its response, so it would not
 // notice that the client disconnects. The socket is watched for readability without reading from
 // it: the request has pointers into the input buffer, which a read may move.
@@ -420,15 +445,14 @@
 void http_server::state::on_readable(h2o_socket_t* socket, const char* failure)
 {
     auto* client = static_cast<connection*>(socket->on_close.data);
-    char byte = 0;
-    const auto peeked_bytes = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (peeked_bytes < 0 && (errno == EAGAIN || errno == EINTR) && failure == nullptr) {
+    const auto input = failure == nullptr ? peek(*client) : client_input::ended;
+    if (input == client_input::none) {
         return;
     }
     stop_watching(*client);
     // The bytes of a pipelined request stay unread. Watching ends here, because these bytes would
     // make the socket readable in every loop iteration.
-    if (peeked_bytes > 0 && failure == nullptr) {
+    if (input == client_input::available) {
         return;
     }
     if (client->active_request != nullptr) {
@@ -459,6 +483,11 @@
     state_->context.http1.req_timeout.timeout = static_cast<std::uint64_t>(time.count());
 }
 
+std::uint64_t http_server::abandoned_requests() const
+{
+    return state_->abandoned_requests;
+}
+
 std::size_t http_server::connections() const
 {
     return state_->connections.size();
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -243,6 +243,7 @@
     net::http_server_limits limits;
     limits.request_timeout = default_idle_timeout;
     limits.max_connections = settings_.descriptors - reserved_descriptors;
+    limits.ignore_abandoned_requests = true;
     request_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.requests,
         [this](net::http_exchange exchange) {
@@ -270,6 +271,7 @@
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
+            gauges.requests_ignored = request_server_->abandoned_requests();
             exchange.respond(
                 {status_ok,
                  {{"content-type", "text/plain; version=0.0.4"}},
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -54,6 +54,7 @@
     write_metric(out, "requests_unknown_total", "counter", requests.unknown);
     write_metric(out, "requests_timed_out_total", "counter", requests.timed_out);
     write_metric(out, "requests_abandoned_total", "counter", requests.abandoned);
+    write_metric(out, "requests_ignored_total", "counter", gauges.requests_ignored);
     write_metric(out, "request_repeats_total", "counter", requests.retries);
     write_metric(out, "foreign_replies_total", "counter", requests.foreign_replies);
     write_metric(out, "store_calls_total", "counter", gauges.store_calls);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -27,8 +27,8 @@
     double sum_s_ = 0;
 };
 
-/// Values at the time of a metrics request. `store_calls`, `lines_dropped` and `errors` are totals
-/// since the start.
+/// Values at the time of a metrics request. `store_calls`, `lines_dropped`, `errors` and
+/// `requests_ignored` are totals since the start.
 struct sidecar_gauges {
     std::uint64_t manifest_version = 0;
     std::uint64_t term = 0;
@@ -36,7 +36,8 @@
     std::uint64_t store_calls = 0;
     std::uint64_t lines_dropped = 0;
     std::uint64_t target_load = 0;
-    std::uint64_t errors = 0; ///< unexpected exceptions from handlers
+    std::uint64_t errors = 0;           ///< unexpected exceptions from handlers
+    std::uint64_t requests_ignored = 0; ///< whose clients had left before they were read
     bool holds_lease = false;
     bool leads = false;
     bool store_up = false;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -210,6 +210,30 @@
     CHECK(loop.run_until([&] { return cancelled && server->connections() == 0; }, wait_limit));
 }
 
+// Guards against running requests whose clients gave up while the process was not reading, for
+// example while it was paused.
+TEST(http, request_of_a_client_that_left_before_it_was_read_is_ignored)
+{
+    http_server_limits limits;
+    limits.ignore_abandoned_requests = true;
+    serve_without_response(limits);
+    const std::string request = "GET /left HTTP/1.1\r\n\r\n";
+    {
+        const test::raw_client closed(server->address());
+        CHECK(closed.send(request));
+    }
+    const test::raw_client half_closed(server->address());
+    CHECK(half_closed.send(request + request));
+    half_closed.shut_down_sending();
+    const test::raw_client waiting(server->address());
+    CHECK(waiting.send("GET /waits HTTP/1.1\r\n\r\n"));
+    CHECK(loop.run_until([&] { return !exchanges.empty() && server->connections() == 1; },
+                         wait_limit));
+    LONGS_EQUAL(1, exchanges.size());
+    STRCMP_EQUAL("/waits", exchanges[0].request.path.c_str());
+    LONGS_EQUAL(2, server->abandoned_requests());
+}
+
 // Guards against reusing a connection that the server closed while it was idle. The call must
 // either use a new connection or be reported as closed. After a write, it must never be reported as
 // not sent.
