Start a peer's request only after a cancel that arrived with it

A request and its cancellation wait in the connection of a node that does not read, or that is still being connected to; then the target got the request.

Cause: the frames of one read were handled one by one. The request went to the target at once, on a kept connection, before the cancellation was looked at.

Evidence: request_that_is_cancelled_on_arrival_does_not_reach_the_target fails with gate::run in place of gate::run_later: the target got r-2.

Change: gate::run_later starts the request after the events of the loop iteration; a cancel before that removes it. Requests of this host's own clients still start at once, because their end is looked for when they are read.

Why it works: a node sends the cancellation on the connection of the request, so it is read with the request, or soon after.

--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -73,6 +73,20 @@
     admit(id);
 }
 
+void gate::run_later(request_key key, wire::forward request, completion done)
+{
+    arrivals_.insert_or_assign(key, arrival{std::move(request), std::move(done)});
+    loop_.defer([this, key] { run_arrival(key); });
+}
+
+void gate::run_arrival(request_key key)
+{
+    auto found = arrivals_.extract(key);
+    if (!found.empty()) {
+        run(key, std::move(found.mapped().request), std::move(found.mapped().done));
+    }
+}
+
 void gate::wait_for_grant(dispatch::ticket id, time_point until)
 {
     const auto found = active_.find(id);
@@ -278,6 +292,9 @@
 
 void gate::cancel(request_key key)
 {
+    if (arrivals_.erase(key) > 0) {
+        return;
+    }
     const auto found = tickets_.find(key);
     if (found == tickets_.end()) {
         return;
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -48,6 +48,9 @@
     /// Runs the request at the target. `done` is called exactly once, on the loop, possibly within
     /// this call. It is not called after `cancel`.
     void run(request_key key, wire::forward request, completion done);
+    /// Runs the request as `run` does, after the events of this loop iteration, so that a `cancel`
+    /// that arrived together with the request prevents the run.
+    void run_later(request_key key, wire::forward request, completion done);
     /// Cancels the request: removes it from the queue, or closes its connection to the target.
     /// Unknown keys are ignored.
     void cancel(request_key key);
@@ -72,9 +75,14 @@
     [[nodiscard]] std::size_t running() const { return queue_.running(); }
     [[nodiscard]] std::size_t queued() const { return queue_.queued(); }
     [[nodiscard]] std::size_t load() const { return queue_.running() + queue_.queued(); }
-    [[nodiscard]] std::size_t active() const { return active_.size(); }
+    [[nodiscard]] std::size_t active() const { return active_.size() + arrivals_.size(); }
 
 private:
+    struct arrival {
+        wire::forward request;
+        completion done;
+    };
+
     struct active_request {
         request_key key;
         wire::forward request;
@@ -89,6 +97,7 @@
                     milliseconds timeout, milliseconds latest_write,
                     std::function<void(const net::http_result&)> done);
     void apply(const dispatch::slot_decisions& decisions);
+    void run_arrival(request_key key);
     void start(dispatch::ticket id);
     void on_result(dispatch::ticket id, const net::http_result& result);
     /// Admits the request once the grant of its key is confirmed. Refuses the request if the grant
@@ -110,9 +119,10 @@
     const platform_protocol& protocol_;
     target_watch& watch_;
     hooks hooks_;
-    net::http_client http_;            ///< for requests
-    net::http_client orders_;          ///< for the calls of `order`
-    net::http_client separate_orders_; ///< for the calls of `order_on_new_connection`
+    net::http_client http_;                   ///< for requests
+    net::http_client orders_;                 ///< for the calls of `order`
+    net::http_client separate_orders_;        ///< for the calls of `order_on_new_connection`
+    std::map<request_key, arrival> arrivals_; ///< wait for the end of the loop iteration
     dispatch::slot_queue queue_{0};
     std::map<dispatch::ticket, active_request> active_;
     std::map<request_key, dispatch::ticket> tickets_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -435,10 +435,11 @@
             {frame.to, frame.from, net::to_string(settings_.addresses.announced), reply});
         return;
     }
-    gate_.run({frame.from, request.number}, request,
-              [this, to = frame.from, address = frame.reply_address](wire::forward_reply reply) {
-                  send(address, to, std::move(reply));
-              });
+    // After a pause of this process, or of the connection, a request may arrive together with its
+    // cancellation.
+    gate_.run_later({frame.from, request.number}, request,
+                    [this, to = frame.from, address = frame.reply_address](
+                        wire::forward_reply reply) { send(address, to, std::move(reply)); });
 }
 
 void process::on_control(const net::http_exchange& exchange)
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -187,6 +187,27 @@
     LONGS_EQUAL(1, not_run);
 }
 
+// Guards against running requests whose clients left while this process was paused: the request and
+// its cancellation are read together, and a kept connection to the target is free.
+TEST(gate, request_that_is_cancelled_on_arrival_does_not_reach_the_target)
+{
+    run(1);
+    wait_for(1);
+    const auto run_later = [&](std::uint64_t number) {
+        tested_gate->run_later(
+            {incarnation_id{9}, number}, request_for(number),
+            [this](const wire::forward_reply& reply) { replies.push_back(reply); });
+    };
+    run_later(2);
+    run_later(3);
+    LONGS_EQUAL(2, tested_gate->active());
+    tested_gate->cancel({incarnation_id{9}, 2});
+    wait_for(2);
+    STRCMP_EQUAL("r-3", replies[1].request_id.c_str());
+    LONGS_EQUAL(0, tested_gate->active());
+    CHECK(arrived == std::vector<std::string>({"r-1", "r-3"}));
+}
+
 // Guards against keys that go to another target while the last one still works on them: a second
 // copy of the answer to a grant, on the same connection, was taken for the answer to a release.
 TEST(gate, order_on_a_new_connection_uses_no_kept_one)
