Read metrics and states whole before they are searched in tests

Callers saw: nothing; the test failed. sidecar_test.sh ended with "no sidecar leads" in one run by hand, while the log of host 2 had it as the leader.

Cause: `curl | grep -q` with pipefail. grep ends at the first match, and when curl has a second part of the metrics to write, it fails with exit code 23, so the pipe counts as "not found".

Evidence: in a loop against a running sidecar 49 of 800 such pipes ended with the codes "23 0". The test has two of them.

Change: the output is read whole, then searched. The same in rules_race_test.sh and in await_state, where a false "not found" only repeated the call.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -104,7 +104,7 @@
 await_state() {
     local tries=$(($3 * 10))
     while [ "$tries" -gt 0 ]; do
-        if operator "$1" status --json 2>/dev/null | grep -qE "$2"; then return 0; fi
+        if grep -qE "$2" <<<"$(operator "$1" status --json 2>/dev/null)"; then return 0; fi
         sleep 0.1
         tries=$((tries - 1))
     done
--- a/tests/process/rules_race_test.sh
+++ b/tests/process/rules_race_test.sh
@@ -37,4 +37,4 @@
 for host in 1 2 3; do kill_process "node$host"; done
 for host in 1 2 3; do start_node "$host"; done
 for host in 1 2 3; do await_rules "$host" 2 15 || fail "host $host does not have version 2 after its restart"; done
-operator 3 rules show --json | grep -q "\"$winner\"" || fail "the accepted version reverted"
+grep -q "\"$winner\"" <<<"$(operator 3 rules show --json)" || fail "the accepted version reverted"
--- a/tests/process/sidecar_test.sh
+++ b/tests/process/sidecar_test.sh
@@ -62,19 +62,27 @@
     return 1
 }
 
+# has_metric HOST LINE: reads all metrics before it looks for the line, because `grep -q` in a pipe
+# ends at the first match, and the writer then fails.
+has_metric() {
+    local metrics
+    metrics="$(curl -s "http://$(port "$1" 6)/metrics")"
+    grep -qx "$2" <<<"$metrics"
+}
+
 await_keys 3 start || fail "the keys are not served after the start"
 [ "$(cat "$work/body")" = "done w-3-start-$try-65535" ] || [ -s "$work/body" ] || fail "no body"
 [ "$(request 1 /desk/x 1 d-1)" = 200 ] || fail "the service without keys is not served"
 [ "$(request 1 /none/x 1 n-1)" = 404 ] || fail "an unknown route is not refused"
 [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(port 1 2)/v1/ready")" = 200 ] || fail "not ready"
-curl -s "http://$(port 2 6)/metrics" | grep -q '^bulrushgw_holds_lease 1' || fail "no lease in the metrics"
+has_metric 2 'bulrushgw_holds_lease 1' || fail "no lease in the metrics"
 
 kill -KILL "${pids[2]}"
 start_sidecar 2
 await_keys 1 restart || fail "the keys are not served after a sidecar was killed"
 
 leader=$(for host in 1 2 3; do
-    curl -s "http://$(port "$host" 6)/metrics" | grep -q '^bulrushgw_leads 1' && echo "$host"
+    has_metric "$host" 'bulrushgw_leads 1' && echo "$host"
 done | head -n 1)
 [ -n "$leader" ] || fail "no sidecar leads"
 kill -KILL "${pids[$leader]}"
