Add the crowd tests of memory and descriptors

A few hundred clients with unfinished bodies drove a sidecar far above the memory of its host, and no test showed it.

--- a/standins/platform_model.cpp
+++ b/standins/platform_model.cpp
@@ -1,7 +1,9 @@
 #include "standins/platform_model.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <utility>
 
@@ -52,6 +54,28 @@
     return {status, std::move(headers), std::move(body)};
 }
 
+net::http_server_limits server_limits(std::size_t max_body_bytes)
+{
+    net::http_server_limits limits;
+    limits.max_body_bytes = max_body_bytes;
+    return limits;
+}
+
+/// Hexadecimal digest, by which a test checks that a body arrived unchanged.
+std::string sha256_text(const std::string& bytes)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned size = 0;
+    EVP_Digest(bytes.data(), bytes.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    std::string result;
+    for (unsigned i = 0; i < size; ++i) {
+        std::array<char, 3> text{};
+        std::snprintf(text.data(), text.size(), "%02x", digest.at(i));
+        result += text.data();
+    }
+    return result;
+}
+
 } // namespace
 
 platform_store::platform_store(net::loop& loop, const net::endpoint& address,
@@ -162,8 +186,9 @@
     : loop_(loop), settings_(std::move(settings)), history_(history),
       running_targets_(running_targets), id_("i-" + std::to_string(settings_.address.port)),
       started_ms_(unix_ms()), client_(loop, 2, max_answer_bytes),
-      server_(loop, settings_.address,
-              [this](const net::http_exchange& exchange) { handle(exchange); })
+      server_(
+          loop, settings_.address, [this](const net::http_exchange& exchange) { handle(exchange); },
+          server_limits(settings_.max_body_bytes))
 {
     running_targets_.push_back(this);
     heartbeat_timer_ = loop_.every(heartbeat_interval, [this] { send_heartbeat(); });
@@ -275,8 +300,12 @@
             return;
         }
         --running_;
-        exchange.respond(
-            answer(ok, "done " + id, {{"Request-Id", id}, {"Response-Seal", "seal-" + id}}));
+        std::string body = "done " + id;
+        body.resize(std::max(body.size(), settings_.answer_bytes), '.');
+        exchange.respond(answer(ok, std::move(body),
+                                {{"Request-Id", id},
+                                 {"Response-Seal", "seal-" + id},
+                                 {"Body-Sha256", sha256_text(exchange.request.body)}}));
     });
 }
 
--- a/standins/platform_model.h
+++ b/standins/platform_model.h
@@ -67,6 +67,8 @@
     bool sharded = false;
     std::uint32_t slots = 6;
     milliseconds execution_time{20};
+    std::size_t answer_bytes = 0; ///< minimum size of the body of an answer
+    std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 };
 
 /// Requests and protocol violations seen by all targets of a test.
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -13,6 +13,8 @@
 DEFINE_string(manifest, "", "file with the manifest");
 DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded]");
 DEFINE_int32(late_heartbeat_ms, 1500, "delay of the last heartbeat of a target that leaves");
+DEFINE_int32(execution_ms, 20, "time that a target takes for a request");
+DEFINE_uint32(answer_bytes, 0, "minimum size of the body of an answer");
 
 namespace {
 
@@ -36,6 +38,8 @@
     result.control = net::parse_endpoint(parts.at(1));
     result.service = parts.at(2);
     result.sharded = parts.size() > 3;
+    result.execution_time = milliseconds{FLAGS_execution_ms};
+    result.answer_bytes = FLAGS_answer_bytes;
     return result;
 }
 
--- /dev/null
+++ b/tests/process/crowd_remote_uploads_test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Guards against memory without a bound for whole uploads that wait for the slow target of another host, on both hosts.
+source "$(dirname "$0")/crowd_hosts.sh"
+
+start_hosts 2 --execution_ms=1000
+play_crowd "$(port 2 1)" uploads
+check_hosts
