Serve HTTP/1.1 with http_parser and the loop's sockets

h2o's server runs one request of a connection at a time, reads whatever the socket holds, and bounds neither the memory of all clients together nor the time of a head.

Requests may run ahead of others if may_run_ahead says so. All that clients make the server hold is reserved in an optional memory_budget; without room, bodies are refused first, then the largest and slowest unfinished requests, idle connections and new connections. Refusals are counted by cause.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// HTTP server and client over h2o. All calls and callbacks run on the loop.
+/// HTTP server and client over http_parser and the loop's sockets. All calls and callbacks run on
+/// the loop.
 
 #include <chrono>
 #include <cstddef>
@@ -16,6 +17,7 @@
 #include "common/boot_clock.h"
 #include "common/errors.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 
 namespace bulrushgw::net {
 
@@ -83,12 +85,39 @@
     std::size_t max_connections = 1000; ///< further connections are closed
     /// Time for a client to send a request or to read a response before it is disconnected.
     milliseconds request_timeout{10000};
+    /// Time for a client to send the head of a request after its first byte; then it gets status
+    /// 408. 0: the idle timeout. While memory is low, it also applies to a body that makes no
+    /// progress; otherwise the idle timeout applies to such a body.
+    milliseconds header_timeout{0};
     /// Closes the connection of a request without calling the handler if the client has
     /// disconnected, or closed its sending side, by the time at which the request is read.
     bool ignore_abandoned_requests = false;
     /// Returns the headers to add to the error responses that the server sends without calling
-    /// the handler: 400, 413, 417, 431, and 503 while it stops. May be empty.
+    /// the handler: 400, 408, 413, 417, 431, and 503 while memory is low. May be empty.
     std::function<header_list(int status)> refusal_headers;
+    /// Counts what clients make the process hold: connections, heads, bodies, requests until their
+    /// response, and responses until they are written. Null: unlimited.
+    std::shared_ptr<memory_budget> budget;
+    /// True if the handler may be called for a request before those ahead of it on the connection
+    /// are answered. Empty: never.
+    std::function<bool(const http_request&)> may_run_ahead;
+    /// Requests that are read on a connection behind the first one without a response.
+    std::size_t max_pipelined = 16;
+    /// Bytes that a connection may hold behind the first request without a response.
+    std::size_t max_pipelined_bytes = std::size_t{256} * 1024;
+};
+
+/// Refusals and closed connections by cause, since the start of the server.
+struct http_server_counters {
+    std::uint64_t malformed = 0;           ///< status 400 or 417
+    std::uint64_t heads_too_large = 0;     ///< status 431
+    std::uint64_t bodies_too_large = 0;    ///< status 413
+    std::uint64_t heads_too_slow = 0;      ///< status 408
+    std::uint64_t bodies_too_slow = 0;     ///< status 408
+    std::uint64_t memory_refused = 0;      ///< status 503 because memory was low
+    std::uint64_t memory_closed = 0;       ///< connections closed because memory was low
+    std::uint64_t slow_readers = 0;        ///< connections whose clients did not read in time
+    std::uint64_t connections_refused = 0; ///< new connections above the limit
 };
 
 /// Serves HTTP/1.1 on one address. Not thread-safe.
@@ -112,9 +141,16 @@
     /// connection that is idle for longer is closed. The time for a client to read a response
     /// remains `request_timeout`.
     void set_idle_timeout(milliseconds time);
+    /// Sets `max_header_bytes`, `max_body_bytes` and `header_timeout` for requests whose head or
+    /// body begins later.
+    void set_request_limits(std::size_t max_header_bytes, std::size_t max_body_bytes,
+                            milliseconds header_timeout);
     /// Number of requests for which the handler was not called, because of
     /// `ignore_abandoned_requests`.
     [[nodiscard]] std::uint64_t abandoned_requests() const;
+    [[nodiscard]] const http_server_counters& counters() const;
+    /// True while bodies are refused because memory is low.
+    [[nodiscard]] bool is_memory_low() const;
     /// Number of open client connections.
     [[nodiscard]] std::size_t connections() const;
     /// The bound address, with the assigned port if port 0 was requested.
--- a/src/net/http_text.cpp
+++ b/src/net/http_text.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <iterator>
 #include <utility>
 
 #include "net/sockets.h"
@@ -17,7 +19,7 @@
     "upgrade",    "proxy-connection", "trailer",           "expect",     "http2-settings",
 };
 
-constexpr std::array<std::pair<int, const char*>, 17> reason_phrases = {{
+constexpr std::array<std::pair<int, const char*>, 21> reason_phrases = {{
     {200, "OK"},
     {201, "Created"},
     {202, "Accepted"},
@@ -27,8 +29,12 @@
     {403, "Forbidden"},
     {404, "Not Found"},
     {405, "Method Not Allowed"},
+    {408, "Request Timeout"},
     {409, "Conflict"},
+    {412, "Precondition Failed"},
     {413, "Payload Too Large"},
+    {417, "Expectation Failed"},
+    {421, "Misdirected Request"},
     {429, "Too Many Requests"},
     {431, "Request Header Fields Too Large"},
     {500, "Internal Server Error"},
@@ -82,4 +88,33 @@
     return found == reason_phrases.end() ? "Status" : found->second;
 }
 
+bool has_response_body(int status)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return status != no_content && status != not_modified;
+}
+
+std::string response_head(const http_response& response, bool closes)
+{
+    constexpr int lowest_status = 200;
+    constexpr int highest_status = 999;
+    constexpr int internal_error = 500;
+    const bool is_valid = response.status >= lowest_status && response.status <= highest_status;
+    const int status = is_valid ? response.status : internal_error;
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason_phrase(status) +
+                       "\r\nconnection: " + (closes ? "close" : "keep-alive") + "\r\n";
+    if (has_response_body(status)) {
+        head += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+    }
+    for (const auto& entry : response.headers) {
+        if (is_valid_header(entry) && !is_connection_header(entry.name)) {
+            std::transform(entry.name.begin(), entry.name.end(), std::back_inserter(head),
+                           [](unsigned char letter) { return std::tolower(letter); });
+            head += ": " + entry.value + "\r\n";
+        }
+    }
+    return head + "\r\n";
+}
+
 } // namespace bulrushgw::net::detail
--- a/src/net/http_text.h
+++ b/src/net/http_text.h
@@ -2,6 +2,7 @@
 
 /// Rules of the HTTP/1.1 grammar that the server and the client share.
 
+#include <string>
 #include <string_view>
 
 #include "net/http.h"
@@ -16,9 +17,15 @@
 /// headers.
 bool is_valid_header(const header& entry);
 /// True for headers that belong to one connection or to the framing of the body. They are not
-/// relayed: h2o and the client write their own.
+/// relayed: the server and the client write their own.
 bool is_connection_header(std::string_view name);
 /// Standard reason phrase of a status code, or "Status" for an unknown code.
 const char* reason_phrase(int status);
+/// The status line and the headers of a response, with its length unless the status has no body.
+/// Headers that belong to the connection or break the grammar are left out. An invalid status
+/// becomes 500.
+std::string response_head(const http_response& response, bool closes);
+/// False for a status whose response has no body.
+bool has_response_body(int status);
 
 } // namespace bulrushgw::net::detail
