Bound what clients and peers make a sidecar hold

A crowd of unfinished bodies drove a sidecar above the memory of its host, and pipelined requests waited for each other.

The request server and partial frames of peers share a budget of five eighths of the new setting memory_mb. The manifest's limits on heads, bodies and the time of a head take effect; bodies stay below the 1 MiB of a frame (max_forwarded_body_bytes). Requests of idempotent routes run ahead. Refusals are logged and counted by cause. The servers for readiness, control and metrics have small budgets of their own.

--- a/src/net/peer_incoming.cpp
+++ b/src/net/peer_incoming.cpp
@@ -82,6 +82,7 @@
     auto* peer = new connection{};
     peer->owner = this;
     peer->socket = socket;
+    peer->charge = memory_charge(limits_.budget);
     connections_.insert(peer);
     socket->data = peer;
     h2o_socket_read_start(socket, on_readable);
@@ -203,6 +204,17 @@
             peer.waiting_since = loop_.now();
         }
     }
+    charge_input(peer);
+}
+
+// Bytes that wait for the rest of their frame count towards the budget. Without room for them, the
+// connection is closed, since its sender may be no node of the deployment.
+void peer_incoming::charge_input(connection& peer)
+{
+    if (!peer.charge.try_resize(peer.socket->input->size + peer.decompressed.size())) {
+        ++counters_.over_budget;
+        send_failure(peer, "no memory for the frame");
+    }
 }
 
 // Sends a `protocol_failure` and stops reading frames. The connection is closed only after the peer
@@ -215,6 +227,8 @@
     peer.waiting_since = loop_.now();
     peer.failure = wire::encode({{}, {}, to_string(address()), wire::protocol_failure{reason}});
     h2o_buffer_consume(&peer.socket->input, peer.socket->input->size);
+    peer.decompressed = {};
+    peer.charge.reset();
     h2o_iovec_t bytes = h2o_iovec_init(peer.failure.data(), peer.failure.size());
     h2o_socket_write(peer.socket, &bytes, 1, [](h2o_socket_t* socket, const char*) {
         shutdown(h2o_socket_get_fd(socket), SHUT_WR);
--- a/src/net/peer_incoming.h
+++ b/src/net/peer_incoming.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/memory_budget.h"
 #include "net/peer_transport.h"
 #include "net/sockets.h"
 #include "net/stream_codec.h"
@@ -40,6 +41,7 @@
         bool has_partial_frame = false;     ///< the rest of a frame is awaited
         std::optional<stream_decompressor> decompressor; ///< with compression only
         std::string decompressed;                        ///< decompressed input, not yet decoded
+        memory_charge charge;                            ///< of the input that is not yet decoded
         /// Start of the wait for the rest of a frame, or for the peer to close the connection
         /// after a failure.
         time_point waiting_since;
@@ -51,6 +53,7 @@
     bool decompress_input(connection& peer);
     std::optional<std::size_t> deliver_frames(connection& peer, std::string_view bytes,
                                               bool& frame_received);
+    void charge_input(connection& peer);
     void send_failure(connection& peer, const std::string& reason);
     void close_stalled();
 
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -14,6 +14,7 @@
 #include "common/boot_clock.h"
 #include "net/http.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "wire/messages.h"
 
 namespace bulrushgw::net {
@@ -23,6 +24,9 @@
     /// Upper bound on the unsent bytes for one peer; `send` refuses frames above it.
     std::size_t max_queued_bytes = std::size_t{4} * 1024 * 1024;
     std::size_t max_connections = 2000; ///< in each direction
+    /// Counts the partial frames of incoming connections. A connection whose frames do not fit is
+    /// closed. Null: unlimited.
+    std::shared_ptr<memory_budget> budget;
     /// Compresses all connections. All nodes of a deployment must use the same value.
     bool compress = false;
     /// Dictionary of `detail::stream_compressor`. It is part of the protocol between nodes.
@@ -61,6 +65,7 @@
     std::uint64_t writes = 0;              ///< socket writes; one may take several system calls
     std::uint64_t connects = 0;            ///< attempts to open an outgoing connection
     std::uint64_t connections_refused = 0; ///< incoming connections above the limit
+    std::uint64_t over_budget = 0;         ///< incoming connections closed because of the budget
     std::uint64_t idle_closed = 0;         ///< outgoing connections closed by `idle_timeout`
     std::uint64_t failures_received =
         0; ///< connections on which the peer sent a `protocol_failure`
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -71,9 +71,11 @@
     return (static_cast<std::uint64_t>(device()) << 32) ^ device();
 }
 
-net::peer_limits make_peer_limits(const platform_protocol& protocol)
+net::peer_limits make_peer_limits(const platform_protocol& protocol,
+                                  std::shared_ptr<net::memory_budget> budget)
 {
     net::peer_limits limits;
+    limits.budget = std::move(budget);
     limits.stall_timeout = peer_stall_timeout;
     limits.compress = true;
     limits.dictionary = make_peer_dictionary(protocol.names);
@@ -107,7 +109,8 @@
       journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
       watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
       store_(make_store()), gate_(make_gate()), coordination_(make_coordination()),
-      entry_(make_entry()), peer_check_(make_peer_check())
+      entry_(make_entry()), peer_check_(make_peer_check()),
+      budget_(make_budget(settings_.memory_mb))
 {
     journal_.set_incarnation(self_);
     listen();
@@ -239,11 +242,10 @@
         [this](const std::string& address, std::optional<time_point> unsent_since) {
             entry_.on_disconnect(address, unsent_since);
         },
-        make_peer_limits(protocol_));
-    net::http_server_limits limits;
+        make_peer_limits(protocol_, budget_));
+    auto limits = request_server_limits(budget_, protocol_, [this] { return routes_; });
     limits.request_timeout = default_idle_timeout;
     limits.max_connections = settings_.descriptors - reserved_descriptors;
-    limits.ignore_abandoned_requests = true;
     request_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.requests,
         [this](net::http_exchange exchange) {
@@ -253,12 +255,14 @@
         limits);
     ready_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.ready,
-        [this](const net::http_exchange& exchange) { on_ready(exchange); });
+        [this](const net::http_exchange& exchange) { on_ready(exchange); }, local_server_limits());
     control_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.control,
-        [this](const net::http_exchange& exchange) { on_control(exchange); });
+        [this](const net::http_exchange& exchange) { on_control(exchange); },
+        local_server_limits());
     metrics_server_ = std::make_unique<net::http_server>(
-        loop_, settings_.addresses.metrics, [this](const net::http_exchange& exchange) {
+        loop_, settings_.addresses.metrics,
+        [this](const net::http_exchange& exchange) {
             const auto& member = coordination_.member();
             sidecar_gauges gauges;
             gauges.manifest_version = routes_ ? routes_->content().version : 0;
@@ -272,11 +276,13 @@
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
             gauges.requests_ignored = request_server_->abandoned_requests();
-            exchange.respond(
-                {status_ok,
-                 {{"content-type", "text/plain; version=0.0.4"}},
-                 metrics_.text(entry_.counters(), gauges) + traffic_text(transport_->counters())});
-        });
+            exchange.respond({status_ok,
+                              {{"content-type", "text/plain; version=0.0.4"}},
+                              metrics_.text(entry_.counters(), gauges) +
+                                  traffic_text(transport_->counters()) +
+                                  refusal_metrics(*request_server_, *budget_)});
+        },
+        local_server_limits());
 }
 
 int process::run()
@@ -336,6 +342,9 @@
                   {"refused", total.refused - logged_counters_.refused},
                   {"unknown", total.unknown - logged_counters_.unknown}});
     logged_counters_ = total;
+    refusals_.log_changes(
+        *request_server_, *budget_,
+        [this](std::string_view event, const journal::fields& details) { log(event, details); });
 }
 
 // Logs totals since the start: the frames and the bytes before compression for each message type,
@@ -346,6 +355,9 @@
     journal::fields line{{"bytes_sent", counters.bytes_sent},
                          {"connects", counters.connects},
                          {"writes", counters.writes}};
+    if (counters.over_budget > 0) {
+        line["over_budget"] = counters.over_budget;
+    }
     for (std::size_t i = 0; i < counters.queued.size(); ++i) {
         const auto& count = counters.queued[i];
         if (count.frames > 0) {
@@ -512,6 +524,7 @@
     routes_ = std::make_shared<routing::route_index>(std::move(content));
     manifest_text_ = text;
     entry_.set_manifest(routes_);
+    apply_limits(routes_->content().limits, *request_server_);
     if (const auto idle = routes_->content().limits.idle_time; idle.count() > 0) {
         request_server_->set_idle_timeout(idle + idle_margin);
     }
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -13,6 +13,7 @@
 #include "net/http.h"
 #include "net/loop.h"
 #include "net/peer_transport.h"
+#include "sidecar/client_limits.h"
 #include "sidecar/coordination.h"
 #include "sidecar/entry.h"
 #include "sidecar/gate.h"
@@ -84,6 +85,7 @@
     coordination coordination_;
     entry entry_;
     peer_check peer_check_;
+    std::shared_ptr<net::memory_budget> budget_;
     std::unique_ptr<net::peer_transport> transport_;
     std::unique_ptr<net::http_server> request_server_;
     std::unique_ptr<net::http_server> ready_server_;
@@ -100,7 +102,8 @@
     time_point next_pull_{}; ///< earliest time for the next `wire::rules_pull`
     bool first_check_sent_ = false;
     bool check_under_way_ = false;
-    time_point next_check_{};         ///< earliest time for the next health check of the target
+    time_point next_check_{}; ///< earliest time for the next health check of the target
+    refusal_report refusals_;
     entry_counters logged_counters_;  ///< as of the last "state" log line
     std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
     std::uint64_t recent_errors_ = 0; ///< since `error_window_start_`
--- a/tests/net/peer_transport_test.cpp
+++ b/tests/net/peer_transport_test.cpp
@@ -1,3 +1,4 @@
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -277,3 +278,25 @@
     CHECK(a.send(b.at(), wire::cancel{2}));
     CHECK(loop.run_until([&] { return !b.frames.empty(); }, wait_limit));
 }
+
+// Guards against senders that exhaust memory by frames that they never complete, and against
+// refusing complete frames of other peers because of them.
+TEST(peer_transport, partial_frames_above_the_budget_are_refused)
+{
+    peer_limits limits;
+    limits.budget = std::make_shared<memory_budget>(1'000'000);
+    recording_peer bounded;
+    bounded.open(loop, any_port, limits);
+    const std::string partial = std::string("\x00\x0f\x00\x00", 4) + std::string(400'000, 'p');
+    std::vector<std::unique_ptr<test::raw_client>> crowd;
+    for (int i = 0; i < 4; ++i) {
+        crowd.push_back(std::make_unique<test::raw_client>(bounded.transport->address()));
+        CHECK(crowd.back()->send(partial));
+    }
+    CHECK(wait_until([&] { return bounded.transport->counters().over_budget == 2; }));
+    CHECK(limits.budget->used() <= limits.budget->limit());
+    CHECK(a.send(bounded.at(), wire::cancel{1}));
+    CHECK(wait_until([&] { return bounded.frames.size() == 1; }));
+    crowd.clear();
+    CHECK(wait_until([&] { return limits.budget->used() == 0; }));
+}
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -44,6 +44,17 @@
     CHECK(values.addresses.announced == values.addresses.inner);
     // The lease is limited to the longest hold that targets accept.
     LONGS_EQUAL(900, values.times.lease.count());
+    LONGS_EQUAL(256, values.memory_mb);
+}
+
+// Guards against a memory limit that is ignored or nonsensical.
+TEST(sidecar_settings, memory_limit_is_optional)
+{
+    std::string text = complete_settings;
+    text.insert(1, R"("memory_mb":160,)");
+    LONGS_EQUAL(160, parse_settings("node.json", text).memory_mb);
+    STRCMP_CONTAINS("field \"memory_mb\": expected a number of at least 16",
+                    failure_of("{\"host\"", "{\"memory_mb\":1,\"host\"").c_str());
 }
 
 // Guards against a start with a missing setting or a setting of a wrong type.
