--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -221,7 +221,7 @@
 {
     std::string rest(refused_ || closing_ ? std::string_view{} : input_);
     const auto bytes = charge_.bytes() - unparsed_.size() + rest.size();
-    unparsed_ = std::move(rest);
+    unparsed_.swap(rest);
     if (!context_->reserve(charge_, bytes, memory_use::other, this)) {
         ++context_->counters.memory_closed;
         close();
@@ -315,6 +315,13 @@
     parser_.abandon();
     partial_charge_.reset();
     input_ = {};
+    const auto id = pipeline_.add(false, 0);
+    slots_[id].response = make_refusal(status, text);
+    finish_request(id, 0, true);
+}
+
+http_response http_connection::make_refusal(int status, const char* text) const
+{
     auto response = error_response(status, text);
     if (context_->limits.refusal_headers) {
         for (auto& entry : context_->limits.refusal_headers(status)) {
@@ -324,9 +331,7 @@
     if (status == status_unavailable && !find_header(response.headers, "retry-after")) {
         response.headers.push_back({"retry-after", "1"});
     }
-    const auto id = pipeline_.add(false, 0);
-    slots_[id].response = std::move(response);
-    finish_request(id, 0, true);
+    return response;
 }
 
 void http_connection::refuse_unfinished()
@@ -371,8 +376,13 @@
 
 void http_connection::call_handler(number request)
 {
-    auto& entry = slots_.at(request);
+    slot& entry = slots_.at(request);
     entry.on_cancel = std::make_shared<std::function<void()>>();
+    if (!reserve_copy(entry)) {
+        ++context_->counters.memory_refused;
+        respond(request, make_refusal(status_unavailable, "memory is low"));
+        return;
+    }
     http_exchange exchange;
     exchange.request = std::move(entry.request);
     exchange.on_cancel = entry.on_cancel;
@@ -398,6 +408,21 @@
     }
 }
 
+// A handler that forwards a request holds its body a second time. When memory is short, a request
+// is started only if that copy fits. In calm, a body of more than half of the budget has to be
+// served too.
+bool http_connection::reserve_copy(slot& entry)
+{
+    constexpr std::size_t calm_divisor = 4;
+    const auto bytes = entry.charge.bytes();
+    const auto body = entry.request.body.size();
+    if (body == 0 || context_->reserve(entry.charge, bytes + body, memory_use::other, this)) {
+        return true;
+    }
+    const auto& budget = *context_->limits.budget;
+    return budget.used() - bytes < budget.limit() / calm_divisor;
+}
+
 void http_connection::respond(number request, http_response response)
 {
     const auto found = slots_.find(request);
@@ -406,7 +431,7 @@
     }
     slot& entry = found->second;
     entry.on_cancel = nullptr;
-    entry.request = {};
+    std::exchange(entry.request, {});
     const auto bytes = response_bytes(response);
     entry.response = std::move(response);
     entry.charge = memory_charge(context_->limits.budget);
@@ -527,7 +552,7 @@
         close();
         return;
     }
-    unparsed_ = {};
+    std::string().swap(unparsed_);
     shutdown(h2o_socket_get_fd(socket_), SHUT_WR);
     lingering_ = true;
     linger_end_ = context_->event_loop.now() + linger_time;
@@ -566,7 +591,7 @@
     auto output = std::make_shared<std::vector<std::string>>(std::move(output_));
     context_->event_loop.defer([socket = socket_, output] { h2o_socket_close(socket); });
     output_charges_.clear();
-    unparsed_ = {};
+    std::string().swap(unparsed_);
     charge_.reset();
     context_->on_closed(*this);
 }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -111,6 +111,8 @@
     void finish_request(number request, std::size_t bytes, bool closes);
     void refuse(int status, const char* text, std::uint64_t& counter);
     void refuse_unparsable();
+    [[nodiscard]] http_response make_refusal(int status, const char* text) const;
+    bool reserve_copy(slot& entry);
     void cancel_requests();
     void close_after_writing();
     void update_reading();
--- a/src/net/http_message_parser.cpp
+++ b/src/net/http_message_parser.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t max_framing_bytes_per_body_byte = 8;
 /// From this size, the memory of a body counts by its bytes: the allocator maps such blocks, and
 /// the system provides pages only when they are written.
-constexpr std::size_t mapped_body_bytes = std::size_t{256} * 1024;
+constexpr std::size_t mapped_body_bytes = std::size_t{32} * 1024;
 constexpr std::size_t min_body_capacity = 1024;
 
 void lower_case(std::string& text)
@@ -92,7 +92,8 @@
     parser_.data = this;
     state_ = state::idle;
     part_ = part::head;
-    request_ = {};
+    // An assignment of an empty request would keep the memory of the strings.
+    std::exchange(request_, {});
     value_started_ = false;
     expects_continue_ = false;
     in_chunk_extension_ = false;
@@ -114,7 +115,8 @@
 void http_message_parser::abandon()
 {
     state_ = state::refused;
-    request_ = {};
+    // An assignment of an empty request would keep the memory of the strings.
+    std::exchange(request_, {});
 }
 
 std::size_t http_message_parser::held_bytes() const
--- a/src/net/peer_incoming.cpp
+++ b/src/net/peer_incoming.cpp
@@ -227,7 +227,7 @@
     peer.waiting_since = loop_.now();
     peer.failure = wire::encode({{}, {}, to_string(address()), wire::protocol_failure{reason}});
     h2o_buffer_consume(&peer.socket->input, peer.socket->input->size);
-    peer.decompressed = {};
+    std::string().swap(peer.decompressed);
     peer.charge.reset();
     h2o_iovec_t bytes = h2o_iovec_init(peer.failure.data(), peer.failure.size());
     h2o_socket_write(peer.socket, &bytes, 1, [](h2o_socket_t* socket, const char*) {
--- a/src/sidecar/client_limits.cpp
+++ b/src/sidecar/client_limits.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <malloc.h>
 #include <sstream>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,11 @@
 /// the copies of requests that are being forwarded.
 constexpr std::size_t budget_share_numerator = 5;
 constexpr std::size_t budget_share_denominator = 8;
+/// Blocks of at least this size are mapped one by one. It equals the size from which
+/// `http_message_parser` counts a body by its bytes.
+constexpr int mapped_block_bytes = 32 * 1024;
+/// Free memory at the end of the heap that is kept.
+constexpr int kept_free_bytes = 1024 * 1024;
 /// Bodies of heartbeats and other calls on the host are below 1 KiB.
 constexpr std::size_t max_local_body_bytes = std::size_t{64} * 1024;
 /// Room for about 1,000 idle connections, of which the oldest are closed first.
@@ -52,6 +58,12 @@
                                                 budget_share_denominator * budget_share_numerator);
 }
 
+void return_freed_memory()
+{
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+    mallopt(M_TRIM_THRESHOLD, kept_free_bytes);
+}
+
 net::http_server_limits
 request_server_limits(const std::shared_ptr<net::memory_budget>& budget,
                       const platform_protocol& protocol,
--- a/src/sidecar/client_limits.h
+++ b/src/sidecar/client_limits.h
@@ -24,6 +24,11 @@
 /// The budget for what clients and peers make the process hold, from the memory of the process.
 std::shared_ptr<net::memory_budget> make_budget(std::size_t memory_mb);
 
+/// Makes the allocator return large blocks to the system when they are freed. By default, glibc
+/// keeps blocks of a size that was freed once, so that bodies of past crowds remain resident. Call
+/// once, before the servers start.
+void return_freed_memory();
+
 /// Limits of the server for requests. `routes` returns the routes in force, or null.
 net::http_server_limits
 request_server_limits(const std::shared_ptr<net::memory_budget>& budget,
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -113,6 +113,7 @@
       budget_(make_budget(settings_.memory_mb))
 {
     journal_.set_incarnation(self_);
+    return_freed_memory();
     listen();
 }
 
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -12,6 +12,7 @@
 DEFINE_string(store, "", "address of the store");
 DEFINE_string(manifest, "", "file with the manifest");
 DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded]");
+DEFINE_int32(execution_ms, 20, "time that a target takes for a request");
 DEFINE_int32(late_heartbeat_ms, 1500, "delay of the last heartbeat of a target that leaves");
 
 namespace {
@@ -36,6 +37,7 @@
     result.control = net::parse_endpoint(parts.at(1));
     result.service = parts.at(2);
     result.sharded = parts.size() > 3;
+    result.execution_time = milliseconds{FLAGS_execution_ms};
     return result;
 }
 
