--- a/src/sidecar/client_limits.cpp
+++ b/src/sidecar/client_limits.cpp
@@ -13,10 +13,11 @@
 namespace {
 
 constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
-/// Share of the process's memory that clients and peers may fill. Three quarters of it, which
-/// `http_server` leaves to bodies, hold one body of 64 MiB on a host with 160 MB. The rest of the
-/// memory remains for the process itself and the kernel's buffers, which take 15 to 30 MB, and for
-/// the copies of requests that are being forwarded.
+/// Memory that the process needs itself, without clients.
+constexpr std::size_t process_mb = 16;
+/// Share of the remaining memory that clients and peers may fill. Three quarters of it, which
+/// `http_server` leaves to bodies, hold one body of 64 MiB on a host with 160 MB. The rest is for
+/// the kernel's buffers, frames that wait to be sent, and the allocator's losses.
 constexpr std::size_t budget_share_numerator = 5;
 constexpr std::size_t budget_share_denominator = 8;
 /// Blocks of at least this size are mapped one by one. It equals the size from which
@@ -54,7 +55,8 @@
 
 std::shared_ptr<net::memory_budget> make_budget(std::size_t memory_mb)
 {
-    return std::make_shared<net::memory_budget>(memory_mb * bytes_per_mb /
+    const auto available = std::max(memory_mb, process_mb) - process_mb;
+    return std::make_shared<net::memory_budget>(available * bytes_per_mb /
                                                 budget_share_denominator * budget_share_numerator);
 }
 
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -13,8 +13,8 @@
 
 /// Minimum for files, the store, the target, peers and a few clients.
 constexpr double min_descriptors = 600;
-/// Below this, the process itself does not fit into its memory.
-constexpr double min_memory_mb = 16;
+/// Twice what the process needs itself, so that clients have room.
+constexpr double min_memory_mb = 32;
 
 /// Looks fields up by their path, such as "bounds.drain_ms".
 class field_reader {
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -53,7 +53,7 @@
     std::string text = complete_settings;
     text.insert(1, R"("memory_mb":160,)");
     LONGS_EQUAL(160, parse_settings("node.json", text).memory_mb);
-    STRCMP_CONTAINS("field \"memory_mb\": expected a number of at least 16",
+    STRCMP_CONTAINS("field \"memory_mb\": expected a number of at least 32",
                     failure_of("{\"host\"", "{\"memory_mb\":1,\"host\"").c_str());
 }
 
