--- a/src/net/http_message_parser.cpp
+++ b/src/net/http_message_parser.cpp
@@ -30,12 +30,14 @@
 /// From this size, the memory of a body counts by its bytes: the allocator maps such blocks, and
 /// the system provides pages only when they are written.
 constexpr std::size_t mapped_body_bytes = std::size_t{32} * 1024;
+constexpr std::size_t empty_line_bytes = 2;
 constexpr std::size_t min_body_capacity = 1024;
 
 void lower_case(std::string& text)
 {
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char letter) { return std::tolower(letter); });
+    for (char& letter : text) {
+        letter = letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+    }
 }
 
 void trim_end(std::string& text)
@@ -224,7 +226,7 @@
         }
         const auto rest = bytes.substr(consumed);
         const bool is_data = part_ == part::body || part_ == part::chunk_data;
-        consumed += is_data ? parse_data(rest) : parse_line(rest);
+        consumed += is_data ? parse_data(rest) : parse_lines(rest);
     }
     limits_ = nullptr;
     return consumed;
@@ -251,35 +253,52 @@
     return size;
 }
 
-// Parses up to the next line feed, so that its line end is checked before http_parser, which
-// accepts a bare line feed, gets to see it.
-std::size_t http_message_parser::parse_line(std::string_view bytes)
+// Parses one line, or all lines of a head that have arrived. Each line is checked before
+// http_parser, which accepts a bare line feed, gets to see it.
+std::size_t http_message_parser::parse_lines(std::string_view bytes)
 {
-    const auto feed = bytes.find('\n');
-    const auto line = bytes.substr(0, feed == std::string_view::npos ? feed : feed + 1);
     if (state_ == state::idle) {
         state_ = state::head;
     }
+    const bool is_head = part_ == part::head;
+    std::size_t size = 0;
+    bool is_head_end = false;
+    do {
+        const auto rest = bytes.substr(size);
+        const auto feed = rest.find('\n');
+        const auto line = rest.substr(0, feed == std::string_view::npos ? feed : feed + 1);
+        is_head_end = head_lines_ > 0 && line_bytes_ + line.size() == empty_line_bytes &&
+                      feed != std::string_view::npos;
+        size += line.size();
+        if (!check_line(line)) {
+            return size;
+        }
+    } while (is_head && !is_head_end && size < bytes.size());
+    execute(bytes.substr(0, size));
+    return size;
+}
+
+bool http_message_parser::check_line(std::string_view line)
+{
     framing_bytes_ += line.size();
     if (!check_framing(line)) {
         refuse(status_bad_request);
-        return line.size();
+        return false;
     }
     if (is_above_framing_bound()) {
         refuse(part_ == part::head ? status_head_too_large : status_bad_request);
-        return line.size();
+        return false;
     }
     line_bytes_ += line.size();
     last_byte_ = line.back();
-    if (feed != std::string_view::npos) {
+    if (last_byte_ == '\n') {
         line_bytes_ = 0;
         last_byte_ = 0;
         in_chunk_extension_ = false;
         head_lines_ += part_ == part::head ? 1 : 0;
         part_ = part_ == part::chunk_end ? part::chunk_line : part_;
     }
-    execute(line);
-    return line.size();
+    return true;
 }
 
 // A line ends with a carriage return and a line feed, and contains neither before its end.
--- a/src/net/http_message_parser.h
+++ b/src/net/http_message_parser.h
@@ -72,7 +72,8 @@
     void reset();
     void refuse(int status);
     void execute(std::string_view bytes);
-    std::size_t parse_line(std::string_view bytes);
+    std::size_t parse_lines(std::string_view bytes);
+    bool check_line(std::string_view line);
     std::size_t parse_data(std::string_view bytes);
     bool check_framing(std::string_view line);
     bool check_line_end(std::string_view line) const;
--- a/src/net/http_text.cpp
+++ b/src/net/http_text.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <iterator>
+#include <cstddef>
 #include <utility>
 
 #include "net/sockets.h"
@@ -43,6 +43,9 @@
     {504, "Gateway Timeout"},
 }};
 
+/// First allocation for the head of a response, which few heads exceed.
+constexpr std::size_t usual_head_bytes = 512;
+
 bool is_token_character(char c)
 {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -102,19 +105,29 @@
     constexpr int internal_error = 500;
     const bool is_valid = response.status >= lowest_status && response.status <= highest_status;
     const int status = is_valid ? response.status : internal_error;
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason_phrase(status) +
-                       "\r\nconnection: " + (closes ? "close" : "keep-alive") + "\r\n";
+    std::string head;
+    head.reserve(usual_head_bytes);
+    head += "HTTP/1.1 ";
+    head += std::to_string(status);
+    head += ' ';
+    head += reason_phrase(status);
+    head += closes ? "\r\nconnection: close\r\n" : "\r\nconnection: keep-alive\r\n";
     if (has_response_body(status)) {
         head += "content-length: " + std::to_string(response.body.size()) + "\r\n";
     }
     for (const auto& entry : response.headers) {
         if (is_valid_header(entry) && !is_connection_header(entry.name)) {
-            std::transform(entry.name.begin(), entry.name.end(), std::back_inserter(head),
+            const auto start = static_cast<std::ptrdiff_t>(head.size());
+            head += entry.name;
+            std::transform(head.begin() + start, head.end(), head.begin() + start,
                            [](unsigned char letter) { return std::tolower(letter); });
-            head += ": " + entry.value + "\r\n";
+            head += ": ";
+            head += entry.value;
+            head += "\r\n";
         }
     }
-    return head + "\r\n";
+    head += "\r\n";
+    return head;
 }
 
 } // namespace bulrushgw::net::detail
