Count bodies of other nodes' requests, and end stalled connections early

A crowd at one node could fill the memory of another one through forwarded requests; they are now refused as not run without room in the budget. From seven eighths of the allowed connections, idle and stalled ones have only the time of a head, so that they do not keep other clients out.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -623,8 +623,10 @@
         }
         return;
     }
-    const auto idle = context_->idle_timeout;
-    const auto head = limits.header_timeout.count() > 0 ? limits.header_timeout : idle;
+    const bool is_crowded = context_->is_crowded();
+    const auto calm_idle = context_->idle_timeout;
+    const auto head = limits.header_timeout.count() > 0 ? limits.header_timeout : calm_idle;
+    const auto idle = is_crowded ? std::min(head, calm_idle) : calm_idle;
     const auto body = context_->is_memory_low() ? std::min(head, idle) : idle;
     if (parser_.current_state() == state::head && now - message_since_ > head) {
         refuse(status_request_timeout, "the head is incomplete", context_->counters.heads_too_slow);
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "net/h2o_library.h"
@@ -27,6 +28,13 @@
 /// What the connections of a server share. It outlives the server while one of its handlers runs;
 /// the hooks are not called then, because all connections are closed.
 struct http_server_context {
+    http_server_context(net::loop& server_loop, http_server::handler request_handler,
+                        http_server_limits server_limits)
+        : event_loop(server_loop), on_request(std::move(request_handler)),
+          limits(std::move(server_limits)), idle_timeout(limits.request_timeout)
+    {
+    }
+
     net::loop& event_loop;
     http_server::handler on_request;
     http_server_limits limits;
@@ -41,6 +49,8 @@
     std::function<bool(memory_charge&, std::size_t bytes, memory_use, http_connection* requester)>
         reserve;
     std::function<bool()> is_memory_low;
+    /// True if few further connections are accepted.
+    std::function<bool()> is_crowded;
     std::function<void(http_connection&)> on_closed;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -31,6 +31,9 @@
 constexpr std::size_t share_denominator = 16;
 constexpr std::size_t body_share = 12;
 constexpr std::size_t server_share = 14;
+/// Share of the allowed connections, in sixteenths, from which idle connections and bodies without
+/// progress have only the time of a head, so that stalled clients do not keep others out.
+constexpr std::size_t crowded_share = 14;
 
 } // namespace
 
@@ -45,26 +48,19 @@
     loop::timer_id sweep_timer = 0;
 
     state(net::loop& loop, handler on_request, http_server_limits limits)
-        : context(new detail::http_server_context{loop,
-                                                  std::move(on_request),
-                                                  std::move(limits),
-                                                  {},
-                                                  {},
-                                                  0,
-                                                  false,
-                                                  false,
-                                                  {},
-                                                  {},
-                                                  {},
-                                                  {}})
+        : context(std::make_shared<detail::http_server_context>(loop, std::move(on_request),
+                                                                std::move(limits)))
     {
-        context->idle_timeout = context->limits.request_timeout;
         context->read_buffer.resize(read_bytes);
         context->reserve = [this](memory_charge& charge, std::size_t bytes, memory_use use,
                                   http_connection* requester) {
             return reserve(charge, bytes, use, requester);
         };
         context->is_memory_low = [this] { return !has_room(0, memory_use::body); };
+        context->is_crowded = [this] {
+            return connections.size() * share_denominator >=
+                   context->limits.max_connections * crowded_share;
+        };
         context->on_closed = [this](const http_connection& closed) { connections.erase(&closed); };
     }
 
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -59,6 +59,10 @@
 /// Interval of the "traffic" log line.
 constexpr milliseconds traffic_interval{10000};
 constexpr double millicores_per_core = 1000;
+/// A request from another node holds its body in the queue and in the call to the target.
+constexpr std::size_t body_copies = 2;
+/// Retry-after time of a request that is refused because memory is low.
+constexpr milliseconds low_memory_retry_after{1000};
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
 constexpr int status_not_found = 404;
@@ -91,6 +95,16 @@
     return result;
 }
 
+wire::forward_reply refusal_of(const wire::forward& request, request::reason why)
+{
+    wire::forward_reply reply;
+    reply.number = request.number;
+    reply.request_id = request.request_id;
+    reply.outcome = wire::forward_outcome::not_run;
+    reply.reason = request::to_text(why);
+    return reply;
+}
+
 bool is_printable_ascii(char letter)
 {
     return letter >= ' ' && letter <= '~';
@@ -276,6 +290,7 @@
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
+            gauges.forwards_over_budget = forwards_over_budget_;
             gauges.requests_ignored = request_server_->abandoned_requests();
             exchange.respond({status_ok,
                               {{"content-type", "text/plain; version=0.0.4"}},
@@ -356,6 +371,9 @@
     journal::fields line{{"bytes_sent", counters.bytes_sent},
                          {"connects", counters.connects},
                          {"writes", counters.writes}};
+    if (forwards_over_budget_ > 0) {
+        line["forwards_over_budget"] = forwards_over_budget_;
+    }
     if (counters.over_budget > 0) {
         line["over_budget"] = counters.over_budget;
     }
@@ -437,21 +455,25 @@
     if (frame.to != self_) {
         // The request is addressed to an earlier incarnation of this host. The current incarnation
         // has not run it.
-        wire::forward_reply reply;
-        reply.number = request.number;
-        reply.request_id = request.request_id;
-        reply.outcome = wire::forward_outcome::not_run;
-        reply.reason = request::to_text(request::reason::no_target);
+        auto reply = refusal_of(request, request::reason::no_target);
         // The sender expects the reply from the incarnation to which it sent the request.
         transport_->send(
             frame.reply_address,
             {frame.to, frame.from, net::to_string(settings_.addresses.announced), reply});
         return;
     }
+    const auto charge = std::make_shared<net::memory_charge>(budget_);
+    if (!charge->try_resize(body_copies * request.body.size())) {
+        ++forwards_over_budget_;
+        auto reply = refusal_of(request, request::reason::overloaded);
+        reply.retry_after = low_memory_retry_after;
+        send(frame.reply_address, frame.from, std::move(reply));
+        return;
+    }
     // After a pause of this process, or of the connection, a request may arrive together with its
     // cancellation.
     gate_.run_later({frame.from, request.number}, request,
-                    [this, to = frame.from, address = frame.reply_address](
+                    [this, charge, to = frame.from, address = frame.reply_address](
                         wire::forward_reply reply) { send(address, to, std::move(reply)); });
 }
 
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -104,9 +104,10 @@
     bool check_under_way_ = false;
     time_point next_check_{}; ///< earliest time for the next health check of the target
     refusal_report refusals_;
-    entry_counters logged_counters_;  ///< as of the last "state" log line
-    std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
-    std::uint64_t recent_errors_ = 0; ///< since `error_window_start_`
+    std::uint64_t forwards_over_budget_ = 0; ///< requests of other nodes refused for lack of memory
+    entry_counters logged_counters_;         ///< as of the last "state" log line
+    std::uint64_t errors_ = 0;               ///< exceptions from handlers, in total
+    std::uint64_t recent_errors_ = 0;        ///< since `error_window_start_`
     time_point error_window_start_{};
 };
 
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -60,6 +60,7 @@
     write_metric(out, "store_calls_total", "counter", gauges.store_calls);
     write_metric(out, "log_lines_dropped_total", "counter", gauges.lines_dropped);
     write_metric(out, "unexpected_errors_total", "counter", gauges.errors);
+    write_metric(out, "forwards_over_budget_total", "counter", gauges.forwards_over_budget);
     write_metric(out, "manifest_version", "gauge", gauges.manifest_version);
     write_metric(out, "term", "gauge", gauges.term);
     write_metric(out, "directory_version", "gauge", gauges.directory_version);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -36,8 +36,9 @@
     std::uint64_t store_calls = 0;
     std::uint64_t lines_dropped = 0;
     std::uint64_t target_load = 0;
-    std::uint64_t errors = 0;           ///< unexpected exceptions from handlers
-    std::uint64_t requests_ignored = 0; ///< whose clients had left before they were read
+    std::uint64_t errors = 0;               ///< unexpected exceptions from handlers
+    std::uint64_t forwards_over_budget = 0; ///< requests of other nodes refused for lack of memory
+    std::uint64_t requests_ignored = 0;     ///< whose clients had left before they were read
     bool holds_lease = false;
     bool leads = false;
     bool store_up = false;
--- a/standins/crowd_main.cpp
+++ b/standins/crowd_main.cpp
@@ -126,7 +126,8 @@
     const auto* name = reinterpret_cast<const sockaddr*>(&target.bytes);
     opened.fd = socket(name->sa_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     opened.sent = 0;
-    connect(opened.fd, name, target.size);
+    // The connection is not established yet; a failure shows as an event of the socket.
+    static_cast<void>(connect(opened.fd, name, target.size));
 }
 
 } // namespace
--- a/tests/net/http_pipeline_test.cpp
+++ b/tests/net/http_pipeline_test.cpp
@@ -225,6 +225,32 @@
     LONGS_EQUAL(0, exchanges.size());
 }
 
+// Guards against stalled clients that take all connections and thus keep others out.
+TEST(http_connections, stalled_and_idle_connections_end_early_when_few_are_left)
+{
+    http_server_limits limits;
+    limits.max_connections = 8;
+    limits.header_timeout = milliseconds{40};
+    serve(limits);
+    const test::raw_client early(server->address());
+    CHECK(loop.run_until([&] { return server->connections() == 2; }, wait_limit));
+    run_briefly();
+    std::vector<std::unique_ptr<test::raw_client>> crowd;
+    for (int i = 0; i < 6; ++i) {
+        crowd.push_back(std::make_unique<test::raw_client>(server->address()));
+        CHECK(crowd.back()->send("POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nab"));
+    }
+    CHECK(loop.run_until([&] { return server->connections() == 8; }, wait_limit));
+    CHECK(loop.run_until(
+        [&] {
+            for (auto& each : crowd) {
+                each->received();
+            }
+            return server->counters().bodies_too_slow > 0 || server->connections() < 7;
+        },
+        wait_limit));
+}
+
 // Guards against unfinished bodies that exceed the memory of the process, and against refusing
 // requests without a body, or cancelling running ones, because of them.
 TEST(http_connections, unfinished_bodies_are_refused_when_memory_is_low)
