--- a/src/net/http_text.cpp
+++ b/src/net/http_text.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <cstddef>
 #include <utility>
 
 #include "net/sockets.h"
@@ -17,7 +19,7 @@
     "upgrade",    "proxy-connection", "trailer",           "expect",     "http2-settings",
 };
 
-constexpr std::array<std::pair<int, const char*>, 17> reason_phrases = {{
+constexpr std::array<std::pair<int, const char*>, 21> reason_phrases = {{
     {200, "OK"},
     {201, "Created"},
     {202, "Accepted"},
@@ -27,8 +29,12 @@
     {403, "Forbidden"},
     {404, "Not Found"},
     {405, "Method Not Allowed"},
+    {408, "Request Timeout"},
     {409, "Conflict"},
+    {412, "Precondition Failed"},
     {413, "Payload Too Large"},
+    {417, "Expectation Failed"},
+    {421, "Misdirected Request"},
     {429, "Too Many Requests"},
     {431, "Request Header Fields Too Large"},
     {500, "Internal Server Error"},
@@ -37,6 +43,9 @@
     {504, "Gateway Timeout"},
 }};
 
+/// First allocation for the head of a response, which few heads exceed.
+constexpr std::size_t usual_head_bytes = 512;
+
 bool is_token_character(char c)
 {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -82,4 +91,43 @@
     return found == reason_phrases.end() ? "Status" : found->second;
 }
 
+bool has_response_body(int status)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return status != no_content && status != not_modified;
+}
+
+std::string response_head(const http_response& response, bool closes)
+{
+    constexpr int lowest_status = 200;
+    constexpr int highest_status = 999;
+    constexpr int internal_error = 500;
+    const bool is_valid = response.status >= lowest_status && response.status <= highest_status;
+    const int status = is_valid ? response.status : internal_error;
+    std::string head;
+    head.reserve(usual_head_bytes);
+    head += "HTTP/1.1 ";
+    head += std::to_string(status);
+    head += ' ';
+    head += reason_phrase(status);
+    head += closes ? "\r\nconnection: close\r\n" : "\r\nconnection: keep-alive\r\n";
+    if (has_response_body(status)) {
+        head += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+    }
+    for (const auto& entry : response.headers) {
+        if (is_valid_header(entry) && !is_connection_header(entry.name)) {
+            const auto start = static_cast<std::ptrdiff_t>(head.size());
+            head += entry.name;
+            std::transform(head.begin() + start, head.end(), head.begin() + start,
+                           [](unsigned char letter) { return std::tolower(letter); });
+            head += ": ";
+            head += entry.value;
+            head += "\r\n";
+        }
+    }
+    head += "\r\n";
+    return head;
+}
+
 } // namespace bulrushgw::net::detail
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -59,6 +59,10 @@
 /// Interval of the "traffic" log line.
 constexpr milliseconds traffic_interval{10000};
 constexpr double millicores_per_core = 1000;
+/// A request from another node holds its body in the queue and in the call to the target.
+constexpr std::size_t body_copies = 2;
+/// Retry-after time of a request that is refused because memory is low.
+constexpr milliseconds low_memory_retry_after{1000};
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
 constexpr int status_not_found = 404;
@@ -71,9 +75,11 @@
     return (static_cast<std::uint64_t>(device()) << 32) ^ device();
 }
 
-net::peer_limits make_peer_limits(const platform_protocol& protocol)
+net::peer_limits make_peer_limits(const platform_protocol& protocol,
+                                  std::shared_ptr<net::memory_budget> budget)
 {
     net::peer_limits limits;
+    limits.budget = std::move(budget);
     limits.stall_timeout = peer_stall_timeout;
     limits.compress = true;
     limits.dictionary = make_peer_dictionary(protocol.names);
@@ -89,6 +95,16 @@
     return result;
 }
 
+wire::forward_reply refusal_of(const wire::forward& request, request::reason why)
+{
+    wire::forward_reply reply;
+    reply.number = request.number;
+    reply.request_id = request.request_id;
+    reply.outcome = wire::forward_outcome::not_run;
+    reply.reason = request::to_text(why);
+    return reply;
+}
+
 bool is_printable_ascii(char letter)
 {
     return letter >= ' ' && letter <= '~';
@@ -107,9 +123,11 @@
       journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
       watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
       store_(make_store()), gate_(make_gate()), coordination_(make_coordination()),
-      entry_(make_entry()), peer_check_(make_peer_check())
+      entry_(make_entry()), peer_check_(make_peer_check()),
+      budget_(make_budget(settings_.memory_mb))
 {
     journal_.set_incarnation(self_);
+    return_freed_memory();
     listen();
 }
 
@@ -239,11 +257,10 @@
         [this](const std::string& address, std::optional<time_point> unsent_since) {
             entry_.on_disconnect(address, unsent_since);
         },
-        make_peer_limits(protocol_));
-    net::http_server_limits limits;
+        make_peer_limits(protocol_, budget_));
+    auto limits = request_server_limits(budget_, protocol_, [this] { return routes_; });
     limits.request_timeout = default_idle_timeout;
     limits.max_connections = settings_.descriptors - reserved_descriptors;
-    limits.ignore_abandoned_requests = true;
     request_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.requests,
         [this](net::http_exchange exchange) {
@@ -253,12 +270,14 @@
         limits);
     ready_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.ready,
-        [this](const net::http_exchange& exchange) { on_ready(exchange); });
+        [this](const net::http_exchange& exchange) { on_ready(exchange); }, local_server_limits());
     control_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.control,
-        [this](const net::http_exchange& exchange) { on_control(exchange); });
+        [this](const net::http_exchange& exchange) { on_control(exchange); },
+        local_server_limits());
     metrics_server_ = std::make_unique<net::http_server>(
-        loop_, settings_.addresses.metrics, [this](const net::http_exchange& exchange) {
+        loop_, settings_.addresses.metrics,
+        [this](const net::http_exchange& exchange) {
             const auto& member = coordination_.member();
             sidecar_gauges gauges;
             gauges.manifest_version = routes_ ? routes_->content().version : 0;
@@ -271,12 +290,15 @@
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
+            gauges.forwards_over_budget = forwards_over_budget_;
             gauges.requests_ignored = request_server_->abandoned_requests();
-            exchange.respond(
-                {status_ok,
-                 {{"content-type", "text/plain; version=0.0.4"}},
-                 metrics_.text(entry_.counters(), gauges) + traffic_text(transport_->counters())});
-        });
+            exchange.respond({status_ok,
+                              {{"content-type", "text/plain; version=0.0.4"}},
+                              metrics_.text(entry_.counters(), gauges) +
+                                  traffic_text(transport_->counters()) +
+                                  refusal_metrics(*request_server_, *budget_)});
+        },
+        local_server_limits());
 }
 
 int process::run()
@@ -336,6 +358,9 @@
                   {"refused", total.refused - logged_counters_.refused},
                   {"unknown", total.unknown - logged_counters_.unknown}});
     logged_counters_ = total;
+    refusals_.log_changes(
+        *request_server_, *budget_,
+        [this](std::string_view event, const journal::fields& details) { log(event, details); });
 }
 
 // Logs totals since the start: the frames and the bytes before compression for each message type,
@@ -346,6 +371,12 @@
     journal::fields line{{"bytes_sent", counters.bytes_sent},
                          {"connects", counters.connects},
                          {"writes", counters.writes}};
+    if (forwards_over_budget_ > 0) {
+        line["forwards_over_budget"] = forwards_over_budget_;
+    }
+    if (counters.over_budget > 0) {
+        line["over_budget"] = counters.over_budget;
+    }
     for (std::size_t i = 0; i < counters.queued.size(); ++i) {
         const auto& count = counters.queued[i];
         if (count.frames > 0) {
@@ -424,21 +455,25 @@
     if (frame.to != self_) {
         // The request is addressed to an earlier incarnation of this host. The current incarnation
         // has not run it.
-        wire::forward_reply reply;
-        reply.number = request.number;
-        reply.request_id = request.request_id;
-        reply.outcome = wire::forward_outcome::not_run;
-        reply.reason = request::to_text(request::reason::no_target);
+        auto reply = refusal_of(request, request::reason::no_target);
         // The sender expects the reply from the incarnation to which it sent the request.
         transport_->send(
             frame.reply_address,
             {frame.to, frame.from, net::to_string(settings_.addresses.announced), reply});
         return;
     }
+    const auto charge = std::make_shared<net::memory_charge>(budget_);
+    if (!charge->try_resize(body_copies * request.body.size())) {
+        ++forwards_over_budget_;
+        auto reply = refusal_of(request, request::reason::overloaded);
+        reply.retry_after = low_memory_retry_after;
+        send(frame.reply_address, frame.from, std::move(reply));
+        return;
+    }
     // After a pause of this process, or of the connection, a request may arrive together with its
     // cancellation.
     gate_.run_later({frame.from, request.number}, request,
-                    [this, to = frame.from, address = frame.reply_address](
+                    [this, charge, to = frame.from, address = frame.reply_address](
                         wire::forward_reply reply) { send(address, to, std::move(reply)); });
 }
 
@@ -512,6 +547,7 @@
     routes_ = std::make_shared<routing::route_index>(std::move(content));
     manifest_text_ = text;
     entry_.set_manifest(routes_);
+    apply_limits(routes_->content().limits, *request_server_);
     if (const auto idle = routes_->content().limits.idle_time; idle.count() > 0) {
         request_server_->set_idle_timeout(idle + idle_margin);
     }
