Decode orders of evacuation and keep them by store version

Operators evacuate an availability zone with a row of the table that also holds the manifest. An unreadable row is lost alone, and a read that may be incomplete ends no order.

--- a/src/sidecar/protocol.h
+++ b/src/sidecar/protocol.h
@@ -15,6 +15,7 @@
 #include "assignment/types.h"
 #include "common/errors.h"
 #include "net/http.h"
+#include "routing/evacuations.h"
 #include "routing/manifest.h"
 
 namespace bulrushgw::sidecar {
@@ -98,8 +99,8 @@
     std::function<net::http_request(std::uint64_t version, const std::string& value)> write_leader;
     /// Encodes a call that reads the row with the manifest.
     std::function<net::http_request()> read_manifest;
-    /// Encodes a call that waits for changes of the manifest after version `after` of the store;
-    /// the store answers within `wait`, also without a change.
+    /// Encodes a call that waits for changes of these rows after version `after` of the store; the
+    /// store answers within `wait`, also without a change.
     std::function<net::http_request(std::uint64_t after, milliseconds wait)> watch_manifest;
     /// Return the row from the body of a 200 answer to `read_leader` or `read_manifest`. Throw
     /// `store_format_error`.
@@ -110,6 +111,9 @@
     std::function<std::uint64_t(const std::string& body)> parse_version;
     /// Returns the changes from the body of a 200 answer to a watch. Throws `store_format_error`.
     std::function<feed_page(const std::string& body)> parse_feed;
+    /// Returns the orders of evacuation from the body of a 200 answer to `read_manifest` or
+    /// `watch_manifest`. An unreadable row is left out. Throws `store_format_error`.
+    std::function<routing::evacuation_rows(const std::string& body)> parse_evacuations;
     /// HTTP status codes of the store's answers, apart from 200.
     int conflict_status = 0; ///< the row has another version; nothing was written
     /// The store no longer has all changes since the version `after` of a watch; read the row
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -113,7 +113,7 @@
     R"("maxAttempts":2,"trafficSplit":[{"service":"s1","weight":90},{"service":"s2"}]}}]}]})";
 const std::string rows =
     R"({"rows":[{"table":"op","part":"","key":"config","value":"bm9kZS0x","ver":7},)"
-    R"({"key":"config","removed":true,"ver":8}],"morePages":false,"ver":9,"nowMs":51230})";
+    R"({"key":"config","removed":true,"ver":8},{"key":"evacuate/z","value":"e30=","ver":9}],"morePages":false,"ver":9,"nowMs":51230})";
 
 } // namespace
 
@@ -151,6 +151,7 @@
 TEST(decoder_fuzz, rows_of_the_store)
 {
     const auto decode = [](const std::string& text) {
+        platform::detail::parse_evacuations(text, "evacuate/");
         platform::detail::parse_feed(text, "config");
         platform::detail::parse_row(text, "config");
         platform::detail::parse_version(text);
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -164,6 +164,32 @@
     }
 }
 
+// Guards against an order of evacuation that is lost because the row of the manifest, another row
+// or its own value is unreadable, and against an order that is invented.
+TEST(platform_protocol, evacuations_are_decoded_row_by_row)
+{
+    const auto protocol = make_protocol();
+    const auto path = protocol.read_manifest().path;
+    CHECK(path.find("from=config&target=evacuate0") != std::string::npos);
+    const auto rows = protocol.parse_evacuations(
+        R"({"rows":[{"key":"config","value":7,"ver":"x"},{"key":"evacuate/a","value":"e30=","ver":7},)"
+        R"({"key":"evacuate/b","value":5,"ver":8},{"key":"evacuate/","ver":8},{"key":"evacuated","ver":8},)"
+        R"({"key":"evacuate/c","removed":true},{"key":"evacuate/d","removed":true,"ver":6},7],)"
+        R"("morePages":false,"ver":9})");
+    LONGS_EQUAL(9, rows.version);
+    CHECK(rows.complete);
+    CHECK(rows.changes == std::vector<routing::evacuation_change>(
+                              {{"a", 7, true}, {"b", 8, true}, {"c", 9, false}, {"d", 6, false}}));
+    const auto damaged = protocol.parse_evacuations(
+        R"({"rows":[{"key":"evacuate/a","ver":-1},{"key":"evacuate/b","ver":8}],"ver":9})");
+    CHECK_FALSE(damaged.complete);
+    LONGS_EQUAL(1, damaged.changes.size());
+    CHECK_FALSE(protocol.parse_evacuations(R"({"rows":[],"morePages":true,"ver":9})").complete);
+    for (const char* body : {"", "[]", R"({"rows":[]})", R"({"rows":7,"ver":1})"}) {
+        CHECK_THROWS(sidecar::store_format_error, protocol.parse_evacuations(body));
+    }
+}
+
 // Guards against a state of the manifest's row that hides a later one in the same answer.
 TEST(platform_protocol, unreadable_row_of_the_feed_does_not_hide_the_next)
 {
