Decode the regions of routes

A rule or its action may list the regions in which its requests may run. Weighted destinations can be limited to usable ones.

--- a/src/routing/manifest.h
+++ b/src/routing/manifest.h
@@ -33,6 +33,8 @@
     std::uint32_t attempts = 1;            ///< number of targets to which one request may be sent
     std::uint32_t rank = 0;                ///< 0 is the most urgent
     std::vector<destination> destinations; ///< at least one; all weights are above 0
+    std::vector<std::string> regions;      ///< where requests may run; empty: any
+    bool no_region_allowed = false;        ///< the manifest's lists of regions have none in common
 };
 
 struct service {
--- a/src/routing/route_index.cpp
+++ b/src/routing/route_index.cpp
@@ -60,17 +60,32 @@
 
 const destination& choose_destination(const route& chosen_route, double point)
 {
+    return choose_destination(chosen_route, point, [](const destination&) { return true; });
+}
+
+const destination& choose_destination(const route& chosen_route, double point,
+                                      const std::function<bool(const destination&)>& is_usable)
+{
+    std::vector<const destination*> usable;
+    for (const auto& item : chosen_route.destinations) {
+        if (is_usable(item)) {
+            usable.push_back(&item);
+        }
+    }
+    if (usable.empty()) {
+        return choose_destination(chosen_route, point);
+    }
     const std::uint64_t total = std::accumulate(
-        chosen_route.destinations.begin(), chosen_route.destinations.end(), std::uint64_t{0},
-        [](std::uint64_t sum, const destination& item) { return sum + item.weight; });
+        usable.begin(), usable.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const destination* item) { return sum + item->weight; });
     double remaining = point * static_cast<double>(total);
-    for (const auto& item : chosen_route.destinations) {
-        remaining -= item.weight;
+    for (const auto* item : usable) {
+        remaining -= item->weight;
         if (remaining < 0) {
-            return item;
+            return *item;
         }
     }
-    return chosen_route.destinations.back();
+    return *usable.back();
 }
 
 } // namespace bulrushgw::routing
--- a/src/routing/route_index.h
+++ b/src/routing/route_index.h
@@ -2,6 +2,7 @@
 
 /// Finds the route of a request: by host, then by the longest prefix of the path.
 
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -32,5 +33,8 @@
 /// Chooses a destination by weight. `point` is uniformly distributed in [0, 1). Precondition: the
 /// route has a destination.
 const destination& choose_destination(const route& chosen_route, double point);
+/// As above, among the destinations that are usable, or among all if none is.
+const destination& choose_destination(const route& chosen_route, double point,
+                                      const std::function<bool(const destination&)>& is_usable);
 
 } // namespace bulrushgw::routing
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -70,6 +70,31 @@
                  detail::parse_manifest(modified("\"weight\":90", "\"weight\":\"x\"")));
 }
 
+// Guards against data that leaves its regions: the list may be in two places, and two lists without
+// a common region allow none, not any.
+TEST(platform_protocol, regions_are_read_from_the_rule_and_its_action)
+{
+    const auto route_with = [](const std::string& in_rule, const std::string& in_action) {
+        std::string text = whole_manifest;
+        const std::string action = R"("action":{"service":"s1",)";
+        const auto list = [](const std::string& value) {
+            return value.empty() ? "" : "\"allowedRegions\":" + value + ",";
+        };
+        text.replace(text.find(action), action.size(), list(in_rule) + action + list(in_action));
+        return detail::parse_manifest(text).routes[0];
+    };
+    using regions = std::vector<std::string>;
+    CHECK(route_with("", "").regions.empty());
+    CHECK(route_with("[]", "null").regions.empty());
+    CHECK(route_with(R"(["a","b"])", "").regions == regions({"a", "b"}));
+    CHECK(route_with("", R"(["a"])").regions == regions({"a"}));
+    CHECK(route_with(R"(["a","b"])", R"(["b","c"])").regions == regions({"b"}));
+    CHECK_FALSE(route_with(R"(["a","b"])", R"(["b","c"])").no_region_allowed);
+    CHECK(route_with(R"(["a"])", R"(["b"])").no_region_allowed);
+    CHECK_THROWS(routing::manifest_error, route_with("\"a\"", ""));
+    CHECK_THROWS(routing::manifest_error, route_with("", "[7]"));
+}
+
 // Guards against an invalid heartbeat that is accepted as the state of a target.
 TEST(platform_protocol, heartbeats_are_decoded_or_refused)
 {
