--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -318,8 +318,10 @@
         }
         last_decay_ = now;
     }
+    find_services_elsewhere();
     begin_releases(now);
     for (const auto& service : sharded_services_) {
+        begin_evacuation(now, service);
         fill_gaps(service);
         if (now >= old_leases_end() || knows_all_holdings(now)) {
             assign_free(now, service);
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -54,9 +54,9 @@
 
 } // namespace detail
 
-/// Implemented in four files: reports and members (leader.cpp), the validity of terms
-/// (leader_term.cpp), their transfer to other nodes (leader_transfer.cpp) and the keys
-/// (leader_keys.cpp). Not thread-safe.
+/// Implemented in five files: reports and members (leader.cpp), the validity of terms
+/// (leader_term.cpp), their transfer to other nodes (leader_transfer.cpp), the keys
+/// (leader_keys.cpp) and the evacuation of zones (leader_evacuation.cpp). Not thread-safe.
 class leader {
 public:
     /// Precondition: the store has accepted the claim of the term.
@@ -69,6 +69,8 @@
 
     /// Sets the services whose keys are assigned to targets, from the manifest in force.
     void set_sharded(std::set<std::string> services) { sharded_services_ = std::move(services); }
+    /// Sets the zones under evacuation. Their targets own no keys if another target can own them.
+    void set_evacuated_zones(std::set<std::string> zones);
     /// Enables or disables moves of keys for load balancing.
     void set_balancing(bool on) { balancing_ = on; }
 
@@ -144,6 +146,8 @@
         milliseconds old_leases{0}; ///< time until the leases of earlier terms have ended
     };
     [[nodiscard]] summary summarize(time_point now) const;
+    /// Number of keys that targets in evacuated zones own and other targets can own.
+    [[nodiscard]] std::size_t keys_to_evacuate() const;
 
 private:
     struct member_state {
@@ -167,6 +171,11 @@
         std::uint32_t last = 0;
         owner_candidate to;
     };
+    /// Pace at which keys leave the evacuated zones.
+    struct evacuation_pace {
+        std::size_t round_size = 0; ///< segments whose release begins in one round
+        time_point next_round{};
+    };
 
     void supersede(incarnation_id old, incarnation_id next);
     void accept_holdings(incarnation_id from, const report& body);
@@ -178,6 +187,8 @@
     void update_directory_log();
     [[nodiscard]] std::uint64_t base_version_for(const member_state& member, time_point now) const;
     void begin_releases(time_point now);
+    void begin_evacuation(time_point now, const std::string& service);
+    void find_services_elsewhere();
     void assign_free(time_point now, const std::string& service);
     void balance(time_point now, const std::string& service);
     void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
@@ -186,6 +197,11 @@
     void assign_segment(segment& item, const owner_candidate& to, std::string handover);
     [[nodiscard]] std::vector<owner_candidate> candidates(const std::string& service) const;
     [[nodiscard]] bool can_own_keys(incarnation_id node, const std::string& service) const;
+    /// As `can_own_keys`, but regardless of evacuations.
+    [[nodiscard]] bool is_usable_owner(incarnation_id node, const std::string& service) const;
+    [[nodiscard]] bool is_in_evacuated_zone(incarnation_id node) const;
+    /// True if the keys of the service can leave the evacuated zones.
+    [[nodiscard]] bool must_give_keys_up(incarnation_id node, const std::string& service) const;
     [[nodiscard]] bool is_live(const member_state& member, time_point now) const;
     [[nodiscard]] std::optional<time_point>
     majority_accepted_at(const std::vector<leader_record::member>& members) const;
@@ -224,6 +240,10 @@
     time_point last_round_{}; ///< last round of `take_confirmation_round`
     bool balancing_ = true;
     std::set<std::string> sharded_services_;
+    std::set<std::string> evacuated_zones_;
+    /// Sharded services with a target outside of the evacuated zones that can own keys.
+    std::set<std::string> services_elsewhere_;
+    std::map<std::string, evacuation_pace> evacuation_paces_; ///< by service, while keys must move
     std::map<incarnation_id, member_state> members_;
     /// The node of each host in `members_`.
     std::map<std::string, incarnation_id, std::less<>> node_by_host_;
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -128,7 +128,7 @@
     }
 }
 
-bool leader::can_own_keys(incarnation_id node, const std::string& service) const
+bool leader::is_usable_owner(incarnation_id node, const std::string& service) const
 {
     const auto found = members_.find(node);
     if (found == members_.end()) {
@@ -180,7 +180,7 @@
         // the holds of its predecessor have ended, the keys cannot be assigned to another target.
         const bool awaits_target =
             owner->second.last_report.target.id.empty() && now < owner->second.earlier_holds_end;
-        if (!awaits_target && !can_own_keys(item.owner, item.service) &&
+        if (!awaits_target && !is_usable_owner(item.owner, item.service) &&
             !candidates(item.service).empty()) {
             begin_release(item);
             mark_changed();
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -590,6 +590,7 @@
         for (const auto& node : view_.nodes) {
             if (node.node == item.owner) {
                 result.address = node.address;
+                result.zone = node.zone;
             }
         }
         break;
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -63,6 +63,7 @@
 struct key_owner {
     incarnation_id node; ///< none: no owner at present
     std::string address;
+    std::string zone;
     bool moving = false; ///< the owner is releasing the key, and its next owner is not known yet
 };
 
--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -11,6 +11,7 @@
 
 #include "common/boot_clock.h"
 #include "common/ids.h"
+#include "routing/evacuations.h"
 
 namespace bulrushgw::assignment {
 
@@ -60,6 +61,10 @@
     /// Upper bound on the time from the sending of an order (a grant or release of keys) to its
     /// arrival at the target on the same host. It is subtracted from every hold.
     milliseconds hold_margin{40};
+    /// The targets of a zone serve the keys that they still own for this time after the evacuation
+    /// of the zone was ordered. It is half of the time after which no request may reach a target of
+    /// the zone, so that the other half covers late news and requests that are under way.
+    milliseconds evacuation_grace{2500};
 };
 
 /// Number of the low bits of a fence that count the fences of one term. The bits above them are the
@@ -183,6 +188,10 @@
     /// processes of the host granted have ended. Until then the target may hold keys that are not
     /// in `holdings`. The leader accepts at most two leases.
     milliseconds earlier_holds_left{0};
+    /// Version of the member's knowledge of evacuations, and the knowledge itself if it is newer
+    /// than the last that the leader is known to have: one element, otherwise empty.
+    std::uint64_t evacuations_version = 0;
+    std::vector<routing::evacuation_snapshot> evacuations;
 };
 
 struct node_record {
@@ -242,6 +251,10 @@
     std::uint64_t manifest_version = 0;
     /// One element if the member's directory is out of date, otherwise empty.
     std::vector<directory_change> content;
+    /// Version of the leader's knowledge of evacuations, and the knowledge itself if it is newer
+    /// than the member's: one element, otherwise empty.
+    std::uint64_t evacuations_version = 0;
+    std::vector<routing::evacuation_snapshot> evacuations;
 };
 
 /// Names the leader: the answer of a node that does not lead, or the announcement of a new leader.
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -61,9 +61,12 @@
 BULRUSHGW_FIELDS(assignment::released_keys, m.service, m.first, m.last, m.range_fence, m.handover,
                  m.evidence)
 BULRUSHGW_FIELDS(assignment::key_load, m.service, m.counts)
+BULRUSHGW_FIELDS(routing::evacuated_zone, m.name, m.version, m.age)
+BULRUSHGW_FIELDS(routing::evacuation_snapshot, m.version, m.zones)
 BULRUSHGW_FIELDS(assignment::report, m.term, m.sequence, m.echo, m.host, m.address, m.zone,
                  m.target, m.holdings, m.released, m.directory_version, m.manifest_version, m.loads,
-                 m.mean_work_us, m.leaving, m.cleared_term, m.cpu_millicores, m.earlier_holds_left)
+                 m.mean_work_us, m.leaving, m.cleared_term, m.cpu_millicores, m.earlier_holds_left,
+                 m.evacuations_version, m.evacuations)
 BULRUSHGW_FIELDS(assignment::node_record, m.node, m.host, m.address, m.zone, m.target,
                  m.cpu_millicores)
 BULRUSHGW_FIELDS(assignment::segment, m.service, m.first, m.last, m.owner, m.target, m.range_fence,
@@ -72,7 +75,8 @@
 BULRUSHGW_FIELDS(assignment::directory_change, m.term, m.base, m.version, m.leader, m.nodes,
                  m.gone_nodes, m.segments, m.gone_segments)
 BULRUSHGW_FIELDS(assignment::report_reply, m.term, m.sequence, m.leader_time_ms, m.leased,
-                 m.superseded, m.clear_wanted, m.directory_version, m.manifest_version, m.content)
+                 m.superseded, m.clear_wanted, m.directory_version, m.manifest_version, m.content,
+                 m.evacuations_version, m.evacuations)
 BULRUSHGW_FIELDS(assignment::leader_hint, m.term, m.leader, m.address)
 BULRUSHGW_FIELDS(assignment::directory_update, m.content, m.forward_to)
 BULRUSHGW_FIELDS(assignment::lead_request, m.term)
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -67,6 +67,11 @@
     return content;
 }
 
+routing::evacuation_snapshot sample_evacuations()
+{
+    return {41, {{"zone-a", 40, milliseconds{250}}}};
+}
+
 assignment::report sample_report()
 {
     assignment::report body;
@@ -86,6 +91,8 @@
     body.leaving = true;
     body.cleared_term = 3;
     body.cpu_millicores = 500;
+    body.evacuations_version = 41;
+    body.evacuations = {sample_evacuations()};
     return body;
 }
 
@@ -154,7 +161,8 @@
         rules_text{5, "digest", "text", "{}"},
         protocol_failure{"unknown-version"},
         sample_report(),
-        assignment::report_reply{3, 9, 1700, true, false, true, 12, 7, {sample_directory()}},
+        assignment::report_reply{
+            3, 9, 1700, true, false, true, 12, 7, {sample_directory()}, 41, {sample_evacuations()}},
         assignment::leader_hint{3, first, "127.0.0.1:7002"},
         assignment::directory_update{sample_directory(), {"127.0.0.1:7003"}},
         assignment::lead_request{3},
