Act on evacuations and regions, and pass the news on with reports

Entries exclude targets in evacuated zones and outside the regions of a route, and refuse at once what no target may run. The gate serves until half of bounds.evacuation_ms has passed since the order became known, then refuses what does not run yet with zone-evacuated; keyed requests follow their key as far as the wait for an owner allows. Reports carry knowledge that the leader lacks, replies that the member lacks.

--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -53,6 +53,7 @@
 {
     const auto now = hooks_.now();
     hooks_.on_peer_manifest(body.address, body.manifest_version);
+    accept_evacuations(now, body.evacuations);
     if (leader_ && body.term > leader_->view().term) {
         step_down("a member knows a later term");
     }
@@ -70,6 +71,10 @@
         }
         auto reply = leader_->on_report(now, frame.from, body);
         reply.manifest_version = manifest_version_;
+        reply.evacuations_version = evacuations_.version();
+        if (evacuations_.version() > body.evacuations_version) {
+            reply.evacuations = {evacuations_.snapshot(now)};
+        }
         hooks_.send(body.address, frame.from, reply);
         push_directory();
         process_outputs();
@@ -92,6 +97,11 @@
         step_down("another node leads a later term");
     }
     hooks_.on_peer_manifest(frame.reply_address, reply.manifest_version);
+    accept_evacuations(hooks_.now(), reply.evacuations);
+    if (frame.from == member_.leader()) {
+        informed_leader_ = frame.from;
+        leader_evacuations_version_ = reply.evacuations_version;
+    }
     // A late reply of a leader that transferred its term has times of that leader's clock.
     if (reply.term == member_.term() && frame.from != member_.leader()) {
         return;
@@ -159,6 +169,37 @@
     process_outputs();
 }
 
+void coordination::on_evacuation_rows(const routing::evacuation_rows& rows, bool is_read)
+{
+    const auto now = hooks_.now();
+    apply_evacuations(is_read ? evacuations_.on_read(now, rows) : evacuations_.on_feed(now, rows),
+                      "store");
+}
+
+void coordination::accept_evacuations(time_point now,
+                                      const std::vector<routing::evacuation_snapshot>& news)
+{
+    for (const auto& item : news) {
+        apply_evacuations(evacuations_.on_peer(now, item), "peer");
+    }
+}
+
+void coordination::apply_evacuations(const routing::evacuations::changes& changes,
+                                     const char* source)
+{
+    for (const auto& change : changes) {
+        hooks_.log(change.evacuated ? "evacuation_begun" : "evacuation_ended",
+                   {{"zone", change.zone}, {"version", change.version}, {"source", source}});
+    }
+    if (changes.empty()) {
+        return;
+    }
+    if (leader_) {
+        leader_->set_evacuated_zones(evacuations_.zones());
+    }
+    hooks_.on_evacuations(changes);
+}
+
 void coordination::on_lead_request(const assignment::lead_request& request)
 {
     if (!leader_ && !leaving_ && request.term == member_.term()) {
@@ -209,6 +250,7 @@
         times_, assignment::leader_identity{self_.node, self_.host, self_.address}, transfer, now,
         store_confirmed);
     leader_->set_sharded(sharded_);
+    leader_->set_evacuated_zones(evacuations_.zones());
     member_.on_notice(now, leader_->make_notice(now));
     hooks_.log("leading", {{"term", transfer.term}, {"transfers", transfer.transfers}});
     announce_leadership(transfer.recorded.members);
@@ -309,6 +351,7 @@
         leader_->on_tick(now);
         send_leader_outputs(now);
         log_summary(now);
+        log_evacuation();
         transfer_leadership(now);
     }
     else {
@@ -349,6 +392,13 @@
         return;
     }
     if (!leader_) {
+        // A leader that has not answered yet gets the knowledge with each report.
+        const bool is_leader_behind =
+            informed_leader_ != due->leader || evacuations_.version() > leader_evacuations_version_;
+        due->body.evacuations_version = evacuations_.version();
+        if (evacuations_.version() != 0 && is_leader_behind) {
+            due->body.evacuations = {evacuations_.snapshot(now)};
+        }
         hooks_.send(due->address, due->leader, due->body);
         return;
     }
@@ -395,7 +445,17 @@
                                 {"segments", state.segments},
                                 {"unassigned", state.unassigned},
                                 {"authority", state.authority},
-                                {"old_leases_ms", state.old_leases.count()}});
+                                {"old_leases_ms", state.old_leases.count()},
+                                {"keys_to_evacuate", leader_->keys_to_evacuate()}});
+}
+
+// Logs when keys begin to leave evacuated zones and when the last has left.
+void coordination::log_evacuation()
+{
+    const auto keys = leader_ == nullptr ? 0 : leader_->keys_to_evacuate();
+    if ((keys > 0) != std::exchange(evacuating_keys_, keys > 0)) {
+        hooks_.log(keys > 0 ? "evacuation_keys_moving" : "evacuation_keys_moved", {{"keys", keys}});
+    }
 }
 
 // Sends directory changes to the other members and applies them to this node's own member.
@@ -653,6 +713,7 @@
         times_, assignment::leader_identity{self_.node, self_.host, self_.address},
         std::move(start));
     leader_->set_sharded(sharded_);
+    leader_->set_evacuated_zones(evacuations_.zones());
     member_.on_leader(now, claimed.term, self_.node, self_.address);
     hooks_.log("leading", {{"term", claimed.term}});
     requested_claim_term_ = 0;
@@ -669,6 +730,7 @@
 {
     hooks_.log("stopped_leading", {{"term", leader_->view().term}, {"cause", cause}});
     leader_.reset();
+    evacuating_keys_ = false;
     acknowledged_replies_.clear();
     unresolved_beat_ = 0;
 }
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -17,6 +17,7 @@
 
 #include "assignment/leader.h"
 #include "assignment/member.h"
+#include "routing/evacuations.h"
 #include "sidecar/journal.h"
 #include "sidecar/protocol.h"
 #include "sidecar/store_outcome.h"
@@ -43,6 +44,8 @@
         std::function<void(const std::string& address, const std::string& cause)> suspect;
         /// The peer at `address` has this version of the manifest.
         std::function<void(const std::string& address, std::uint64_t version)> on_peer_manifest;
+        /// The evacuation of these zones began or ended, see `evacuations`.
+        std::function<void(const routing::evacuations::changes&)> on_evacuations;
         std::function<void(std::string_view event, const journal::fields&)> log;
     };
 
@@ -74,6 +77,9 @@
     }
     /// `sharded` contains the services whose keys the manifest divides among targets.
     void set_manifest(std::uint64_t version, std::set<std::string> sharded);
+    /// Takes over the orders of evacuation in an answer of the store: to a read of all orders, or
+    /// to a watch for changes.
+    void on_evacuation_rows(const routing::evacuation_rows& rows, bool is_read);
     void set_mean_work(std::chrono::microseconds mean) { member_.set_mean_work(mean); }
     /// Begins a planned stop: the keys of this node's target move to other targets, and if this
     /// node leads, it asks another node to take over the leadership.
@@ -84,14 +90,24 @@
     static constexpr milliseconds tick_interval{50};
 
     [[nodiscard]] const assignment::member& member() const { return member_; }
+    /// The zones under evacuation, from the store and from other nodes.
+    [[nodiscard]] const routing::evacuations& evacuations() const { return evacuations_; }
     [[nodiscard]] incarnation_id self() const { return self_.node; }
     [[nodiscard]] bool is_leader() const { return leader_ != nullptr; }
+    /// Keys that still have to leave evacuated zones, if this node leads; otherwise 0.
+    [[nodiscard]] std::size_t keys_to_evacuate() const
+    {
+        return leader_ == nullptr ? 0 : leader_->keys_to_evacuate();
+    }
 
 private:
+    void accept_evacuations(time_point now, const std::vector<routing::evacuation_snapshot>& news);
+    void apply_evacuations(const routing::evacuations::changes& changes, const char* source);
     void process_outputs();
     void send_report();
     void send_leader_outputs(time_point now);
     void log_summary(time_point now);
+    void log_evacuation();
     void push_directory();
     void write_record(time_point now, const assignment::leader_record& record);
     void on_record_written(time_point sent, std::uint64_t beat, store_outcome outcome,
@@ -118,6 +134,12 @@
     std::unique_ptr<assignment::leader> leader_;
     std::set<std::string> sharded_;
     std::uint64_t manifest_version_ = 0;
+    routing::evacuations evacuations_;
+    /// Leader that last answered a report of this node, and the version of the evacuations that it
+    /// knew then.
+    incarnation_id informed_leader_;
+    std::uint64_t leader_evacuations_version_ = 0;
+    bool evacuating_keys_ = false;  ///< as last logged by this leader
     std::uint64_t row_version_ = 0; ///< of the leader's record, as last read or written
     bool row_known_ = false;        ///< the record was read at least once
     std::optional<assignment::leader_record> record_;
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -152,8 +152,7 @@
     pending_request request;
     request.id = next_id_++;
     request.route = *route;
-    std::uniform_real_distribution<double> random_share(0, 1);
-    request.service = routing::choose_destination(*route, random_share(random_)).service;
+    request.service = choose_destination(*route).service;
     const auto* service = routes_->find_service(request.service);
     request.sharded = service != nullptr && service->sharded;
     request.request_id = request_id;
@@ -219,6 +218,16 @@
 void entry::dispatch_keyed(pending_request& request)
 {
     const auto owner = hooks_.member().owner_of(request.service, *request.key);
+    const bool has_owner = owner.node && !owner.address.empty() && !owner.moving;
+    if (has_owner && avoids_owner(request, owner.zone)) {
+        return;
+    }
+    if (!has_owner && is_restricted(request.route)) {
+        if (const auto why = unservable_reason(request.route, request.service)) {
+            refuse_unservable(request, *why);
+            return;
+        }
+    }
     if (!owner.node || owner.address.empty()) {
         wait_for_owner(request, "the key has no owner");
     }
@@ -236,11 +245,16 @@
     std::vector<dispatch::pick_candidate> candidates;
     for (const auto& node : view.nodes) {
         if (node.target.service == request.service &&
-            node.target.phase == assignment::target_phase::ready) {
+            node.target.phase == assignment::target_phase::ready &&
+            !exclusion_of(request.route, node.zone)) {
             candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone});
         }
     }
     if (candidates.empty()) {
+        if (const auto why = unservable_reason(request.route, request.service)) {
+            refuse_unservable(request, *why);
+            return;
+        }
         wait_for_owner(request, "the service has no target");
         return;
     }
@@ -324,10 +338,10 @@
     }
 }
 
-void entry::wait_for_owner(pending_request& request, const char* cause)
+void entry::wait_for_owner(pending_request& request, const char* cause, reason why)
 {
     if (loop_.now() >= request.owner_wait_end) {
-        refuse(request, reason::no_owner, default_retry_after, cause);
+        refuse(request, why, default_retry_after, cause);
         return;
     }
     request.waits_for_owner = true;
@@ -421,6 +435,9 @@
             // owner's lease ends.
             refuse(request, why, default_retry_after, "the owner stops");
         }
+        else if (why == reason::zone_evacuated) {
+            await_evacuation(request);
+        }
         else {
             wait_for_owner(request, "the owner does not serve the key");
         }
@@ -607,6 +624,8 @@
         return;
     }
     ++counters_.refused;
+    counters_.refused_evacuated += why == reason::zone_evacuated ? 1 : 0;
+    counters_.refused_by_region += why == reason::no_target_in_region ? 1 : 0;
     const milliseconds wait =
         add_jitter(retry_after.count() > 0 ? retry_after : default_retry_after);
     log("refused", request,
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -19,6 +19,8 @@
 #include "net/http.h"
 #include "net/loop.h"
 #include "request/outcomes.h"
+#include "routing/evacuations.h"
+#include "routing/regions.h"
 #include "routing/route_index.h"
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
@@ -31,6 +33,9 @@
     std::string zone;
     std::string service; ///< sent to targets as the calling service
     dispatch::allowance_settings retries;
+    routing::zone_regions regions;
+    /// See `assignment::timing::evacuation_grace`.
+    milliseconds evacuation_grace = assignment::timing{}.evacuation_grace;
 };
 
 struct entry_counters {
@@ -41,15 +46,19 @@
     std::uint64_t timed_out = 0;
     std::uint64_t abandoned = 0; ///< clients that disconnected before the answer
     std::uint64_t retries = 0;
-    std::uint64_t foreign_replies = 0; ///< replies that match no request in flight
+    std::uint64_t foreign_replies = 0;   ///< replies that match no request in flight
+    std::uint64_t refused_evacuated = 0; ///< because of an evacuation; part of `refused`
+    std::uint64_t refused_by_region = 0; ///< no target in the regions; part of `refused`
 };
 
-/// Not thread-safe: runs on one loop.
+/// Implemented in two files: requests (entry.cpp), and the exclusion of targets by regions and
+/// evacuations (entry_targets.cpp). Not thread-safe: runs on one loop.
 class entry {
 public:
     struct hooks {
         std::function<incarnation_id()> self;
         std::function<const assignment::member&()> member;
+        std::function<const routing::evacuations&()> evacuations;
         /// Returns false if the message was certainly not sent.
         std::function<bool(const std::string& address, incarnation_id to, const wire::body&)> send;
         /// Run or cancel a request at the target on this host.
@@ -124,7 +133,23 @@
     void dispatch_keyed(pending_request& request);
     void dispatch_balanced(pending_request& request);
     void send(pending_request& request, incarnation_id node, const std::string& address);
-    void wait_for_owner(pending_request& request, const char* cause);
+    /// Refuses the request with `why` if it has waited for too long.
+    void wait_for_owner(pending_request& request, const char* cause,
+                        request::reason why = request::reason::no_owner);
+    const routing::destination& choose_destination(const routing::route& route);
+    /// True if regions or evacuations may exclude targets.
+    [[nodiscard]] bool is_restricted(const routing::route& route) const;
+    /// True if targets of the zone get no requests any more because of its evacuation.
+    [[nodiscard]] bool is_closed(const std::string& zone) const;
+    /// Why the zone's targets get no new requests of the route; none: they may get them.
+    [[nodiscard]] std::optional<request::reason> exclusion_of(const routing::route& route,
+                                                              const std::string& zone) const;
+    /// Why regions or evacuations exclude all targets of the service; none: they do not.
+    [[nodiscard]] std::optional<request::reason>
+    unservable_reason(const routing::route& route, const std::string& service) const;
+    void refuse_unservable(pending_request& request, request::reason why);
+    bool avoids_owner(pending_request& request, const std::string& zone);
+    void await_evacuation(pending_request& request);
     void on_not_run(pending_request& request, const wire::forward_reply& reply);
     void on_unknown_outcome(pending_request& request, request::reason why);
     void on_deadline(std::uint64_t id);
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "sidecar/target_answer.h"
 
@@ -62,6 +63,10 @@
     entry.done = std::move(done);
     const auto& stored = active_.emplace(id, std::move(entry)).first->second;
     tickets_[key] = id;
+    if (is_evacuated()) {
+        refuse_evacuated(id);
+        return;
+    }
     if (watch_.status().service != stored.request.service || !watch_.accepts(now)) {
         refuse(id, reason::no_target, milliseconds{0}, "the target does not accept requests");
         return;
@@ -169,6 +174,10 @@
     const auto& request = entry.request;
     const bool owned = request.key.empty() || hooks_.may_serve(request.service, key_of(request)) ==
                                                   assignment::serve_verdict::serve;
+    if (is_evacuated()) {
+        refuse_evacuated(id);
+        return;
+    }
     if (!owned || !watch_.accepts(now)) {
         refuse(id, owned ? reason::no_target : reason::not_owner, milliseconds{0},
                "the target stopped accepting the request while it was queued");
@@ -318,8 +327,27 @@
     on_tick();
 }
 
+void gate::refuse_evacuated(dispatch::ticket id)
+{
+    ++evacuation_refusals_;
+    refuse(id, reason::zone_evacuated, milliseconds{0}, "the zone is under evacuation");
+}
+
 void gate::on_tick()
 {
+    if (is_evacuated()) {
+        std::vector<dispatch::ticket> waiting;
+        for (const auto& [id, entry] : active_) {
+            if (!entry.sent) {
+                waiting.push_back(id);
+            }
+        }
+        // Taken out of the queue first, so that a refusal starts no other request.
+        queue_.clear();
+        for (const auto id : waiting) {
+            refuse_evacuated(id);
+        }
+    }
     apply(queue_.on_tick(loop_.now()));
 }
 
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -57,6 +57,16 @@
     /// The process exits at `end`. A request is refused if its answer is not expected before `end`,
     /// so that the exit aborts no running request.
     void stop_at(time_point end) { exit_time_ = end; }
+    /// From `begin` on, all requests that do not run yet are refused, because the zone of the
+    /// target is under evacuation. None: the zone is not under evacuation.
+    void refuse_from(std::optional<time_point> begin) { evacuated_from_ = begin; }
+    /// True while requests are refused because of the evacuation.
+    [[nodiscard]] bool is_evacuated() const
+    {
+        return evacuated_from_ && loop_.now() >= *evacuated_from_;
+    }
+    /// Number of requests refused because of an evacuation.
+    [[nodiscard]] std::uint64_t evacuation_refusals() const { return evacuation_refusals_; }
     /// The target's status or slots changed.
     void on_target();
     /// Refuses queued requests that can no longer be answered in time. Call at least every 50 ms.
@@ -112,6 +122,7 @@
                                                 const net::http_response& answer);
     /// True if the answer may arrive only after the exit of the process.
     [[nodiscard]] bool ends_too_late(const active_request& entry) const;
+    void refuse_evacuated(dispatch::ticket id);
     [[nodiscard]] static std::uint32_t key_of(const wire::forward& request);
 
     net::loop& loop_;
@@ -127,7 +138,9 @@
     std::map<dispatch::ticket, active_request> active_;
     std::map<request_key, dispatch::ticket> tickets_;
     dispatch::ticket next_ticket_ = 1;
-    std::optional<time_point> exit_time_; ///< exit time of the process; none: not stopping
+    std::optional<time_point> exit_time_;      ///< exit time of the process; none: not stopping
+    std::optional<time_point> evacuated_from_; ///< see `refuse_from`
+    std::uint64_t evacuation_refusals_ = 0;
 };
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -117,6 +117,9 @@
 {
     store_session::hooks hooks;
     hooks.on_manifest = [this](const std::string& text) { on_manifest(text); };
+    hooks.on_evacuations = [this](const routing::evacuation_rows& rows, bool is_read) {
+        coordination_.on_evacuation_rows(rows, is_read);
+    };
     hooks.on_state = [this](bool up, const std::string& cause) {
         log(up ? "store_regained" : "store_lost", {{"cause", cause}});
     };
@@ -168,6 +171,9 @@
     hooks.on_peer_manifest = [this](const std::string& address, std::uint64_t version) {
         on_peer_manifest(address, version);
     };
+    hooks.on_evacuations = [this](const routing::evacuations::changes& changes) {
+        on_evacuations(changes);
+    };
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
@@ -185,9 +191,14 @@
     values.zone = settings_.zone;
     values.service = settings_.service;
     values.retries = retry_settings_of(settings_.bounds);
+    values.regions = routing::zone_regions(settings_.regions);
+    values.evacuation_grace = settings_.times.evacuation_grace;
     entry::hooks hooks;
     hooks.self = [this] { return self_; };
     hooks.member = [this]() -> const assignment::member& { return coordination_.member(); };
+    hooks.evacuations = [this]() -> const routing::evacuations& {
+        return coordination_.evacuations();
+    };
     hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
         return send(address, to, content);
     };
@@ -271,6 +282,7 @@
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
+            set_evacuation_gauges(gauges);
             gauges.requests_ignored = request_server_->abandoned_requests();
             exchange.respond(
                 {status_ok,
@@ -658,6 +670,7 @@
     on_target_changed();
     check_target();
     gate_.on_tick();
+    log_evacuation();
     peer_check_.on_tick();
     coordination_.set_mean_work(gate_.mean_work());
     coordination_.on_tick();
@@ -687,7 +700,8 @@
 }
 
 // Reloads the settings. Only the bounds take effect, except `sidecar_bounds::longest_hold`, because
-// it limits the lease. A change of the lease, the addresses or the names needs a restart.
+// it limits the lease, and `sidecar_bounds::evacuation`, which is part of the times. A change of
+// the lease, the addresses or the names needs a restart.
 void process::on_hangup()
 {
     try {
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -59,6 +59,11 @@
     void check_target();
     void on_target_health(const net::http_result& result);
     void on_target_changed();
+    void on_evacuations(const routing::evacuations::changes& changes);
+    /// The evacuation of this host's zone ended. The target gets requests again and may be cold.
+    void on_own_evacuation_ended();
+    void log_evacuation();
+    void set_evacuation_gauges(sidecar_gauges& gauges) const;
     void on_tick();
     void on_signal();
     void on_hangup();
@@ -102,6 +107,7 @@
     bool check_under_way_ = false;
     time_point next_check_{};         ///< earliest time for the next health check of the target
     entry_counters logged_counters_;  ///< as of the last "state" log line
+    bool logged_evacuated_ = false;   ///< `gate::is_evacuated` as last logged
     std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
     std::uint64_t recent_errors_ = 0; ///< since `error_window_start_`
     time_point error_window_start_{};
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -13,6 +13,8 @@
 
 /// Minimum for files, the store, the target, peers and a few clients.
 constexpr double min_descriptors = 600;
+/// See `assignment::timing::evacuation_grace`.
+constexpr int evacuation_grace_divisor = 2;
 
 /// Looks fields up by their path, such as "bounds.drain_ms".
 class field_reader {
@@ -28,6 +30,27 @@
         return value.get<std::string>();
     }
 
+    /// The members of an object, which must be texts. Empty if the field is missing.
+    [[nodiscard]] std::map<std::string, std::string> texts(const std::string& path) const
+    {
+        std::map<std::string, std::string> result;
+        const json* found = find(path);
+        if (found == nullptr) {
+            return result;
+        }
+        const std::string expected = "an object whose values are non-empty strings";
+        if (!found->is_object()) {
+            fail(path, expected);
+        }
+        for (const auto& [name, value] : found->items()) {
+            if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
+                fail(path, expected);
+            }
+            result[name] = value.get<std::string>();
+        }
+        return result;
+    }
+
     [[nodiscard]] bool has(const std::string& path) const { return find(path) != nullptr; }
 
     [[nodiscard]] net::endpoint address(const std::string& path) const
@@ -124,6 +147,14 @@
     result.bounds.retry_ratio = fields.number("bounds.retry_ratio", 0);
     result.bounds.retry_slack = fields.number("bounds.retry_slack", 0);
     result.bounds.retry_window = fields.time_s("bounds.retry_window_s");
+    if (fields.has("bounds.evacuation_ms")) {
+        result.bounds.evacuation = fields.time_ms("bounds.evacuation_ms");
+    }
+    result.times.evacuation_grace = result.bounds.evacuation / evacuation_grace_divisor;
+    result.regions = fields.texts("zones");
+    if (fields.has("region")) {
+        result.regions.emplace(result.zone, fields.text("region"));
+    }
     result.times.lease = std::min(result.times.lease, result.bounds.longest_hold);
     return result;
 }
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -3,6 +3,7 @@
 /// Settings of a sidecar node: one JSON object.
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -32,13 +33,16 @@
     /// Retries of all nodes in one window that are allowed in addition to that share.
     double retry_slack = 0;
     milliseconds retry_window{0}; ///< time over which retries are counted
+    /// Time from the order to evacuate a zone after which no request may reach a target there.
+    milliseconds evacuation{5000};
 };
 
 /// Filled by `parse_settings`.
 struct settings {
     std::string host;
     std::string zone;
-    std::string service; ///< service of the target on this host
+    std::map<std::string, std::string> regions; ///< region of each zone; empty: not known
+    std::string service;                        ///< service of the target on this host
     net::endpoint target;
     net::endpoint store;
     sidecar_addresses addresses;
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -60,6 +60,16 @@
     write_metric(out, "store_calls_total", "counter", gauges.store_calls);
     write_metric(out, "log_lines_dropped_total", "counter", gauges.lines_dropped);
     write_metric(out, "unexpected_errors_total", "counter", gauges.errors);
+    write_metric(out, "requests_refused_evacuated_total", "counter", requests.refused_evacuated);
+    write_metric(out, "requests_refused_by_region_total", "counter", requests.refused_by_region);
+    write_metric(out, "target_refusals_evacuated_total", "counter",
+                 gauges.target_refusals_evacuated);
+    write_metric(out, "evacuated_zones", "gauge", gauges.evacuated_zones);
+    write_metric(out, "evacuation_keys_left", "gauge", gauges.keys_to_evacuate);
+    if (gauges.evacuations_age) {
+        write_metric(out, "evacuations_age_seconds", "gauge",
+                     std::chrono::duration<double>(*gauges.evacuations_age).count());
+    }
     write_metric(out, "manifest_version", "gauge", gauges.manifest_version);
     write_metric(out, "term", "gauge", gauges.term);
     write_metric(out, "directory_version", "gauge", gauges.directory_version);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "common/boot_clock.h"
@@ -38,6 +39,11 @@
     std::uint64_t target_load = 0;
     std::uint64_t errors = 0;           ///< unexpected exceptions from handlers
     std::uint64_t requests_ignored = 0; ///< whose clients had left before they were read
+    std::uint64_t evacuated_zones = 0;
+    std::uint64_t keys_to_evacuate = 0;          ///< see `coordination::keys_to_evacuate`
+    std::uint64_t target_refusals_evacuated = 0; ///< total since the start
+    /// Time since the knowledge of evacuations was confirmed; none: nothing is known.
+    std::optional<milliseconds> evacuations_age;
     bool holds_lease = false;
     bool leads = false;
     bool store_up = false;
--- a/src/sidecar/store_session.cpp
+++ b/src/sidecar/store_session.cpp
@@ -134,6 +134,8 @@
                  return;
              }
              try {
+                 // First the orders, so that an unreadable manifest does not hide them.
+                 hooks_.on_evacuations(protocol_.parse_evacuations(answer->body), true);
                  const stored_row row = protocol_.parse_manifest_row(answer->body);
                  watched_version_ = protocol_.parse_version(answer->body);
                  failures_ = 0;
@@ -171,6 +173,7 @@
                  return;
              }
              try {
+                 hooks_.on_evacuations(protocol_.parse_evacuations(answer->body), false);
                  const feed_page page = protocol_.parse_feed(answer->body);
                  watched_version_ = std::max(watched_version_, page.next);
                  failures_ = 0;
--- a/src/sidecar/store_session.h
+++ b/src/sidecar/store_session.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// The sidecar's only client of the platform's store: reads and writes the leader's record and
-/// watches the manifest. Every call has a timeout, since a connection may lose all data without
-/// reporting an error.
+/// watches the manifest and the orders of evacuation. Every call has a timeout, since a connection
+/// may lose all data without reporting an error.
 
 #include <cstdint>
 #include <functional>
@@ -23,6 +23,10 @@
     struct hooks {
         /// Receives the text of a manifest. It may be older than a text received earlier.
         std::function<void(const std::string& text)> on_manifest;
+        /// Receives the orders of evacuation in each answer to a read of all orders (`is_read`) or
+        /// to a watch for changes. The store has confirmed the others, so it is also called without
+        /// a change.
+        std::function<void(const routing::evacuation_rows&, bool is_read)> on_evacuations;
         /// The store became available or unavailable. `cause` is for logs.
         std::function<void(bool up, const std::string& cause)> on_state;
     };
@@ -32,7 +36,7 @@
     store_session(net::loop& loop, net::endpoint address, const platform_protocol& protocol,
                   std::uint64_t seed, hooks callbacks);
 
-    /// Reads the manifest and starts to watch it for changes.
+    /// Reads the manifest and the orders of evacuation and starts to watch them for changes.
     void watch_manifest();
     /// If `fast` is true, the watch uses short calls, so that a broken connection to the store is
     /// detected soon. This is needed while other nodes learn of a new manifest from this node. If
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/entry.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,6 +65,8 @@
     net::loop loop;
     platform_protocol protocol = protocol_for_tests();
     assignment::member member{{}, {self, "h1", "n1", "z", 0}};
+    routing::evacuations evacuations;
+    assignment::directory_change view;
     std::vector<std::pair<incarnation_id, wire::body>> sent;
     std::vector<std::string> suspected;
     std::vector<std::string> events;
@@ -74,6 +77,7 @@
         entry::hooks hooks;
         hooks.self = [] { return self; };
         hooks.member = [this]() -> const assignment::member& { return member; };
+        hooks.evacuations = [this]() -> const routing::evacuations& { return evacuations; };
         hooks.send = [this](const std::string&, incarnation_id to, const wire::body& content) {
             sent.emplace_back(to, content);
             return true;
@@ -92,16 +96,14 @@
         settings.zone = "z";
         settings.retries.slack = 1000;
         settings.retries.ratio = 1;
+        settings.regions = routing::zone_regions({{"z", "east"}, {"y", "west"}});
         tested_entry = std::make_unique<entry>(loop, settings, protocol, 7, std::move(hooks));
-        routing::manifest content;
-        content.version = 1;
-        content.services = {{"keyed", "/health", 0, true}, {"pool", "/health", 0, false}};
+        std::vector<routing::route> routes;
         for (const auto* service : {"keyed", "pool"}) {
-            content.routes.push_back(route_to(service, true));
-            content.routes.push_back(route_to(service, false));
+            routes.push_back(route_to(service, true));
+            routes.push_back(route_to(service, false));
         }
-        tested_entry->set_manifest(std::make_shared<routing::route_index>(std::move(content)));
-        assignment::directory_change view;
+        set_manifest(std::move(routes));
         view.term = 1;
         view.version = 1;
         view.leader = other;
@@ -116,6 +118,46 @@
         tested_entry.reset();
     }
 
+    void set_manifest(std::vector<routing::route> routes)
+    {
+        routing::manifest content;
+        content.version = 1;
+        content.services = {{"keyed", "/health", 0, true}, {"pool", "/health", 0, false}};
+        content.routes = std::move(routes);
+        tested_entry->set_manifest(std::make_shared<routing::route_index>(std::move(content)));
+    }
+    void change_directory(const std::function<void()>& change)
+    {
+        ++view.version;
+        change();
+        member.on_directory(loop.now(), view);
+        tested_entry->on_directory();
+    }
+    void add_node(incarnation_id id, const std::string& service, const std::string& zone)
+    {
+        change_directory([&] {
+            view.nodes.push_back(node_of(id, service));
+            view.nodes.back().zone = zone;
+        });
+    }
+    /// Moves all keys of service "keyed".
+    void move_keys(incarnation_id owner, const std::string& target)
+    {
+        change_directory([&] {
+            view.segments[0].owner = owner;
+            view.segments[0].target = target;
+        });
+    }
+    incarnation_id last_receiver() const
+    {
+        for (auto at = sent.rbegin(); at != sent.rend(); ++at) {
+            if (std::holds_alternative<wire::forward>(at->second)) {
+                return at->first;
+            }
+        }
+        return {};
+    }
+
     std::shared_ptr<client> call(const std::string& path, milliseconds left,
                                  const std::string& id = "r-1")
     {
@@ -237,6 +279,93 @@
     LONGS_EQUAL(200, caller->answer->status);
 }
 
+// Guards against requests that wait until their deadline for a target that no evacuation or region
+// allows, and against requests that are sent to such a target.
+TEST(entry, unkeyed_request_without_an_allowed_target_is_refused_at_once)
+{
+    evacuations.on_feed(loop.now(), {5, {{"z", 5, true}}, true});
+    const auto evacuated = call("/pool-write/a", milliseconds{2000});
+    LONGS_EQUAL(503, evacuated->answer->status);
+    CHECK(net::find_header(evacuated->answer->headers, "retry-after").has_value());
+    LONGS_EQUAL(1, tested_entry->counters().refused_evacuated);
+    LONGS_EQUAL(0, forwards());
+    evacuations.on_feed(loop.now(), {6, {{"z", 6, false}}, true});
+    const auto revoked = call("/pool-write/a", milliseconds{2000}, "r-2");
+    LONGS_EQUAL(1, forwards());
+}
+
+// Guards against a keyed request that fails although its key is about to leave the zone, and
+// against one that waits although no other target can own its key.
+TEST(entry, keyed_request_follows_its_key_out_of_an_evacuated_zone)
+{
+    evacuations.on_feed(loop.now(), {5, {{"z", 5, true}}, true});
+    const auto refuse_last = [&] {
+        wire::forward_reply refusal;
+        refusal.number = last_forward().number;
+        refusal.request_id = last_forward().request_id;
+        refusal.outcome = wire::forward_outcome::not_run;
+        refusal.reason = request::to_text(request::reason::zone_evacuated);
+        tested_entry->on_reply(peer, refusal);
+    };
+    const auto stranded = call("/keyed-write/a", milliseconds{2000}, "r-1");
+    LONGS_EQUAL(1, forwards()); // the owner serves its keys until the grace is over
+    refuse_last();
+    LONGS_EQUAL(503, stranded->answer->status);
+    add_node(incarnation_id{4}, "keyed", "y");
+    const auto caller = call("/keyed-write/a", milliseconds{2000}, "r-2");
+    refuse_last();
+    CHECK_FALSE(caller->answer.has_value());
+    move_keys(incarnation_id{4}, "t4");
+    LONGS_EQUAL(4, last_receiver().value);
+    auto answer = last_forward();
+    reply(incarnation_id{4}, answer, 200);
+    LONGS_EQUAL(200, caller->answer->status);
+}
+
+// Guards against requests that are sent to the owner of a key after the grace, from a node that
+// knows of the order.
+TEST(entry, owner_in_a_closed_zone_gets_no_requests)
+{
+    evacuations.on_feed(loop.now() - milliseconds{2500}, {5, {{"z", 5, true}}, true});
+    const auto stranded = call("/keyed-write/a", milliseconds{2000}, "r-1");
+    LONGS_EQUAL(503, stranded->answer->status);
+    add_node(incarnation_id{4}, "keyed", "y");
+    const auto caller = call("/keyed-write/a", milliseconds{2000}, "r-2");
+    LONGS_EQUAL(0, forwards());
+    CHECK_FALSE(caller->answer.has_value());
+}
+
+// Guards against data that leaves the regions of its route, and against a destination that is
+// chosen although it has no target there. Zone "z" is in region "east", zone "y" in region "west".
+TEST(entry, requests_stay_in_the_regions_of_their_route)
+{
+    add_node(incarnation_id{4}, "far", "y");
+    const auto get = [&](const std::vector<std::string>& regions,
+                         const std::vector<routing::destination>& destinations) {
+        auto rule = route_to("pool", false);
+        rule.regions = regions;
+        rule.destinations = destinations;
+        set_manifest({rule});
+        return call("/pool-write/a", milliseconds{2000}, "r-" + std::to_string(sent.size()));
+    };
+    for (int i = 0; i < 20; ++i) {
+        get({"west"}, {{"pool", 9}, {"far", 1}});
+        LONGS_EQUAL(4, last_receiver().value);
+        get({"east", "north"}, {{"pool", 1}, {"far", 9}});
+        LONGS_EQUAL(other.value, last_receiver().value);
+    }
+    const auto sent_before = forwards();
+    const auto refused = get({"west"}, {{"pool", 1}});
+    LONGS_EQUAL(503, refused->answer->status);
+    // The owner of the key is in the other region.
+    const auto keyed = get({"west"}, {{"keyed", 1}});
+    LONGS_EQUAL(503, keyed->answer->status);
+    LONGS_EQUAL(2, tested_entry->counters().refused_by_region);
+    LONGS_EQUAL(sent_before, forwards());
+    get({}, {{"far", 1}});
+    LONGS_EQUAL(4, last_receiver().value);
+}
+
 // Guards against counters that call a request refused although its client was told that the outcome
 // is unknown, or that leave such a request out.
 TEST(entry, counters_tell_unknown_outcomes_from_refusals)
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -187,6 +187,34 @@
     LONGS_EQUAL(1, not_run);
 }
 
+// Guards against requests that reach the target of an evacuated zone after the time for its keys is
+// over, and against running requests that are lost with the queued ones.
+TEST(gate, evacuated_gate_refuses_queued_and_new_requests)
+{
+    tested_gate->refuse_from(loop.now() + work / 2);
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        run(i);
+    }
+    LONGS_EQUAL(2, tested_gate->running());
+    CHECK(loop.run_until([&] { return tested_gate->is_evacuated(); }, wait_limit));
+    tested_gate->on_tick();
+    LONGS_EQUAL(2, replies.size());
+    run(5);
+    LONGS_EQUAL(3, replies.size());
+    for (const auto& reply : replies) {
+        CHECK(reply.outcome == wire::forward_outcome::not_run);
+        STRCMP_EQUAL("zone-evacuated", reply.reason.c_str());
+    }
+    wait_for(5);
+    CHECK(replies[3].outcome == wire::forward_outcome::answered);
+    CHECK(replies[4].outcome == wire::forward_outcome::answered);
+    LONGS_EQUAL(2, arrived.size());
+    tested_gate->refuse_from(std::nullopt);
+    run(6);
+    wait_for(6);
+    CHECK(replies[5].outcome == wire::forward_outcome::answered);
+}
+
 // Guards against running requests whose clients left while this process was paused: the request and
 // its cancellation are read together, and a kept connection to the target is free.
 TEST(gate, request_that_is_cancelled_on_arrival_does_not_reach_the_target)
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/settings.h"
 
+#include <map>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -46,6 +47,26 @@
     LONGS_EQUAL(900, values.times.lease.count());
 }
 
+// Guards against optional settings that are read in the wrong unit or under a wrong name, and
+// against a default that changes deployments without them.
+TEST(sidecar_settings, evacuations_and_regions_are_optional)
+{
+    const auto without = parse_settings("node.json", complete_settings);
+    LONGS_EQUAL(2500, without.times.evacuation_grace.count());
+    CHECK(without.regions.empty());
+    std::string text = complete_settings;
+    text.replace(1, 0, R"("region":"east","zones":{"y":"west"},)");
+    text.replace(text.find("\"grace_s\""), 0, R"("evacuation_ms":3000,)");
+    const auto values = parse_settings("node.json", text);
+    LONGS_EQUAL(1500, values.times.evacuation_grace.count());
+    CHECK(values.regions == (std::map<std::string, std::string>{{"y", "west"}, {"z", "east"}}));
+    STRCMP_EQUAL(
+        "node.json: field \"zones\": expected an object whose values are non-empty strings",
+        failure_of("\"host\"", "\"zones\":{\"y\":7},\"host\"").c_str());
+    CHECK(failure_of("\"grace_s\"", "\"evacuation_ms\":-1,\"grace_s\"").find("evacuation_ms") !=
+          std::string::npos);
+}
+
 // Guards against a start with a missing setting or a setting of a wrong type.
 TEST(sidecar_settings, problems_name_file_field_and_expectation)
 {
--- a/tests/sidecar/simulated_cluster.cpp
+++ b/tests/sidecar/simulated_cluster.cpp
@@ -152,16 +152,19 @@
     };
     hooks.suspect = [](const std::string&, const std::string&) {};
     hooks.on_peer_manifest = [](const std::string&, std::uint64_t) {};
+    hooks.on_evacuations = [](const routing::evacuations::changes&) {};
     hooks.log = [this, host_index](std::string_view event, const journal::fields& details) {
         trace(host_index, std::string(event) + " " + details.dump());
     };
     each.node = std::make_unique<coordination>(
         assignment::timing{},
         assignment::member_identity{incarnation_id{next_incarnation_++}, each.address, each.address,
-                                    "zone", 0, clock_of(host_index)},
+                                    zone_of_host(settings_, host_index), 0, clock_of(host_index)},
         random_(), std::move(hooks));
     schedule_at_node(host_index, process, us_per_ms,
                      [this, host_index] { hosts_[host_index].node->set_manifest(1, {service}); });
+    each.in_contact = false;
+    each.process_reads = 0;
     // Without a longer discovery no random number is drawn, so that the faults of a seed stay.
     const auto discovery_us =
         settings_.longest_discovery > milliseconds{1}
@@ -551,6 +554,7 @@
         }
     }
     check_running_work();
+    check_evacuations();
 }
 
 void simulated_cluster::check_running_work()
--- a/tests/sidecar/simulated_cluster.h
+++ b/tests/sidecar/simulated_cluster.h
@@ -2,8 +2,10 @@
 
 /// Simulation of a deployment in virtual time: the real coordination code with a model of the
 /// network, the store and the targets, into which a test injects faults. Targets outlive their
-/// nodes. After each step a checker verifies that no key is held by two targets, and that no target
-/// holds a key on which another one still works under a hold that has not ended.
+/// nodes. After each step a checker verifies that no key is held by two targets, that no target
+/// holds a key on which another one still works under a hold that has not ended, and that no node
+/// in contact with the store admits requests to the target of a zone whose evacuation was ordered
+/// longer ago than the bound.
 
 #include <cstdint>
 #include <functional>
@@ -28,8 +30,12 @@
     milliseconds longest_discovery{1};
     double clock_error = 0.01; ///< largest relative rate error of node clocks, either sign
     double hold_error = 0.02;  ///< largest share by which a hold lasts too long
+    /// Host i is in zone "zone-N", where N is the remainder of i divided by this.
+    std::size_t zones = 1;
 };
 
+[[nodiscard]] std::string zone_of_host(const cluster_settings& settings, std::size_t host);
+
 class simulated_cluster {
 public:
     simulated_cluster(std::uint64_t seed, cluster_settings settings = {});
@@ -63,6 +69,17 @@
     /// 12 s late and releases never arrive.
     void set_late_orders(double share) { late_orders_ = share; }
 
+    /// The operator orders or revokes the evacuation of a zone. Nodes that reach the store learn of
+    /// it at once, others when they reach it again.
+    void set_evacuated(const std::string& zone, bool evacuated);
+    /// The connections to the store of a host lose all data: its node gets no news, although it
+    /// notices no failure.
+    void set_watch_silent(std::size_t host, bool silent);
+    /// True if the node admits requests to its target.
+    [[nodiscard]] bool admits_requests(std::size_t host) const;
+    /// Number of targets in zones under evacuation that hold keys.
+    [[nodiscard]] std::size_t evacuated_holders() const;
+
     [[nodiscard]] std::size_t hosts() const { return hosts_.size(); }
     [[nodiscard]] bool is_node_alive(std::size_t host) const;
     [[nodiscard]] std::optional<std::size_t> leader() const;
@@ -110,6 +127,11 @@
         std::vector<std::function<void()>> delayed_events; ///< events for the frozen node
         bool isolated = false;
         bool isolated_from_store = false;
+        bool watch_silent = false;
+        bool in_contact = false;           ///< the node runs, and learns of orders from the store
+        std::int64_t contact_since_us = 0; ///< time of the last change of `in_contact`
+        bool has_read = false;             ///< all orders, since then
+        unsigned process_reads = 0;        ///< attempts of this process to read the orders
         target local_target;
     };
 
@@ -131,6 +153,10 @@
     void announce(std::size_t host);
     void check();
     void check_running_work();
+    void check_evacuations();
+    [[nodiscard]] bool reaches_store(std::size_t host) const;
+    void read_evacuations(std::size_t host);
+    void update_contacts();
     std::int64_t end_holds(std::size_t host, std::uint32_t first, std::uint32_t last);
     void trace(std::size_t host, const std::string& what);
 
@@ -142,6 +168,8 @@
     stored_row row_;
     std::uint64_t versions_ = 10;
     bool store_up_ = true;
+    /// Row version and time of each order of evacuation in force, by zone.
+    std::map<std::string, std::pair<std::uint64_t, std::int64_t>> evacuated_zones_;
     std::set<std::size_t> store_writers_;
     double lost_writes_ = 0;
     double message_faults_ = 0;
