--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -489,7 +489,9 @@
 
 void process::on_ready(const net::http_exchange& exchange)
 {
+    // The manifest may have come from a peer before the orders of evacuation are known.
     const bool ready = routes_ && !stopping_since_ && coordination_.member().view().term != 0 &&
+                       coordination_.evacuations().version() != 0 &&
                        exchange.request.path == protocol_.ready_path;
     exchange.respond(json_response(ready ? status_ok : status_unavailable, "{}"));
 }
--- a/standins/platform_model.cpp
+++ b/standins/platform_model.cpp
@@ -17,6 +17,7 @@
 constexpr int ok = 200;
 constexpr milliseconds heartbeat_interval{300};
 constexpr std::size_t max_answer_bytes = 4096;
+const std::string evacuation_prefix = "evacuate/";
 constexpr const char* heartbeat_path = "/v1/Instances.Heartbeat/";
 
 std::string to_base64(const std::string& bytes)
@@ -59,16 +60,37 @@
     : loop_(loop),
       server_(loop, address, [this](const net::http_exchange& exchange) { handle(exchange); })
 {
-    rows_[{"op", "config"}] = {to_base64(manifest), ++version_};
+    put({"op", "config"}, to_base64(manifest));
 }
 
-std::string platform_store::rows_after(const std::string& table, const std::string& only_key,
-                                       std::uint64_t after) const
+void platform_store::put(const row_key& key, const std::string& value)
+{
+    auto& target = rows_[key];
+    const bool existed = target.version != 0 && !target.removed;
+    target = {value, ++version_, false, existed ? target.created : loop_.now()};
+}
+
+void platform_store::remove(const row_key& key)
+{
+    const auto found = rows_.find(key);
+    if (found != rows_.end() && !found->second.removed) {
+        found->second = {"", ++version_, true, {}};
+    }
+}
+
+std::optional<time_point> platform_store::evacuated_since(const std::string& zone) const
+{
+    const auto found = rows_.find({"op", evacuation_prefix + zone});
+    return found == rows_.end() || found->second.removed ? std::nullopt
+                                                         : std::optional{found->second.created};
+}
+
+std::string platform_store::rows_between(const std::string& table, const std::string& first,
+                                         const std::string& end) const
 {
     json rows = json::array();
     for (const auto& [key, content] : rows_) {
-        if (key.first == table && (only_key.empty() || key.second == only_key) &&
-            content.version > after) {
+        if (key.first == table && !content.removed && key.second >= first && key.second < end) {
             rows.push_back({{"table", key.first},
                             {"part", ""},
                             {"key", key.second},
@@ -79,6 +101,35 @@
     return json{{"rows", rows}, {"morePages", false}, {"ver", version_}, {"nowMs", 1}}.dump();
 }
 
+std::string platform_store::rows_after(const std::string& table, std::uint64_t after) const
+{
+    json rows = json::array();
+    for (const auto& [key, content] : rows_) {
+        if (key.first != table || content.version <= after) {
+            continue;
+        }
+        json item{{"table", key.first}, {"part", ""}, {"key", key.second}};
+        item["ver"] = content.version;
+        if (content.removed) {
+            item["removed"] = true;
+        }
+        else {
+            item["value"] = content.value;
+        }
+        rows.push_back(std::move(item));
+    }
+    return json{{"rows", rows}, {"ver", version_}, {"nowMs", 1}}.dump();
+}
+
+std::uint64_t platform_store::latest_version(const std::string& table) const
+{
+    std::uint64_t result = 0;
+    for (const auto& [key, content] : rows_) {
+        result = key.first == table ? std::max(result, content.version) : result;
+    }
+    return result;
+}
+
 std::pair<int, std::string> platform_store::transact(const std::string& body)
 {
     constexpr int conflict = 412;
@@ -86,15 +137,19 @@
     for (const json& item : root.at("precondition")) {
         const row_key key{item.at("table"), item.at("key")};
         const auto found = rows_.find(key);
-        const std::uint64_t version = found == rows_.end() ? 0 : found->second.version;
+        const std::uint64_t version =
+            found == rows_.end() || found->second.removed ? 0 : found->second.version;
         if (version != item.at("ver").get<std::uint64_t>()) {
-            return {conflict, rows_after(key.first, key.second, 0)};
+            return {conflict, rows_between(key.first, key.second, key.second + '0')};
         }
     }
-    ++version_;
     for (const json& item : root.at("puts")) {
-        rows_[{item.at("table"), item.at("key")}] = {item.at("value"), version_};
+        put({item.at("table"), item.at("key")}, item.at("value"));
+    }
+    for (const json& item : root.value("remove", json::array())) {
+        remove({item.at("table"), item.at("key")});
     }
+    answer_watchers();
     return {ok, json{{"ver", version_}, {"nowMs", 1}}.dump()};
 }
 
@@ -115,8 +170,9 @@
         exchange.respond(answer(status, std::move(body)));
     }
     else if (path.starts_with("/v1/rows-get")) {
-        exchange.respond(answer(
-            ok, rows_after(query_parameter(path, "table"), query_parameter(path, "from"), 0)));
+        exchange.respond(
+            answer(ok, rows_between(query_parameter(path, "table"), query_parameter(path, "from"),
+                                    query_parameter(path, "target"))));
     }
     else if (path.starts_with("/v1/rows-feed")) {
         watch(exchange);
@@ -132,9 +188,9 @@
     const milliseconds wait{std::strtol(query_parameter(path, "waitMs").c_str(), nullptr, 10)};
     const auto after = std::strtoull(query_parameter(path, "after").c_str(), nullptr, 10);
     const auto number = next_watcher_++;
-    watchers_[number] = {exchange, query_parameter(path, "table"), after};
-    const auto& row = rows_[{"op", "config"}];
-    loop_.after(row.version > after ? milliseconds{0} : wait,
+    const std::string table = query_parameter(path, "table");
+    watchers_[number] = {exchange, table, after};
+    loop_.after(latest_version(table) > after ? milliseconds{0} : wait,
                 [this, number] { end_watch(number); });
 }
 
@@ -143,16 +199,27 @@
     const auto found = watchers_.find(number);
     if (found != watchers_.end()) {
         const auto& [exchange, table, after] = found->second;
-        exchange.respond(answer(ok, rows_after(table, "", after)));
+        exchange.respond(answer(ok, rows_after(table, after)));
         watchers_.erase(found);
     }
 }
 
 void platform_store::set_manifest(const std::string& manifest)
 {
-    rows_[{"op", "config"}] = {to_base64(manifest), ++version_};
-    while (!watchers_.empty()) {
-        end_watch(watchers_.begin()->first);
+    put({"op", "config"}, to_base64(manifest));
+    answer_watchers();
+}
+
+void platform_store::answer_watchers()
+{
+    std::vector<std::uint64_t> due;
+    for (const auto& [number, waiting] : watchers_) {
+        if (latest_version(waiting.table) > waiting.after) {
+            due.push_back(number);
+        }
+    }
+    for (const auto number : due) {
+        end_watch(number);
     }
 }
 
@@ -180,7 +247,7 @@
 {
     const json body{{"service", settings_.service},
                     {"address", net::to_string(settings_.address)},
-                    {"zone", "z"},
+                    {"zone", settings_.zone},
                     {"version", "v1"},
                     {"slots", settings_.slots},
                     {"state", "ready"},
@@ -254,6 +321,10 @@
         exchange.respond(answer(misdirected, "", {{"Not-Executed", "1"}}));
         return;
     }
+    const auto ordered =
+        settings_.evacuated_since ? settings_.evacuated_since() : std::optional<time_point>{};
+    history_.late_evacuated_runs +=
+        ordered && loop_.now() - *ordered > settings_.evacuation_bound ? 1 : 0;
     if (running_ >= settings_.slots) {
         ++history_.over_limit_requests;
         exchange.respond(answer(unavailable, "", {{"Not-Executed", "1"}}));
--- a/standins/platform_model.h
+++ b/standins/platform_model.h
@@ -4,8 +4,10 @@
 /// and targets that hold ranges of keys. Both speak the published protocol over HTTP on loopback.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,7 +17,8 @@
 
 namespace bulrushgw::standin {
 
-/// Stores versioned rows, among them the manifest. Not thread-safe: runs on one loop.
+/// Stores versioned rows, among them the manifest and the orders to evacuate zones. Not
+/// thread-safe: runs on one loop.
 class platform_store {
 public:
     platform_store(net::loop& loop, const net::endpoint& address, const std::string& manifest);
@@ -26,11 +29,15 @@
     void set_answers_lost(bool lost) { answers_lost_ = lost; }
     /// Replaces the manifest and answers all waiting watchers.
     void set_manifest(const std::string& manifest);
+    /// Time at which the evacuation of the zone was ordered; none if it is not under evacuation.
+    [[nodiscard]] std::optional<time_point> evacuated_since(const std::string& zone) const;
 
 private:
     struct row {
         std::string value; ///< base64, as sent
         std::uint64_t version = 0;
+        bool removed = false;
+        time_point created; ///< time of the write since which the row exists
     };
     using row_key = std::pair<std::string, std::string>; ///< table and key
 
@@ -44,10 +51,16 @@
     void handle(const net::http_exchange& exchange);
     void watch(const net::http_exchange& exchange);
     void end_watch(std::uint64_t number);
-    /// JSON of those rows of a table whose version is above `after`. If `only_key` is not empty,
-    /// only the row with that key is included.
-    [[nodiscard]] std::string rows_after(const std::string& table, const std::string& only_key,
-                                         std::uint64_t after) const;
+    /// JSON of the rows of a table whose key is in the range from `first` up to `end`, without
+    /// those that were removed.
+    [[nodiscard]] std::string rows_between(const std::string& table, const std::string& first,
+                                           const std::string& end) const;
+    /// JSON of those rows of a table whose version is above `after`, also of removed ones.
+    [[nodiscard]] std::string rows_after(const std::string& table, std::uint64_t after) const;
+    [[nodiscard]] std::uint64_t latest_version(const std::string& table) const;
+    void put(const row_key& key, const std::string& value);
+    void remove(const row_key& key);
+    void answer_watchers();
     std::pair<int, std::string> transact(const std::string& body);
 
     net::loop& loop_;
@@ -67,6 +80,11 @@
     bool sharded = false;
     std::uint32_t slots = 6;
     milliseconds execution_time{20};
+    std::string zone = "z";
+    /// Time at which the evacuation of the target's zone was ordered, if it was.
+    std::function<std::optional<time_point>()> evacuated_since;
+    /// Time after that from which on no request may reach the target.
+    milliseconds evacuation_bound{5000};
 };
 
 /// Requests and protocol violations seen by all targets of a test.
@@ -75,6 +93,9 @@
     std::uint64_t misdirected_requests = 0; ///< requests for keys that the target did not hold
     std::uint64_t overlapping_grants = 0;   ///< grants of keys that another target still held
     std::uint64_t over_limit_requests = 0;  ///< requests refused because all slots were taken
+    /// Requests that reached a target too long after the evacuation of its zone was ordered. Those
+    /// that the target refuses as misdirected do not count.
+    std::uint64_t late_evacuated_runs = 0;
     /// Grants with a lower fence than another running target got for overlapping keys.
     std::uint64_t lower_fence_grants = 0;
 };
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -11,7 +11,7 @@
 
 DEFINE_string(store, "", "address of the store");
 DEFINE_string(manifest, "", "file with the manifest");
-DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded]");
+DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded][/zone=ZONE]");
 DEFINE_int32(late_heartbeat_ms, 1500, "delay of the last heartbeat of a target that leaves");
 
 namespace {
@@ -35,7 +35,15 @@
     result.address = net::parse_endpoint(parts.at(0));
     result.control = net::parse_endpoint(parts.at(1));
     result.service = parts.at(2);
-    result.sharded = parts.size() > 3;
+    const std::string zone_option = "zone=";
+    for (std::size_t i = 3; i < parts.size(); ++i) {
+        if (parts[i].starts_with(zone_option)) {
+            result.zone = parts[i].substr(zone_option.size());
+        }
+        else {
+            result.sharded = result.sharded || parts[i] == "sharded";
+        }
+    }
     return result;
 }
 
@@ -55,7 +63,11 @@
     std::vector<standin::platform_target*> running_targets;
     std::vector<std::unique_ptr<standin::platform_target>> targets;
     for (const auto& text : split(FLAGS_targets, ',')) {
-        targets.push_back(std::make_unique<standin::platform_target>(loop, target_settings(text),
+        auto settings = target_settings(text);
+        settings.evacuated_since = [&store, zone = settings.zone] {
+            return store.evacuated_since(zone);
+        };
+        targets.push_back(std::make_unique<standin::platform_target>(loop, std::move(settings),
                                                                      history, running_targets));
     }
     loop.on_signal([&] { loop.stop(); });
@@ -70,6 +82,7 @@
               << " foreign_keys=" << history.misdirected_requests
               << " shared_keys=" << history.overlapping_grants
               << " over_slots=" << history.over_limit_requests
-              << " lower_fences=" << history.lower_fence_grants << std::endl;
+              << " lower_fences=" << history.lower_fence_grants
+              << " late_evacuated=" << history.late_evacuated_runs << std::endl;
     return 0;
 }
