Count the grace of an evacuation from before a pause of the process

News of an order that arrived while the process was paused were dated to the end of the pause, so that the target served up to a pause longer than the grace.

--- a/src/routing/evacuations.cpp
+++ b/src/routing/evacuations.cpp
@@ -67,9 +67,10 @@
     return replace(std::move(next));
 }
 
-evacuations::changes evacuations::on_feed(time_point now, const evacuation_rows& rows)
+evacuations::changes evacuations::on_feed(time_point now, time_point heard_since,
+                                          const evacuation_rows& rows)
 {
-    return apply_changes(now, rows, now);
+    return apply_changes(now, rows, heard_since);
 }
 
 evacuations::changes evacuations::on_read(time_point now, const evacuation_rows& rows)
@@ -91,14 +92,16 @@
     return replace(std::move(next));
 }
 
-evacuations::changes evacuations::on_peer(time_point now, const evacuation_snapshot& news)
+evacuations::changes evacuations::on_peer(time_point now, time_point heard_since,
+                                          const evacuation_snapshot& news)
 {
     if (news.version <= version_) {
         return {};
     }
     orders next;
     for (const auto& zone : news.zones) {
-        next[zone.name] = {zone.version, now - std::clamp(zone.age, milliseconds{0}, unknown_age)};
+        next[zone.name] = {zone.version,
+                           heard_since - std::clamp(zone.age, milliseconds{0}, unknown_age)};
     }
     version_ = news.version;
     confirmed_at_ = now;
--- a/src/routing/evacuations.h
+++ b/src/routing/evacuations.h
@@ -58,10 +58,11 @@
     /// revoked while the store could not be reached ends. Orders that are new were given at some
     /// time after the store last confirmed this host's knowledge.
     changes on_read(time_point now, const evacuation_rows& rows);
-    /// Takes over the orders that changed since the previous answer of the store.
-    changes on_feed(time_point now, const evacuation_rows& rows);
-    /// Takes over the knowledge of another host if it is newer.
-    changes on_peer(time_point now, const evacuation_snapshot& news);
+    /// Takes over the orders that changed since the previous answer of the store. The answer
+    /// arrived at some time after `heard_since`.
+    changes on_feed(time_point now, time_point heard_since, const evacuation_rows& rows);
+    /// Takes over the knowledge of another host if it is newer. `heard_since`: as in `on_feed`.
+    changes on_peer(time_point now, time_point heard_since, const evacuation_snapshot& news);
 
     [[nodiscard]] evacuation_snapshot snapshot(time_point now) const;
     /// Version of the store as of which the orders are known; 0: nothing is known.
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -39,6 +39,10 @@
 /// A peer is probed if it sends no answer for this time, in which four reports are due. The
 /// connection to the peer may lose all data without reporting an error.
 constexpr milliseconds silence_before_probe{1000};
+/// The process was paused if no tick occurred for this time, in which four are due.
+constexpr milliseconds pause_threshold{200};
+/// Messages that arrived during a pause are handled within this time after it.
+constexpr milliseconds pause_backlog_time{500};
 
 } // namespace
 
@@ -172,15 +176,35 @@
 void coordination::on_evacuation_rows(const routing::evacuation_rows& rows, bool is_read)
 {
     const auto now = hooks_.now();
-    apply_evacuations(is_read ? evacuations_.on_read(now, rows) : evacuations_.on_feed(now, rows),
+    apply_evacuations(is_read ? evacuations_.on_read(now, rows)
+                              : evacuations_.on_feed(now, heard_since(now), rows),
                       "store");
 }
 
+void coordination::note_tick(time_point now)
+{
+    if (last_tick_ != time_point{} && now - last_tick_ > pause_threshold) {
+        paused_from_ = last_tick_;
+        pause_end_ = now;
+    }
+    last_tick_ = now;
+}
+
+// Returns the earliest time at which a message that is handled now may have arrived. What arrived
+// during a pause of the process is handled after it.
+time_point coordination::heard_since(time_point now) const
+{
+    if (last_tick_ != time_point{} && now - last_tick_ > pause_threshold) {
+        return last_tick_;
+    }
+    return now - pause_end_ < pause_backlog_time ? paused_from_ : now;
+}
+
 void coordination::accept_evacuations(time_point now,
                                       const std::vector<routing::evacuation_snapshot>& news)
 {
     for (const auto& item : news) {
-        apply_evacuations(evacuations_.on_peer(now, item), "peer");
+        apply_evacuations(evacuations_.on_peer(now, heard_since(now), item), "peer");
     }
 }
 
@@ -346,6 +370,7 @@
 void coordination::on_tick()
 {
     const auto now = hooks_.now();
+    note_tick(now);
     member_.on_tick(now);
     if (leader_) {
         leader_->on_tick(now);
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -101,6 +101,8 @@
     }
 
 private:
+    void note_tick(time_point now);
+    [[nodiscard]] time_point heard_since(time_point now) const;
     void accept_evacuations(time_point now, const std::vector<routing::evacuation_snapshot>& news);
     void apply_evacuations(const routing::evacuations::changes& changes, const char* source);
     void process_outputs();
@@ -139,7 +141,11 @@
     /// knew then.
     incarnation_id informed_leader_;
     std::uint64_t leader_evacuations_version_ = 0;
-    bool evacuating_keys_ = false;  ///< as last logged by this leader
+    bool evacuating_keys_ = false; ///< as last logged by this leader
+    time_point last_tick_{};
+    /// The last pause of the process: time of the last tick before it, and of the first one after.
+    time_point paused_from_{};
+    time_point pause_end_{};
     std::uint64_t row_version_ = 0; ///< of the leader's record, as last read or written
     bool row_known_ = false;        ///< the record was read at least once
     std::optional<assignment::leader_record> record_;
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -283,13 +283,13 @@
 // allows, and against requests that are sent to such a target.
 TEST(entry, unkeyed_request_without_an_allowed_target_is_refused_at_once)
 {
-    evacuations.on_feed(loop.now(), {5, {{"z", 5, true}}, true});
+    evacuations.on_feed(loop.now(), loop.now(), {5, {{"z", 5, true}}, true});
     const auto evacuated = call("/pool-write/a", milliseconds{2000});
     LONGS_EQUAL(503, evacuated->answer->status);
     CHECK(net::find_header(evacuated->answer->headers, "retry-after").has_value());
     LONGS_EQUAL(1, tested_entry->counters().refused_evacuated);
     LONGS_EQUAL(0, forwards());
-    evacuations.on_feed(loop.now(), {6, {{"z", 6, false}}, true});
+    evacuations.on_feed(loop.now(), loop.now(), {6, {{"z", 6, false}}, true});
     const auto revoked = call("/pool-write/a", milliseconds{2000}, "r-2");
     LONGS_EQUAL(1, forwards());
 }
@@ -298,7 +298,7 @@
 // against one that waits although no other target can own its key.
 TEST(entry, keyed_request_follows_its_key_out_of_an_evacuated_zone)
 {
-    evacuations.on_feed(loop.now(), {5, {{"z", 5, true}}, true});
+    evacuations.on_feed(loop.now(), loop.now(), {5, {{"z", 5, true}}, true});
     const auto refuse_last = [&] {
         wire::forward_reply refusal;
         refusal.number = last_forward().number;
@@ -326,7 +326,7 @@
 // knows of the order.
 TEST(entry, owner_in_a_closed_zone_gets_no_requests)
 {
-    evacuations.on_feed(loop.now() - milliseconds{2500}, {5, {{"z", 5, true}}, true});
+    evacuations.on_feed(loop.now(), loop.now() - milliseconds{2500}, {5, {{"z", 5, true}}, true});
     const auto stranded = call("/keyed-write/a", milliseconds{2000}, "r-1");
     LONGS_EQUAL(503, stranded->answer->status);
     add_node(incarnation_id{4}, "keyed", "y");
--- a/tests/sidecar/evacuation_test.cpp
+++ b/tests/sidecar/evacuation_test.cpp
@@ -102,6 +102,25 @@
     }
 }
 
+// Guards against a process that was paused and counts the grace from the end of the pause: seed 230
+// of random faults admitted requests 5.0 s after the order.
+TEST(evacuation, pause_of_a_process_does_not_extend_the_grace)
+{
+    simulated_cluster cluster(16, settings_of(9));
+    cluster.run(settle_time);
+    for (const bool leads : {false, true}) {
+        const auto host = leads ? *cluster.leader() : host_in(cluster, 1, false);
+        cluster.freeze_node(host, milliseconds{3500});
+        cluster.run(milliseconds{200});
+        cluster.set_evacuated(zone_of(host), true);
+        cluster.run(milliseconds{3400});
+        CHECK_FALSE(cluster.admits_requests(host));
+        cluster.set_evacuated(zone_of(host), false);
+        cluster.run(settle_time);
+    }
+    check_invariants(cluster, "pause");
+}
+
 // Guards against an order that is lost with the leader that knew of it, or with the store, and
 // against a revocation during an outage that nobody notices.
 TEST(evacuation, orders_outlive_the_leader_and_the_store)
@@ -175,7 +194,7 @@
         cluster.run(milliseconds{5000});
         for (int event = 0; event < 20; ++event) {
             const std::size_t host = random() % cluster.hosts();
-            switch (random() % 8) {
+            switch (random() % 9) {
             case 0:
                 cluster.kill_node(host);
                 break;
@@ -194,6 +213,9 @@
                     cluster.start_node(host);
                 }
                 break;
+            case 5:
+                cluster.freeze_node(host, milliseconds{100 + random() % 4000});
+                break;
             default:
                 cluster.set_evacuated(zone_of(host), random() % 2 == 0);
                 break;
