--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -322,6 +322,20 @@
     LONGS_EQUAL(200, caller->answer->status);
 }
 
+// Guards against a keyed request that is held until its deadline, or refused without a time to come
+// back, when its key does not leave the evacuated zone.
+TEST(entry, keyed_request_that_waited_for_its_key_in_vain_is_refused)
+{
+    evacuations.on_feed(loop.now(), loop.now() - milliseconds{2500}, {5, {{"z", 5, true}}, true});
+    add_node(incarnation_id{4}, "keyed", "y");
+    const auto caller = call("/keyed-write/a", milliseconds{300});
+    loop.run_until([] { return false; }, milliseconds{101}); // a third of its time
+    tested_entry->on_tick();
+    LONGS_EQUAL(503, caller->answer->status);
+    CHECK(net::find_header(caller->answer->headers, "retry-after").has_value());
+    LONGS_EQUAL(1, tested_entry->counters().refused_evacuated);
+}
+
 // Guards against requests that are sent to the owner of a key after the grace, from a node that
 // knows of the order.
 TEST(entry, owner_in_a_closed_zone_gets_no_requests)
