--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -60,6 +60,11 @@
     void check_target();
     void on_target_health(const net::http_result& result);
     void on_target_changed();
+    void on_evacuations(const routing::evacuations::changes& changes);
+    /// The evacuation of this host's zone ended. The target gets requests again and may be cold.
+    void on_own_evacuation_ended();
+    void log_evacuation();
+    void set_evacuation_gauges(sidecar_gauges& gauges) const;
     void on_tick();
     void on_signal();
     void on_hangup();
@@ -108,6 +113,7 @@
     entry_counters logged_counters_;         ///< as of the last "state" log line
     std::uint64_t errors_ = 0;               ///< exceptions from handlers, in total
     std::uint64_t recent_errors_ = 0;        ///< since `error_window_start_`
+    bool logged_evacuated_ = false;   ///< `gate::is_evacuated` as last logged
     time_point error_window_start_{};
 };
 
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -70,6 +70,31 @@
                  detail::parse_manifest(modified("\"weight\":90", "\"weight\":\"x\"")));
 }
 
+// Guards against data that leaves its regions: the list may be in two places, and two lists without
+// a common region allow none, not any.
+TEST(platform_protocol, regions_are_read_from_the_rule_and_its_action)
+{
+    const auto route_with = [](const std::string& in_rule, const std::string& in_action) {
+        std::string text = whole_manifest;
+        const std::string action = R"("action":{"service":"s1",)";
+        const auto list = [](const std::string& value) {
+            return value.empty() ? "" : "\"allowedRegions\":" + value + ",";
+        };
+        text.replace(text.find(action), action.size(), list(in_rule) + action + list(in_action));
+        return detail::parse_manifest(text).routes[0];
+    };
+    using regions = std::vector<std::string>;
+    CHECK(route_with("", "").regions.empty());
+    CHECK(route_with("[]", "null").regions.empty());
+    CHECK(route_with(R"(["a","b"])", "").regions == regions({"a", "b"}));
+    CHECK(route_with("", R"(["a"])").regions == regions({"a"}));
+    CHECK(route_with(R"(["a","b"])", R"(["b","c"])").regions == regions({"b"}));
+    CHECK_FALSE(route_with(R"(["a","b"])", R"(["b","c"])").no_region_allowed);
+    CHECK(route_with(R"(["a"])", R"(["b"])").no_region_allowed);
+    CHECK_THROWS(routing::manifest_error, route_with("\"a\"", ""));
+    CHECK_THROWS(routing::manifest_error, route_with("", "[7]"));
+}
+
 // Guards against an invalid heartbeat that is accepted as the state of a target.
 TEST(platform_protocol, heartbeats_are_decoded_or_refused)
 {
@@ -164,6 +189,32 @@
     }
 }
 
+// Guards against an order of evacuation that is lost because the row of the manifest, another row
+// or its own value is unreadable, and against an order that is invented.
+TEST(platform_protocol, evacuations_are_decoded_row_by_row)
+{
+    const auto protocol = make_protocol();
+    const auto path = protocol.read_manifest().path;
+    CHECK(path.find("from=config&target=evacuate0") != std::string::npos);
+    const auto rows = protocol.parse_evacuations(
+        R"({"rows":[{"key":"config","value":7,"ver":"x"},{"key":"evacuate/a","value":"e30=","ver":7},)"
+        R"({"key":"evacuate/b","value":5,"ver":8},{"key":"evacuate/","ver":8},{"key":"evacuated","ver":8},)"
+        R"({"key":"evacuate/c","removed":true},{"key":"evacuate/d","removed":true,"ver":6},7],)"
+        R"("morePages":false,"ver":9})");
+    LONGS_EQUAL(9, rows.version);
+    CHECK(rows.complete);
+    CHECK(rows.changes == std::vector<routing::evacuation_change>(
+                              {{"a", 7, true}, {"b", 8, true}, {"c", 9, false}, {"d", 6, false}}));
+    const auto damaged = protocol.parse_evacuations(
+        R"({"rows":[{"key":"evacuate/a","ver":-1},{"key":"evacuate/b","ver":8}],"ver":9})");
+    CHECK_FALSE(damaged.complete);
+    LONGS_EQUAL(1, damaged.changes.size());
+    CHECK_FALSE(protocol.parse_evacuations(R"({"rows":[],"morePages":true,"ver":9})").complete);
+    for (const char* body : {"", "[]", R"({"rows":[]})", R"({"rows":7,"ver":1})"}) {
+        CHECK_THROWS(sidecar::store_format_error, protocol.parse_evacuations(body));
+    }
+}
+
 // Guards against a state of the manifest's row that hides a later one in the same answer.
 TEST(platform_protocol, unreadable_row_of_the_feed_does_not_hide_the_next)
 {
