Decode the load header by position, and the limits of cold targets

The load header of some deployments has a fourth figure, the duration of work, which was taken for the number of slots. The header is decoded by position now, and so are Warmup-Ms and the manifest's warmupPerS and warmupS. A heartbeat without a warm-up time no longer reads as one with 0.

--- a/src/routing/manifest.h
+++ b/src/routing/manifest.h
@@ -41,6 +41,9 @@
     std::uint32_t max_connections = 0; ///< per target, from all callers; 0: not specified
     bool sharded = false;              ///< keys are assigned to targets
     milliseconds warm_up{0}; ///< time for which a target is slow if it starts without a handover
+    /// Requests per second that a target tolerates while it is cold; 0: not limited.
+    double cold_requests_per_s = 0;
+    milliseconds cold_time{0}; ///< time for which a target is cold after its start
 };
 
 /// Limits on the requests of clients. 0: not specified.
--- a/src/sidecar/protocol.h
+++ b/src/sidecar/protocol.h
@@ -25,9 +25,10 @@
     std::string deadline;        ///< time left for the request, in ms
     std::string answer_seal;     ///< marks answers that the target itself generated
     std::string expected_target; ///< id of the intended target; others refuse the request
-    /// The target's load, sent with its answers: numbers separated by commas, such as "4,0,5". The
-    /// last number is the target's number of slots.
-    std::string load;
+    std::string load;        ///< load of the target, see `platform_protocol::parse_load`
+    /// Rest of the warm-up time, sent with answers to health checks, see
+    /// `platform_protocol::parse_warm_up`.
+    std::string warm_up;
     std::string not_run;     ///< marks answers to requests that the target did not run
     std::string retry_after; ///< in seconds, with decimals
     std::string caller;      ///< service on the host from which the request was sent
@@ -43,7 +44,15 @@
     assignment::target_status target;
     std::string address;
     std::uint64_t sequence = 0; ///< increases with each heartbeat of one run of the target
-    milliseconds warm_up_left{0};
+    std::optional<milliseconds> warm_up_left; ///< rest of the warm-up time; none: not given
+};
+
+/// Load of a target, as it reports with its answers.
+struct target_load {
+    std::uint32_t running = 0;        ///< requests that run
+    std::uint32_t waiting = 0;        ///< requests that wait for a slot
+    std::uint32_t slots = 0;          ///< requests that may run at once
+    std::uint32_t work_percent = 100; ///< duration of work on the machine now; 100: as usual
 };
 
 /// A target's announcement that it stops.
@@ -79,6 +88,10 @@
 
     /// Decodes a call of the target on this host. Throws `parse_error` for an invalid body.
     std::function<control_call(const net::http_request&)> parse_control;
+    /// Decode the values of `header_names::load` and `header_names::warm_up`. Return none if the
+    /// value cannot be read.
+    std::function<std::optional<target_load>(std::string_view value)> parse_load;
+    std::function<std::optional<milliseconds>(std::string_view value)> parse_warm_up;
     /// Body of the answer to a control call.
     std::string confirmation;
     /// Path of readiness checks.
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -17,7 +17,7 @@
     R"({"name":"r2","routeType":"safe","targetLatencyMs":200,"priority":2,"match":{"prefix":"/b/"},)"
     R"("action":{"trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],)"
     R"("timeoutMs":500,"maxAttempts":3}}]}],"clusters":[{"name":"s1","healthPath":"/health",)"
-    R"("maxConnections":110,"sharded":true,"warmS":3.0,"new":[1]},{"name":"s2"}]})";
+    R"("maxConnections":110,"sharded":true,"warmS":3.0,"warmupS":2.5,"warmupPerS":12,"new":[1]},{"name":"s2"}]})";
 
 net::http_request beat(const std::string& body)
 {
@@ -48,7 +48,10 @@
     LONGS_EQUAL(10, second.destinations[1].weight);
     CHECK(manifest.services[0].sharded);
     LONGS_EQUAL(3000, manifest.services[0].warm_up.count());
+    LONGS_EQUAL(2500, manifest.services[0].cold_time.count());
+    DOUBLES_EQUAL(12, manifest.services[0].cold_requests_per_s, 0);
     CHECK_FALSE(manifest.services[1].sharded);
+    DOUBLES_EQUAL(0, manifest.services[1].cold_requests_per_s, 0);
 }
 
 // Guards against applying an invalid manifest in part. The previous valid manifest must stay in
@@ -96,6 +99,34 @@
         detail::parse_control({"GET", "/v1/Instances.Heartbeat/i-1", {}, ""})));
 }
 
+// Guards against taking the duration of work, the fourth figure, for the number of slots.
+TEST(platform_protocol, load_is_decoded_by_position)
+{
+    const auto load = detail::parse_load("4, 1,6,310");
+    CHECK(load.has_value());
+    LONGS_EQUAL(4, load->running);
+    LONGS_EQUAL(1, load->waiting);
+    LONGS_EQUAL(6, load->slots);
+    LONGS_EQUAL(310, load->work_percent);
+    LONGS_EQUAL(100, detail::parse_load("0,0,5")->work_percent);
+    for (const char* value : {"", "5", "1,2", "1,,5", "1,2,x", "-1,0,5", "1,0,5,", "1,0,5,inf"}) {
+        CHECK_FALSE(detail::parse_load(value).has_value());
+    }
+}
+
+// Guards against a missing or unreadable warm-up time that counts as the end of the warm-up.
+TEST(platform_protocol, warm_up_time_is_decoded_or_refused)
+{
+    LONGS_EQUAL(0, detail::parse_warm_up("0")->count());
+    LONGS_EQUAL(1501, detail::parse_warm_up("1500.2")->count());
+    for (const char* value : {"", "x", "-1", "1 2", "nan"}) {
+        CHECK_FALSE(detail::parse_warm_up(value).has_value());
+    }
+    const auto call = detail::parse_control(
+        beat(R"({"service":"s1","address":"a","slots":6,"state":"ready","sequence":4})"));
+    CHECK_FALSE(std::get<sidecar::heartbeat>(call).warm_up_left.has_value());
+}
+
 // Guards against orders with field names that the target does not expect.
 TEST(platform_protocol, orders_are_encoded)
 {
