Limit the requests that reach a cold target

A target that warms up crashes under the usual rate of requests. The gate is its only sender: it now consults a sliding window before every start and every health check. The window holds a fifth fewer starts than the hard bound, is 100 ms longer than a second because requests may arrive closer to each other than they were started, and begins filled with what an earlier process may have sent. Requests that it delays too long are refused at once as "warming-up", with the time at which a start is allowed.

A target counts as cold unless a health check or a heartbeat that cannot be late told that it is warm. A warm target that gets requests at a rate that it would not tolerate while cold is checked each 300 ms, since its next heartbeat may tell too late.

The fourth figure of the load header scales the expected work time for 400 ms.

--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -24,6 +24,33 @@
     return std::chrono::duration<double, std::milli>(then - now).count();
 }
 
+/// Predicts the starts that the warm-up limit allows to the requests of a queue, in order.
+class start_forecast {
+public:
+    /// `limiter` may be null.
+    start_forecast(const warm_up_limiter* limiter, time_point now) : now_(now)
+    {
+        if (limiter != nullptr && limiter->is_limiting()) {
+            limiter_ = *limiter;
+        }
+    }
+
+    [[nodiscard]] time_point next() const { return limiter_ ? limiter_->next_start(now_) : now_; }
+
+    /// The request starts `wait_ms` from now.
+    void add(double wait_ms)
+    {
+        if (limiter_) {
+            limiter_->on_start(now_ + std::chrono::duration_cast<boot_clock::duration>(
+                                          std::chrono::duration<double, std::milli>(wait_ms)));
+        }
+    }
+
+private:
+    time_point now_;
+    std::optional<warm_up_limiter> limiter_; ///< none: no limit
+};
+
 milliseconds to_ms(double value)
 {
     return milliseconds{std::lround(value)};
@@ -31,6 +58,11 @@
 
 } // namespace
 
+double slot_queue::admission_ms(time_point now, const std::string& kind) const
+{
+    return work_.admission_ms(now, kind) * scale_.factor(now);
+}
+
 milliseconds slot_queue::expected(const std::string& kind) const
 {
     return to_ms(work_.expected_ms(kind));
@@ -53,7 +85,8 @@
         return result;
     }
     if (answered) {
-        work_.record(now, found->second.kind, now - found->second.started);
+        const double mean_scale = (found->second.scale_at_start + scale_.factor(now)) / 2;
+        work_.record(now, found->second.kind, now - found->second.started, mean_scale);
     }
     running_.erase(found);
     decide(now, result);
@@ -83,7 +116,7 @@
 
 double slot_queue::density_of(time_point now, const waiting_request& request, bool late) const
 {
-    return policy_.worth_density({request.rank, work_.admission_ms(now, request.kind), late});
+    return policy_.worth_density({request.rank, admission_ms(now, request.kind), late});
 }
 
 std::vector<slot_queue::queued_request> slot_queue::take_sorted_queue(time_point now)
@@ -91,7 +124,7 @@
     std::vector<queued_request> result;
     result.reserve(queue_.size());
     for (auto& request : std::exchange(queue_, {})) {
-        const double work_ms = work_.admission_ms(now, request.kind);
+        const double work_ms = admission_ms(now, request.kind);
         const double left_ms = ms_until(now, request.aim);
         const double density = density_of(now, request, work_ms > left_ms);
         const bool has_ample_time = work_ms * ample_time_factor <= left_ms;
@@ -111,8 +144,11 @@
 {
     std::vector<kind_density> result;
     for (const auto& load : offered_.loads(now)) {
-        const double work_ms = work_.admission_ms(now, load.kind);
-        result.push_back({policy_.worth_density({load.rank, work_ms, false}), load.slots});
+        constexpr double ms_per_s = 1000;
+        const double work_ms = admission_ms(now, load.kind);
+        const double usual_work_ms = work_.admission_ms(now, load.kind);
+        result.push_back({policy_.worth_density({load.rank, work_ms, false}), load.slots,
+                          load.slots / usual_work_ms * ms_per_s});
     }
     return result;
 }
@@ -133,26 +169,38 @@
         return 0;
     }
     for (const auto& [id, running] : running_) {
-        const double work_ms = work_.admission_ms(now, running.kind);
+        const double work_ms = admission_ms(now, running.kind);
         const double density = policy_.worth_density({running.rank, work_ms, false});
         denser.running += is_worth_much_more(density, own_density) ? 1 : 0;
     }
     return policy_.reserved_slots(denser, slots_);
 }
 
+double slot_queue::share_ahead(double density, bool inclusive,
+                               const std::vector<kind_density>& offered) const
+{
+    double slots_ahead = 0;
+    double starts_ahead = 0;
+    for (const auto& load : offered) {
+        if (load.density > density || (inclusive && load.density == density)) {
+            slots_ahead += load.slots;
+            starts_ahead += load.starts_per_s;
+        }
+    }
+    const bool is_limiting = limiter_ != nullptr && limiter_->is_limiting();
+    return std::max(slots_ahead / slots_,
+                    is_limiting ? starts_ahead / limiter_->starts_per_s() : 0.0);
+}
+
 // A request waits for the requests ahead of it, and for requests that arrive later but run before
 // it. Once it will miss its latency goal, its density is lower and more of the later arrivals run
 // before it.
-bool slot_queue::is_unservable(time_point now, const queued_request& item, double wait_ms,
+bool slot_queue::is_unservable(time_point now, const queued_request& item,
+                               const expected_wait& wait,
                                const std::vector<kind_density>& offered) const
 {
     const auto delayed_wait_ms = [&](double density, bool inclusive) {
-        double load_ahead = 0;
-        for (const auto& load : offered) {
-            const bool is_ahead = load.density > density || (inclusive && load.density == density);
-            load_ahead += is_ahead ? load.slots : 0;
-        }
-        return wait_ms / std::max(min_slot_share, 1 - load_ahead / slots_);
+        return wait.ms / std::max(min_slot_share, 1 - share_ahead(density, inclusive, offered));
     };
     const double short_run_ms = item.work_ms * short_run_factor;
     const double aim_ms = ms_until(now, item.request.aim);
@@ -162,11 +210,25 @@
     if (meets_aim) {
         return false;
     }
+    if (item.request.has_alternative && wait.cause == refusal_cause::warm_up_limit) {
+        return true;
+    }
     const double late_density = density_of(now, item.request, true);
     const double latest_start_ms = delayed_wait_ms(late_density, true);
     return latest_start_ms + short_run_ms >= ms_until(now, item.request.deadline);
 }
 
+bool slot_queue::is_start_allowed(time_point now) const
+{
+    return limiter_ == nullptr || limiter_->next_start(now) <= now;
+}
+
+void slot_queue::count_delay(waiting_request& request)
+{
+    delayed_starts_ += request.was_delayed ? 0 : 1;
+    request.was_delayed = true;
+}
+
 // Goes through the queue in the order of service, estimates the start of each request, and starts,
 // keeps or refuses it.
 void slot_queue::decide(time_point now, slot_decisions& decisions)
@@ -176,25 +238,44 @@
     }
     slot_forecast forecast(slots_);
     for (const auto& [id, item] : running_) {
-        forecast.add_running(work_.admission_ms(now, item.kind));
+        forecast.add_running(admission_ms(now, item.kind));
     }
+    start_forecast starts(limiter_, now);
     const auto offered = offered_densities(now);
     for (auto& item : take_sorted_queue(now)) {
         const std::uint32_t reserved = reserved_for_denser(now, item.request, offered);
-        const double wait_ms = forecast.wait_ms(reserved);
-        if (slots_ == 0 || is_unservable(now, item, wait_ms, offered)) {
-            work_.on_refusal(now, item.request.kind);
-            decisions.refuse.push_back({item.request.id, to_ms(std::max(wait_ms, item.work_ms))});
+        const bool has_slot = running_.size() + reserved < slots_;
+        const bool starts_now = has_slot && is_start_allowed(now);
+        const double slot_wait_ms = forecast.wait_ms(reserved);
+        const double limit_wait_ms = starts_now ? 0 : ms_until(now, starts.next());
+        const bool is_limited = limit_wait_ms > slot_wait_ms;
+        const expected_wait wait{std::max(slot_wait_ms, limit_wait_ms),
+                                 is_limited ? refusal_cause::warm_up_limit
+                                            : refusal_cause::no_slot};
+        if (slots_ == 0 || is_unservable(now, item, wait, offered)) {
+            if (!is_limited) {
+                work_.on_refusal(now, item.request.kind);
+            }
+            const double retry_after_ms = is_limited ? wait.ms : std::max(wait.ms, item.work_ms);
+            decisions.refuse.push_back({item.request.id, to_ms(retry_after_ms), wait.cause});
             continue;
         }
         forecast.add_queued(item.work_ms, reserved);
-        if (running_.size() + reserved < slots_) {
-            running_[item.request.id] = {item.request.kind, item.request.rank, now};
+        if (starts_now) {
+            running_[item.request.id] = {item.request.kind, item.request.rank, now,
+                                         scale_.factor(now)};
             decisions.start.push_back(item.request.id);
+            if (limiter_ != nullptr) {
+                limiter_->on_start(now);
+            }
         }
         else {
+            if (has_slot) {
+                count_delay(item.request);
+            }
             queue_.push_back(std::move(item.request));
         }
+        starts.add(wait.ms);
     }
 }
 
--- a/src/dispatch/work_estimates.cpp
+++ b/src/dispatch/work_estimates.cpp
@@ -28,12 +28,14 @@
 
 } // namespace
 
-void work_estimates::record(time_point now, const std::string& kind, boot_clock::duration took)
+void work_estimates::record(time_point now, const std::string& kind, boot_clock::duration took,
+                            double scale)
 {
-    const double took_ms = std::chrono::duration<double, std::milli>(took).count();
+    const double real_ms = std::chrono::duration<double, std::milli>(took).count();
+    const double took_ms = real_ms / scale;
     overall_answers_ += 1;
     overall_mean_ms_ +=
-        std::max(overall_sample_weight, 1 / overall_answers_) * (took_ms - overall_mean_ms_);
+        std::max(overall_sample_weight, 1 / overall_answers_) * (real_ms - overall_mean_ms_);
     if (means_by_kind_.size() >= max_kinds && !means_by_kind_.contains(kind)) {
         means_by_kind_.clear();
     }
--- a/src/dispatch/work_estimates.h
+++ b/src/dispatch/work_estimates.h
@@ -15,10 +15,12 @@
 /// Not thread-safe.
 class work_estimates {
 public:
-    /// Records that the target answered a request of this kind at `now`, after `took`.
-    void record(time_point now, const std::string& kind, boot_clock::duration took);
-    /// Expected time, in milliseconds, that the target takes to run a request of that kind. Always
-    /// positive.
+    /// Records that the target answered a request of this kind at `now`, after `took`, while work
+    /// took `scale` times as long as usual. Precondition: `scale` is positive.
+    void record(time_point now, const std::string& kind, boot_clock::duration took,
+                double scale = 1);
+    /// Expected time, in milliseconds, that the target takes to run a request of that kind while
+    /// work takes as long as usual. Always positive.
     [[nodiscard]] double expected_ms(const std::string& kind) const;
     /// Notes that a request of this kind was refused for lack of time.
     void on_refusal(time_point now, const std::string& kind);
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -32,6 +32,10 @@
 /// A stopping node expects a request to run for at most this multiple of its mean run time. Run
 /// times vary by about as much as their mean, so nearly all runs end within four times the mean.
 constexpr int max_run_to_mean_ratio = 4;
+/// A request or health check that cannot be written within this time after its start is not sent
+/// to a target with a limit on its requests. `dispatch::warm_up_limiter` allows for this time
+/// between the starts of requests and their arrivals.
+constexpr milliseconds max_write_delay{100};
 } // namespace
 
 gate::gate(net::loop& loop, net::endpoint target, const platform_protocol& protocol,
@@ -40,8 +44,10 @@
       hooks_(std::move(callbacks)), http_(loop, max_connections, max_answer_bytes),
       orders_(loop, max_order_connections, max_order_answer_bytes),
       separate_orders_(loop, max_order_connections, max_order_answer_bytes,
-                       net::http_client::connection_reuse::never)
+                       net::http_client::connection_reuse::never),
+      limiter_(loop.now())
 {
+    queue_.set_limiter(&limiter_);
 }
 
 std::uint32_t gate::key_of(const wire::forward& request)
@@ -126,18 +132,48 @@
     waiting.rank = entry.request.worth;
     waiting.aim = now + entry.request.aim;
     waiting.deadline = entry.deadline;
+    // A request that was refused before waits here: the other targets may be cold, too.
+    waiting.has_alternative = entry.request.key.empty() && entry.request.attempt <= 1;
+    send_due_check();
     apply(queue_.offer(now, std::move(waiting)));
 }
 
 void gate::apply(const dispatch::slot_decisions& decisions)
 {
     for (const auto& refused : decisions.refuse) {
-        refuse(refused.id, reason::overloaded, refused.retry_after,
-               "the target cannot answer the request in time");
+        if (refused.cause == dispatch::refusal_cause::warm_up_limit) {
+            ++warm_up_refusals_;
+            refuse(refused.id, reason::warming_up, refused.retry_after, "the target warms up");
+        }
+        else {
+            refuse(refused.id, reason::overloaded, refused.retry_after,
+                   "the target cannot answer the request in time");
+        }
     }
     for (const auto id : decisions.start) {
         start(id);
     }
+    schedule_start();
+}
+
+void gate::schedule_start()
+{
+    const bool waits = check_ || queue_.queued() > 0;
+    const auto now = loop_.now();
+    const auto next = limiter_.next_start(now);
+    if (!waits || next <= now || start_scheduled_) {
+        return;
+    }
+    start_scheduled_ = true;
+    loop_.after(std::chrono::ceil<milliseconds>(next - now), [this] {
+        start_scheduled_ = false;
+        on_tick();
+    });
+}
+
+bool gate::may_write(time_point started) const
+{
+    return limiter_.max_starts() == 0 || loop_.now() - started <= max_write_delay;
 }
 
 net::http_request gate::message_for(const active_request& entry) const
@@ -183,7 +219,14 @@
     const auto left = std::chrono::duration_cast<milliseconds>(entry.deadline - now);
     entry.call = http_.send(
         target_, message_for(entry), left + answer_grace,
-        [this, id](const net::http_result& result) { on_result(id, result); }, {},
+        [this, id](const net::http_result& result) { on_result(id, result); },
+        [this, id, now] {
+            const bool allowed = may_write(now);
+            if (const auto late = active_.find(id); late != active_.end()) {
+                late->second.is_late = !allowed;
+            }
+            return allowed;
+        },
         [this, expected = request.request_id](const net::http_response& head,
                                               bool is_new_connection) {
             return judge_head(protocol_.names, head, expected, is_new_connection);
@@ -220,6 +263,10 @@
     const bool answered = result.response.has_value();
     const bool refused = !answered && (result.failure == net::http_failure::connect ||
                                        result.failure == net::http_failure::not_sent);
+    const bool is_late = found != active_.end() && found->second.is_late;
+    if (answered) {
+        observe_load(*result.response);
+    }
     const bool is_other =
         answered && found != active_.end() && found->second.target_id == watch_.status().id &&
         is_from_other_target(protocol_.names, *result.response, found->second.target_id);
@@ -229,7 +276,7 @@
     else if (answered) {
         watch_.on_answer(now);
     }
-    else if (refused) {
+    else if (refused && !is_late) {
         watch_.on_refused(now);
     }
     else if (found != active_.end() && result.failure == net::http_failure::timeout) {
@@ -247,7 +294,8 @@
             reply.outcome =
                 refused ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
             const reason why =
-                refused                                          ? reason::no_target
+                is_late                                          ? reason::warming_up
+                : refused                                        ? reason::no_target
                 : result.failure == net::http_failure::timeout   ? reason::deadline_sent
                 : result.failure == net::http_failure::malformed ? reason::malformed_answer
                                                                  : reason::connection_lost;
@@ -257,6 +305,7 @@
         finish(id, std::move(reply));
     }
     const bool ran = answered && result.response->status < min_failure_status;
+    send_due_check();
     apply(queue_.finish(now, id, ran));
     hooks_.on_target_changed();
 }
@@ -318,8 +367,51 @@
     on_tick();
 }
 
+void gate::set_start_bound(const dispatch::start_bound& bound)
+{
+    limiter_.set_bound(bound);
+    on_tick();
+}
+
+void gate::set_cold(bool cold)
+{
+    limiter_.set_cold(cold);
+    on_tick();
+}
+
+void gate::check(const net::http_request& request, milliseconds timeout,
+                 std::function<void(const net::http_result&)> done)
+{
+    check_ = pending_check{request, timeout, std::move(done)};
+    send_due_check();
+    schedule_start();
+}
+
+void gate::send_due_check()
+{
+    const auto now = loop_.now();
+    if (!check_ || limiter_.next_start(now) > now) {
+        return;
+    }
+    limiter_.on_start(now);
+    const auto due = std::exchange(check_, std::nullopt);
+    const auto latest_write = limiter_.max_starts() > 0 ? max_write_delay : due->timeout;
+    send_order(orders_, due->request, due->timeout, latest_write, due->done);
+}
+
+void gate::observe_load(const net::http_response& answer)
+{
+    const auto header = net::find_header(answer.headers, protocol_.names.load);
+    if (header) {
+        if (const auto load = protocol_.parse_load(*header)) {
+            queue_.set_work_percent(loop_.now(), load->work_percent);
+        }
+    }
+}
+
 void gate::on_tick()
 {
+    send_due_check();
     apply(queue_.on_tick(loop_.now()));
 }
 
@@ -345,6 +437,7 @@
         const bool refused = result.failure == net::http_failure::connect ||
                              result.failure == net::http_failure::not_sent;
         if (result.response) {
+            observe_load(*result.response);
             watch_.on_answer(now);
         }
         else if (!refused) {
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -2,7 +2,8 @@
 
 /// Sends requests to the target on this host. The gate is the only sender to the target: it
 /// admits requests within the target's slots, checks the ownership of keyed requests directly
-/// before it sends them, and reports the outcome of each.
+/// before it sends them, and reports the outcome of each. It limits the requests and health checks
+/// that reach a target which warms up, see `dispatch::warm_up_limiter`.
 
 #include <cstdint>
 #include <functional>
@@ -13,6 +14,7 @@
 
 #include "assignment/member.h"
 #include "dispatch/slot_queue.h"
+#include "dispatch/warm_up_limiter.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "request/outcomes.h"
@@ -59,11 +61,18 @@
     void stop_at(time_point end) { exit_time_ = end; }
     /// The target's status or slots changed.
     void on_target();
+    /// What the target tolerates while it is cold, and whether it counts as cold.
+    void set_start_bound(const dispatch::start_bound& bound);
+    void set_cold(bool cold);
     /// Refuses queued requests that can no longer be answered in time. Call at least every 50 ms.
     void on_tick();
-    /// Sends an order (a grant or release of keys) or a health check to the target without taking a
-    /// slot. If the call cannot be written within `latest_write`, it is not sent, because the hold
-    /// of a grant counts from the arrival of the grant at the target.
+    /// Sends a health check to the target without taking a slot, as soon as the limit of a cold
+    /// target allows it. Precondition: the check before it has ended.
+    void check(const net::http_request& request, milliseconds timeout,
+               std::function<void(const net::http_result&)> done);
+    /// Sends an order (a grant or release of keys) to the target without taking a slot. If the call
+    /// cannot be written within `latest_write`, it is not sent, because the hold of a grant counts
+    /// from the arrival of the grant at the target.
     void order(const net::http_request& request, milliseconds timeout, milliseconds latest_write,
                std::function<void(const net::http_result&)> done);
     /// Sends an order as `order` does, on a connection of its own. Orders bear no request id, so on
@@ -75,6 +84,11 @@
     [[nodiscard]] std::size_t running() const { return queue_.running(); }
     [[nodiscard]] std::size_t queued() const { return queue_.queued(); }
     [[nodiscard]] std::size_t load() const { return queue_.running() + queue_.queued(); }
+    /// True if the target gets more requests than it would get while it is cold.
+    [[nodiscard]] bool is_rate_critical() const { return limiter_.is_window_full(loop_.now()); }
+    /// Requests that waited, or were refused, because the target warms up.
+    [[nodiscard]] std::uint64_t warm_up_delays() const { return queue_.delayed_starts(); }
+    [[nodiscard]] std::uint64_t warm_up_refusals() const { return warm_up_refusals_; }
     [[nodiscard]] std::size_t active() const { return active_.size() + arrivals_.size(); }
 
 private:
@@ -89,10 +103,24 @@
         completion done;
         time_point deadline;
         bool sent = false;
+        bool is_late = false; ///< not written, because the connection took too long
         net::http_client::call_id call = 0;
         std::string target_id;
     };
 
+    struct pending_check {
+        net::http_request request;
+        milliseconds timeout;
+        std::function<void(const net::http_result&)> done;
+    };
+
+    /// Sends the pending health check if it is allowed now. It goes before queued requests.
+    void send_due_check();
+    /// Arranges for the next start that the limit of a cold target allows.
+    void schedule_start();
+    /// Returns false if a request that was started at `started` must no longer be written.
+    [[nodiscard]] bool may_write(time_point started) const;
+    void observe_load(const net::http_response& answer);
     void send_order(net::http_client& client, const net::http_request& request,
                     milliseconds timeout, milliseconds latest_write,
                     std::function<void(const net::http_result&)> done);
@@ -123,7 +151,11 @@
     net::http_client orders_;                 ///< for the calls of `order`
     net::http_client separate_orders_;        ///< for the calls of `order_on_new_connection`
     std::map<request_key, arrival> arrivals_; ///< wait for the end of the loop iteration
+    dispatch::warm_up_limiter limiter_;
     dispatch::slot_queue queue_{0};
+    std::optional<pending_check> check_; ///< not sent yet
+    bool start_scheduled_ = false;
+    std::uint64_t warm_up_refusals_ = 0;
     std::map<dispatch::ticket, active_request> active_;
     std::map<request_key, dispatch::ticket> tickets_;
     dispatch::ticket next_ticket_ = 1;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -44,9 +44,6 @@
 constexpr milliseconds final_write_time{50};
 /// Minimum time between two requests to peers for the text of a manifest.
 constexpr milliseconds min_pull_interval{200};
-constexpr milliseconds target_check_timeout{1000};
-/// Pause between two health checks of a target that has not confirmed that it is ready.
-constexpr milliseconds target_check_interval{300};
 constexpr milliseconds journal_interval{200};
 /// Interval of the "state" log line.
 constexpr milliseconds state_interval{2000};
@@ -106,8 +103,8 @@
       random_(random_seed()), self_{random_() | 1},
       journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
       watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
-      store_(make_store()), gate_(make_gate()), coordination_(make_coordination()),
-      entry_(make_entry()), peer_check_(make_peer_check())
+      warm_up_(loop_.now()), store_(make_store()), gate_(make_gate()),
+      coordination_(make_coordination()), entry_(make_entry()), peer_check_(make_peer_check())
 {
     journal_.set_incarnation(self_);
     listen();
@@ -460,6 +457,9 @@
                                       {"address", beat->address},
                                       {"sequence", beat->sequence}});
         }
+        else {
+            observe_warmth(*beat);
+        }
     }
     else if (const auto* end = std::get_if<deregistration>(&call)) {
         const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
@@ -516,6 +516,7 @@
         request_server_->set_idle_timeout(idle + idle_margin);
     }
     coordination_.set_manifest(version, std::move(sharded));
+    set_start_bound();
     check_target();
 }
 
@@ -529,53 +530,6 @@
     }
 }
 
-// Checks the health of a target that may have been started before this process. The answer tells
-// the target's id and slots sooner than its next heartbeat, and whether it leaves.
-void process::check_target()
-{
-    const auto now = loop_.now();
-    const auto* service = routes_ ? routes_->find_service(settings_.service) : nullptr;
-    const bool is_due = !first_check_sent_ || (watch_.needs_check(now) && now >= next_check_);
-    if (service == nullptr || check_under_way_ || !is_due) {
-        return;
-    }
-    first_check_sent_ = true;
-    check_under_way_ = true;
-    gate_.order({"GET", service->health_path, {}, ""}, target_check_timeout, target_check_timeout,
-                [this](const net::http_result& result) {
-                    check_under_way_ = false;
-                    on_target_health(result);
-                });
-}
-
-void process::on_target_health(const net::http_result& result)
-{
-    const auto now = loop_.now();
-    next_check_ = now + target_check_interval;
-    if (!result.response) {
-        return;
-    }
-    const auto& headers = result.response->headers;
-    const int status = result.response->status;
-    target_health health;
-    health.target_id = net::find_header(headers, protocol_.names.target_id).value_or("");
-    health.is_ready = status == status_ok;
-    // The last number of the list is the number of slots.
-    const std::string load(net::find_header(headers, protocol_.names.load).value_or(""));
-    health.slots =
-        static_cast<std::uint32_t>(std::strtoul(load.c_str() + load.rfind(',') + 1, nullptr, 10));
-    // A target that is full refuses the check like any other request.
-    const bool refused = net::find_header(headers, protocol_.names.not_run).has_value();
-    log("target_checked", {{"target", health.target_id},
-                           {"status", status},
-                           {"refused", refused},
-                           {"slots", health.slots}});
-    if (health.is_ready || (status == status_unavailable && !refused)) {
-        watch_.on_health(now, health);
-        on_target_changed();
-    }
-}
-
 void process::grant(const assignment::grant_order& order)
 {
     gate_.order(protocol_.grant(order), grant_timeout, max_grant_write_delay,
@@ -637,6 +591,7 @@
 
 void process::on_target_changed()
 {
+    update_warmth();
     const bool accepts = watch_.accepts(loop_.now());
     if (watch_.changes() == notified_changes_ && accepts == notified_accepts_) {
         return;
@@ -695,6 +650,7 @@
         settings_.bounds = changed.bounds;
         watch_.set_drain(changed.bounds.drain);
         entry_.set_retry_limits(retry_settings_of(changed.bounds));
+        set_start_bound();
         log("reloaded", {{"file", file_}});
     }
     catch (const settings_error& failure) {
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -23,6 +23,7 @@
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/store_session.h"
 #include "sidecar/target_watch.h"
+#include "sidecar/warm_up_state.h"
 
 namespace bulrushgw::sidecar {
 
@@ -57,7 +58,10 @@
     void release(const assignment::release_order& order);
     void on_release_result(const assignment::release_order& order, const net::http_result& result);
     void check_target();
-    void on_target_health(const net::http_result& result);
+    void on_target_health(const net::http_result& result, bool is_readiness_check);
+    void set_start_bound();
+    void observe_warmth(const heartbeat& beat);
+    void update_warmth();
     void on_target_changed();
     void on_tick();
     void on_signal();
@@ -79,6 +83,7 @@
     journal journal_;
     sidecar_metrics metrics_;
     target_watch watch_;
+    warm_up_state warm_up_;
     store_session store_;
     gate gate_;
     coordination coordination_;
@@ -100,6 +105,7 @@
     time_point next_pull_{}; ///< earliest time for the next `wire::rules_pull`
     bool first_check_sent_ = false;
     bool check_under_way_ = false;
+    bool counts_as_cold_ = false;     ///< `warm_up_state::is_cold` as told to the gate
     time_point next_check_{};         ///< earliest time for the next health check of the target
     entry_counters logged_counters_;  ///< as of the last "state" log line
     std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
--- a/src/sidecar/protocol.h
+++ b/src/sidecar/protocol.h
@@ -25,7 +25,7 @@
     std::string deadline;        ///< time left for the request, in ms
     std::string answer_seal;     ///< marks answers that the target itself generated
     std::string expected_target; ///< id of the intended target; others refuse the request
-    std::string load;        ///< load of the target, see `platform_protocol::parse_load`
+    std::string load;            ///< load of the target, see `platform_protocol::parse_load`
     /// Rest of the warm-up time, sent with answers to health checks, see
     /// `platform_protocol::parse_warm_up`.
     std::string warm_up;
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -13,6 +13,8 @@
 
 /// Minimum for files, the store, the target, peers and a few clients.
 constexpr double min_descriptors = 600;
+/// A target tolerates at least the rate that the manifest names.
+constexpr double min_warm_up_overage = 1;
 
 /// Looks fields up by their path, such as "bounds.drain_ms".
 class field_reader {
@@ -50,6 +52,12 @@
         return value.get<double>();
     }
 
+    /// The number, or `fallback` if the field is missing.
+    [[nodiscard]] double number_or(const std::string& path, double minimum, double fallback) const
+    {
+        return has(path) ? number(path, minimum) : fallback;
+    }
+
     [[nodiscard]] milliseconds time_ms(const std::string& path) const
     {
         return milliseconds{static_cast<milliseconds::rep>(number(path, 0))};
@@ -124,6 +132,9 @@
     result.bounds.retry_ratio = fields.number("bounds.retry_ratio", 0);
     result.bounds.retry_slack = fields.number("bounds.retry_slack", 0);
     result.bounds.retry_window = fields.time_s("bounds.retry_window_s");
+    result.bounds.warm_up_overage =
+        fields.number_or("bounds.warm_up_overage", min_warm_up_overage, 1);
+    result.bounds.warm_up_slack = fields.number_or("bounds.warm_up_slack", 0, 0);
     result.times.lease = std::min(result.times.lease, result.bounds.longest_hold);
     return result;
 }
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -32,6 +32,10 @@
     /// Retries of all nodes in one window that are allowed in addition to that share.
     double retry_slack = 0;
     milliseconds retry_window{0}; ///< time over which retries are counted
+    /// Hard bound on the requests that arrive at a cold target in any second: the rate that it
+    /// tolerates, times `warm_up_overage`, and `warm_up_slack` more.
+    double warm_up_overage = 1;
+    double warm_up_slack = 0;
 };
 
 /// Filled by `parse_settings`.
--- a/tests/dispatch/slot_queue_test.cpp
+++ b/tests/dispatch/slot_queue_test.cpp
@@ -380,3 +380,45 @@
     queue.finish(at(700), 1, true);
     LONGS_EQUAL(1, queue.offer(at(701), request(101, 701, 100, 250, 1, "call")).start.size());
 }
+
+// Guards against a request that waits for the limit of a cold target although it cannot be answered
+// in time, and against one that waits there beyond its latency goal although others could run it.
+TEST(slot_queue, requests_that_the_warm_up_limit_delays_too_long_are_refused_at_once)
+{
+    warm_up_limiter limiter(at(0));
+    limiter.set_bound({2, 1, 0}); // one start in each 1,100 ms
+    slot_queue queue(5);
+    train_work_time(queue, 20);
+    queue.set_limiter(&limiter);
+    LONGS_EQUAL(1, queue.offer(at(5000), request(1, 5000, 200, 500)).start.size());
+    const auto too_late = queue.offer(at(5000), request(2, 5000, 200, 500));
+    LONGS_EQUAL(1, too_late.refuse.size());
+    CHECK(too_late.refuse[0].cause == refusal_cause::warm_up_limit);
+    LONGS_EQUAL(1100, too_late.refuse[0].retry_after.count());
+    auto movable = request(3, 5000, 200, 3000);
+    movable.has_alternative = true;
+    LONGS_EQUAL(1, queue.offer(at(5000), movable).refuse.size());
+    LONGS_EQUAL(0, queue.offer(at(5000), request(4, 5000, 1500, 3000)).refuse.size());
+    LONGS_EQUAL(1, queue.queued());
+    LONGS_EQUAL(0, queue.on_tick(at(6099)).start.size());
+    LONGS_EQUAL(1, queue.on_tick(at(6100)).start.size());
+    LONGS_EQUAL(1, queue.delayed_starts());
+}
+
+// Guards against expecting the usual work time from a machine that is slow for a moment, and
+// against learning the slow time as the usual one.
+TEST(slot_queue, reported_duration_of_work_scales_the_expected_time_while_it_is_valid)
+{
+    slot_queue queue(1);
+    train_work_time(queue, 100);
+    queue.set_work_percent(at(0), 300);
+    queue.offer(at(0), request(1, 0, 200, 1000));
+    // The run before it takes about 300 ms, and a short run of its own 150 ms.
+    LONGS_EQUAL(1, queue.offer(at(0), request(2, 0, 200, 400)).refuse.size());
+    queue.set_work_percent(at(300), 300);
+    queue.finish(at(300), 1, true);
+    LONGS_EQUAL(100, queue.expected("k").count());
+    LONGS_EQUAL(100, queue.work_percent(at(701)));
+    queue.offer(at(710), request(3, 710, 200, 1000));
+    LONGS_EQUAL(0, queue.offer(at(710), request(4, 710, 200, 400)).refuse.size());
+}
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -25,6 +25,8 @@
     result.names.expected_target = "x-target";
     result.names.not_run = "x-not-run";
     result.names.target_id = "x-target-id";
+    result.names.load = "x-load";
+    result.parse_load = [](std::string_view) { return target_load{1, 0, 2, 300}; };
     return result;
 }
 
@@ -245,3 +247,33 @@
     CHECK(watch->status().phase == assignment::target_phase::absent);
     CHECK(watch->needs_check(loop.now()));
 }
+
+// Guards against requests and health checks that reach a cold target beyond the limit of its
+// service, and against a refusal that does not tell when a start is allowed.
+TEST(gate, requests_and_health_checks_to_a_cold_target_are_limited)
+{
+    work = milliseconds{1};
+    tested_gate->set_start_bound({3, 1, 0}); // two starts in each 1,100 ms
+    std::size_t checks = 0;
+    tested_gate->check({"GET", "/health", {}, ""}, wait_limit,
+                       [&](const net::http_result&) { ++checks; });
+    // The process before this one may have sent as many requests as the limit allows.
+    CHECK_FALSE(loop.run_until([&] { return !arrived.empty(); }, milliseconds{300}));
+    auto urgent = request_for(1);
+    urgent.aim = milliseconds{200};
+    tested_gate->run({incarnation_id{9}, 1}, urgent,
+                     [this](const wire::forward_reply& reply) { replies.push_back(reply); });
+    wait_for(1);
+    CHECK(replies[0].outcome == wire::forward_outcome::not_run);
+    STRCMP_EQUAL("warming-up", replies[0].reason.c_str());
+    CHECK(replies[0].retry_after > milliseconds{500});
+    LONGS_EQUAL(1, tested_gate->warm_up_refusals());
+    CHECK(loop.run_until([&] { return arrived.size() == 1; }, wait_limit));
+    run(2);
+    LONGS_EQUAL(1, tested_gate->queued());
+    tested_gate->set_cold(false);
+    wait_for(2);
+    CHECK(replies[1].outcome == wire::forward_outcome::answered);
+    LONGS_EQUAL(1, checks);
+    LONGS_EQUAL(1, tested_gate->warm_up_delays());
+}
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -46,6 +46,24 @@
     LONGS_EQUAL(900, values.times.lease.count());
 }
 
+// Guards against a start that fails, or limits cold targets in another way, on a deployment without
+// bounds for them.
+TEST(sidecar_settings, warm_up_bounds_are_optional)
+{
+    const auto defaults = parse_settings("node.json", complete_settings);
+    DOUBLES_EQUAL(1, defaults.bounds.warm_up_overage, 0);
+    DOUBLES_EQUAL(0, defaults.bounds.warm_up_slack, 0);
+    std::string text = complete_settings;
+    const std::string last = R"("retry_window_s":10)";
+    text.replace(text.find(last), last.size(),
+                 last + R"(,"warm_up_overage":1.5,"warm_up_slack":8)");
+    const auto values = parse_settings("node.json", text);
+    DOUBLES_EQUAL(1.5, values.bounds.warm_up_overage, 0);
+    DOUBLES_EQUAL(8, values.bounds.warm_up_slack, 0);
+    CHECK(failure_of(last, R"("retry_window_s":10,"warm_up_overage":0)")
+              .find("bounds.warm_up_overage") != std::string::npos);
+}
+
 // Guards against a start with a missing setting or a setting of a wrong type.
 TEST(sidecar_settings, problems_name_file_field_and_expectation)
 {
