Tell entries and the leader which targets warm up

The gate refuses what a cold target does not tolerate, but entries went on sending there, and the leader gave it the keys of a warm target. target_status now carries warming_up in reports and directory records, and replies carry the duration of work on the target's machine. The picker expects a cold target to be slower, leaves it alone until the time that its node told, and sends it a request now and then, so that it is not starved. A refusal because of a warm-up costs a request no try and no retry. The planner gives a cold target the part of the keys whose requests it tolerates.

The protocol between nodes is version 6. New metrics: target_cold, warm_up_delays_total, warm_up_refusals_total, warm_up_refusals_received_total.

--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -69,6 +69,8 @@
 
     /// Sets the services whose keys are assigned to targets, from the manifest in force.
     void set_sharded(std::set<std::string> services) { sharded_services_ = std::move(services); }
+    /// Requests per second that a cold target of each service tolerates; others have no limit.
+    void set_cold_rates(std::map<std::string, double> rates) { cold_rates_ = std::move(rates); }
     /// Enables or disables moves of keys for load balancing.
     void set_balancing(bool on) { balancing_ = on; }
 
@@ -184,6 +186,8 @@
     void fill_gaps(const std::string& service);
     void merge_neighbours(time_point now);
     void assign_segment(segment& item, const owner_candidate& to, std::string handover);
+    /// Part of the requests of a warm target that a cold target of the service tolerates.
+    [[nodiscard]] double cold_target_share(const std::string& service, std::size_t targets) const;
     [[nodiscard]] std::vector<owner_candidate> candidates(const std::string& service) const;
     [[nodiscard]] bool can_own_keys(incarnation_id node, const std::string& service) const;
     [[nodiscard]] bool is_live(const member_state& member, time_point now) const;
@@ -224,6 +228,7 @@
     time_point last_round_{}; ///< last round of `take_confirmation_round`
     bool balancing_ = true;
     std::set<std::string> sharded_services_;
+    std::map<std::string, double> cold_rates_; ///< see `set_cold_rates`
     std::map<incarnation_id, member_state> members_;
     /// The node of each host in `members_`.
     std::map<std::string, incarnation_id, std::less<>> node_by_host_;
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -20,6 +20,8 @@
 /// trusted.
 constexpr double min_relative_speed = 0.4;
 constexpr double max_relative_speed = 2.5;
+/// Speed of a cold target: it works about twice as slowly as a warm one.
+constexpr double cold_relative_speed = 0.5;
 
 bool overlaps(const segment& item, const std::string& service, std::uint32_t first,
               std::uint32_t last)
@@ -139,6 +141,17 @@
            member.last_report.target.phase == target_phase::ready;
 }
 
+double leader::cold_target_share(const std::string& service, std::size_t targets) const
+{
+    const auto rate = cold_rates_.find(service);
+    const auto keys = loads_.find(service);
+    if (rate == cold_rates_.end() || keys == loads_.end() || targets == 0) {
+        return 1;
+    }
+    const double requests_per_target = keys->second.requests_per_s() / static_cast<double>(targets);
+    return tolerated_share(rate->second, requests_per_target);
+}
+
 std::vector<owner_candidate> leader::candidates(const std::string& service) const
 {
     std::vector<const member_state*> members;
@@ -157,12 +170,16 @@
             reporting_targets += 1;
         }
     }
+    const double cold_share = cold_target_share(service, result.size());
     for (std::size_t i = 0; i < result.size(); ++i) {
         const double own_work_us = members[i]->last_report.mean_work_us;
-        const double relative_speed =
-            own_work_us > 0 ? std::clamp(total_work_us / reporting_targets / own_work_us,
-                                         min_relative_speed, max_relative_speed)
-                            : 1.0;
+        double relative_speed = own_work_us > 0
+                                    ? std::clamp(total_work_us / reporting_targets / own_work_us,
+                                                 min_relative_speed, max_relative_speed)
+                                    : 1.0;
+        if (members[i]->last_report.target.warming_up) {
+            relative_speed = std::min(relative_speed, cold_relative_speed) * cold_share;
+        }
         result[i].capacity =
             relative_speed * std::max<std::uint32_t>(members[i]->last_report.target.slots, 1);
     }
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -293,6 +293,7 @@
 void member::on_target(time_point now, const target_status& target)
 {
     const bool changed = target.id != target_.id || target.phase != target_.phase ||
+                         target.warming_up != target_.warming_up ||
                          !target_.is_same_instance(target);
     const bool target_replaced =
         !target_.id.empty() && !target.id.empty() && !target_.is_same_instance(target);
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 #include <numeric>
 
 namespace bulrushgw::assignment {
@@ -20,6 +21,8 @@
 /// A piece smaller than this fraction of a candidate's quota would cost a grant without evening out
 /// the load.
 constexpr double min_piece_share = 0.05;
+/// Lower bound of the part of the usual load that a cold target can take.
+constexpr double min_tolerated_share = 0.02;
 
 double owner_load(const key_load_table& keys, std::span<const segment> segments,
                   incarnation_id node)
@@ -97,6 +100,22 @@
     return prefix_sums()[last + 1] - prefix_sums()[first];
 }
 
+double key_load_table::requests_per_s() const
+{
+    // With `rate` requests per second, the decaying number of requests settles at
+    // `rate` * half-life / ln 2.
+    constexpr double ms_per_s = 1000;
+    const double requests = total() - idle_key_load * key_count;
+    return std::max(0.0, requests * std::numbers::ln2 * ms_per_s / half_life_ms);
+}
+
+double tolerated_share(double tolerated_per_s, double usual_per_s)
+{
+    return usual_per_s > tolerated_per_s
+               ? std::max(min_tolerated_share, tolerated_per_s / usual_per_s)
+               : 1.0;
+}
+
 double key_load_table::load_of(std::uint32_t key) const
 {
     return requests_[key] + idle_key_load;
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -26,6 +26,8 @@
     [[nodiscard]] double sum(std::uint32_t first, std::uint32_t last) const;
     [[nodiscard]] double load_of(std::uint32_t key) const;
     [[nodiscard]] double total() const { return sum(0, key_count - 1); }
+    /// Requests per second for all keys, on average over the last seconds.
+    [[nodiscard]] double requests_per_s() const;
     /// First key at which the sum of the loads from `first` on reaches `load`, but at most `last`.
     [[nodiscard]] std::uint32_t key_at_load(std::uint32_t first, std::uint32_t last,
                                             double load) const;
@@ -48,6 +50,11 @@
     double capacity = 1;
 };
 
+/// Part of the usual load of a target that a cold target can take, if it tolerates
+/// `tolerated_per_s` requests per second and a warm one gets `usual_per_s`. It is positive, since a
+/// capacity must be.
+[[nodiscard]] double tolerated_share(double tolerated_per_s, double usual_per_s);
+
 /// A range of keys without an owner.
 struct unassigned_keys {
     std::uint32_t first = 0;
--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -89,6 +89,8 @@
     std::string service;
     std::uint32_t slots = 0;
     target_phase phase = target_phase::absent;
+    /// The target tolerates fewer requests than usual and is slower, because it warms up.
+    bool warming_up = false;
     bool operator==(const target_status&) const = default;
 
     /// True for the same process of a target. The start times are compared too, because an id may
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -17,6 +17,14 @@
 /// at random.
 constexpr double jitter = 0.1;
 
+/// A cold target works about twice as slowly as a warm one.
+constexpr double cold_slowdown = 2;
+/// Cost added for a cold target that accepts no request now: it is picked only if all do not.
+constexpr double refusing_cost_ms = 10000;
+/// Longest time for which a refusal because of a warm-up keeps this node from asking again. The
+/// target may become warm before the time that its node told.
+constexpr milliseconds max_refused_time{1000};
+
 /// Weight of a target's reported load when the report has the given age. The weight halves with
 /// each mean answer time, because about half of the reported requests have ended by then.
 double load_report_weight(milliseconds age, double mean_answer_ms)
@@ -26,6 +34,11 @@
 
 } // namespace
 
+double target_picker::target_stats::slowdown(time_point now) const
+{
+    return warming_up ? std::max(cold_slowdown, scale.factor(now)) : scale.factor(now);
+}
+
 const target_picker::target_stats* target_picker::find(incarnation_id node) const
 {
     const auto found = stats_.find(node);
@@ -70,6 +83,7 @@
     double mean = service.mean_answer_ms;
     double load = service.other_requests_per_slot * slots;
     double effective_failure_share = 0;
+    double slowdown = candidate.warming_up ? cold_slowdown : 1;
     if (const auto* stats = find(candidate.node)) {
         mean = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : mean;
         if (stats->load_reported_at != time_point{}) {
@@ -79,6 +93,7 @@
                 load_report_weight(age, service.mean_answer_ms) * (stats->other_requests - load);
         }
         load += stats->own_in_flight;
+        slowdown = stats->slowdown(now);
         const double half_lives =
             std::chrono::duration<double>(now - stats->last_failure) / settings_.failure_half_life;
         effective_failure_share = stats->failure_share * std::exp2(-half_lives);
@@ -91,15 +106,20 @@
                             : static_cast<double>(std::max(settings_.min_cross_zone_cost,
                                                            aim / settings_.cross_zone_aim_divisor)
                                                       .count());
-    return mean * (1 + waiting_factor + busy_factor) + effective_failure_share * failure_cost_ms +
-           cross_zone_ms;
+    return mean * slowdown * (1 + waiting_factor + busy_factor) +
+           effective_failure_share * failure_cost_ms + cross_zone_ms;
 }
 
 std::optional<incarnation_id> target_picker::pick(time_point now,
                                                   std::span<const pick_candidate> candidates,
                                                   const std::vector<incarnation_id>& avoid,
-                                                  milliseconds aim, std::mt19937_64& random) const
+                                                  milliseconds aim, std::mt19937_64& random)
 {
+    for (const auto& candidate : candidates) {
+        if (candidate.warming_up || stats_.contains(candidate.node)) {
+            stats_[candidate.node].warming_up = candidate.warming_up;
+        }
+    }
     std::optional<incarnation_id> best;
     double best_cost = 0;
     std::uniform_real_distribution<double> noise(1.0, 1.0 + jitter);
@@ -108,15 +128,35 @@
         if (std::find(avoid.begin(), avoid.end(), candidate.node) != avoid.end()) {
             continue;
         }
-        const double value = cost(now, candidate, aim, service) * noise(random);
+        double value = cost(now, candidate, aim, service) * noise(random);
+        if (candidate.warming_up) {
+            value = trial_cost(now, candidate, value, random);
+        }
         if (!best || value < best_cost) {
             best = candidate.node;
             best_cost = value;
         }
     }
+    if (best) {
+        trials_.on_pick(now, *best);
+    }
     return best;
 }
 
+double target_picker::trial_cost(time_point now, const pick_candidate& candidate,
+                                 double normal_cost, std::mt19937_64& random)
+{
+    if (now < stats_[candidate.node].refused_until) {
+        return normal_cost + refusing_cost_ms;
+    }
+    return trials_.is_due(now, candidate.node, candidate.same_zone, random) ? 0 : normal_cost;
+}
+
+void target_picker::on_work_percent(time_point now, incarnation_id node, std::uint32_t percent)
+{
+    stats_[node].scale.set(now, percent);
+}
+
 void target_picker::end_request(incarnation_id node)
 {
     auto& stats = stats_[node];
@@ -138,7 +178,8 @@
 {
     end_request(node);
     auto& stats = stats_[node];
-    const auto ms = static_cast<double>(took.count());
+    // The mean is that of a warm target at the usual speed.
+    const double ms = static_cast<double>(took.count()) / stats.slowdown(now);
     stats.mean_answer_ms +=
         stats.mean_answer_ms > 0 ? sample_weight * (ms - stats.mean_answer_ms) : ms;
     stats.failure_share -= sample_weight * stats.failure_share;
@@ -151,6 +192,13 @@
     record_load(now, stats_[node], load);
 }
 
+void target_picker::on_warm_up_refusal(time_point now, incarnation_id node, int load,
+                                       milliseconds retry_after)
+{
+    on_refusal(now, node, load);
+    stats_[node].refused_until = now + std::min(retry_after, max_refused_time);
+}
+
 void target_picker::on_target_refusal(time_point now, incarnation_id node, int load)
 {
     on_failure(now, node);
@@ -172,6 +220,7 @@
 
 void target_picker::keep(std::span<const incarnation_id> live)
 {
+    trials_.keep(live);
     std::erase_if(stats_, [&](const auto& item) {
         return item.second.own_in_flight == 0 &&
                std::find(live.begin(), live.end(), item.first) == live.end();
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -159,6 +159,14 @@
     process_outputs();
 }
 
+void coordination::set_cold_rates(std::map<std::string, double> rates)
+{
+    cold_rates_ = std::move(rates);
+    if (leader_) {
+        leader_->set_cold_rates(cold_rates_);
+    }
+}
+
 void coordination::on_lead_request(const assignment::lead_request& request)
 {
     if (!leader_ && !leaving_ && request.term == member_.term()) {
@@ -209,6 +217,7 @@
         times_, assignment::leader_identity{self_.node, self_.host, self_.address}, transfer, now,
         store_confirmed);
     leader_->set_sharded(sharded_);
+    leader_->set_cold_rates(cold_rates_);
     member_.on_notice(now, leader_->make_notice(now));
     hooks_.log("leading", {{"term", transfer.term}, {"transfers", transfer.transfers}});
     announce_leadership(transfer.recorded.members);
@@ -653,6 +662,7 @@
         times_, assignment::leader_identity{self_.node, self_.host, self_.address},
         std::move(start));
     leader_->set_sharded(sharded_);
+    leader_->set_cold_rates(cold_rates_);
     member_.on_leader(now, claimed.term, self_.node, self_.address);
     hooks_.log("leading", {{"term", claimed.term}});
     requested_claim_term_ = 0;
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -74,6 +74,9 @@
     }
     /// `sharded` contains the services whose keys the manifest divides among targets.
     void set_manifest(std::uint64_t version, std::set<std::string> sharded);
+    /// Requests per second that a cold target of each service tolerates. Services without a limit
+    /// are left out.
+    void set_cold_rates(std::map<std::string, double> rates);
     void set_mean_work(std::chrono::microseconds mean) { member_.set_mean_work(mean); }
     /// Begins a planned stop: the keys of this node's target move to other targets, and if this
     /// node leads, it asks another node to take over the leadership.
@@ -117,6 +120,7 @@
     assignment::member member_;
     std::unique_ptr<assignment::leader> leader_;
     std::set<std::string> sharded_;
+    std::map<std::string, double> cold_rates_; ///< see `set_cold_rates`
     std::uint64_t manifest_version_ = 0;
     std::uint64_t row_version_ = 0; ///< of the leader's record, as last read or written
     bool row_known_ = false;        ///< the record was read at least once
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -27,6 +27,9 @@
 /// Upper bound on the number of nodes to which a request is sent in turn if each of them refuses
 /// it.
 constexpr std::uint32_t max_tries = 4;
+/// Upper bound on the refusals of one request because of warm-ups, which do not count as tries.
+/// While most targets of a service are cold, a caller should learn of it soon.
+constexpr std::uint32_t max_warm_up_refusals = 4;
 /// A request is not retried if less time than this is left, because the retry would not be answered
 /// before the deadline.
 constexpr milliseconds min_retry_time{20};
@@ -237,7 +240,8 @@
     for (const auto& node : view.nodes) {
         if (node.target.service == request.service &&
             node.target.phase == assignment::target_phase::ready) {
-            candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone});
+            candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone,
+                                  node.target.warming_up});
         }
     }
     if (candidates.empty()) {
@@ -248,6 +252,10 @@
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
     const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_);
+    if (!picked && request.warm_up_refusals > 0) {
+        refuse(request, reason::warming_up, request.warm_up_wait, "all targets refused");
+        return;
+    }
     if (!picked) {
         refuse(request, reason::overloaded, default_retry_after, "all targets refused");
         return;
@@ -267,6 +275,7 @@
     message.route = request.route.name;
     message.key = request.key ? std::to_string(*request.key) : std::string{};
     message.request_id = request.request_id;
+    message.attempt = request.tries;
     message.idempotent = request.route.idempotent;
     message.worth = request.route.rank;
     message.deadline = std::chrono::duration_cast<milliseconds>(request.deadline - now);
@@ -371,6 +380,7 @@
     }
     request->in_flight = false;
     const auto now = loop_.now();
+    picker_.on_work_percent(now, from, reply.work_percent);
     switch (reply.outcome) {
     case wire::forward_outcome::answered:
         if (reply.status >= min_failure_status) {
@@ -393,6 +403,9 @@
         if (request::reason_of(reply.reason, reason::target_refused) == reason::target_refused) {
             picker_.on_target_refusal(now, from, static_cast<int>(reply.load));
         }
+        else if (request::reason_of(reply.reason, reason::none) == reason::warming_up) {
+            picker_.on_warm_up_refusal(now, from, static_cast<int>(reply.load), reply.retry_after);
+        }
         else {
             picker_.on_refusal(now, from, static_cast<int>(reply.load));
         }
@@ -406,13 +419,26 @@
     }
 }
 
+void entry::count_warm_up_refusal(pending_request& request, const wire::forward_reply& reply)
+{
+    ++counters_.warm_up_refusals;
+    request.warm_up_wait = request.warm_up_refusals == 0
+                               ? reply.retry_after
+                               : std::min(request.warm_up_wait, reply.retry_after);
+    ++request.warm_up_refusals;
+}
+
 void entry::on_not_run(pending_request& request, const wire::forward_reply& reply)
 {
     const reason why = request::reason_of(reply.reason, reason::target_refused);
+    if (why == reason::warming_up) {
+        count_warm_up_refusal(request, reply);
+    }
     if (request.sharded) {
         // Only the owner of the key can run the request. The node that refused the request may have
         // lost the key or its target.
-        const bool no_room = why == reason::overloaded || why == reason::target_refused;
+        const bool no_room =
+            why == reason::overloaded || why == reason::target_refused || why == reason::warming_up;
         if (no_room) {
             refuse(request, why, reply.retry_after, "the owner has no room");
         }
@@ -434,7 +460,11 @@
         refuse(request, why, reply.retry_after, "no repeat is left for the service");
         return;
     }
-    if (request.tries >= max_tries) {
+    if (request.warm_up_refusals >= max_warm_up_refusals) {
+        refuse(request, reason::warming_up, request.warm_up_wait, "several targets warm up");
+        return;
+    }
+    if (request.tries - request.warm_up_refusals >= max_tries) {
         refuse(request, why, reply.retry_after, "several targets refused");
         return;
     }
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -41,7 +41,8 @@
     std::uint64_t timed_out = 0;
     std::uint64_t abandoned = 0; ///< clients that disconnected before the answer
     std::uint64_t retries = 0;
-    std::uint64_t foreign_replies = 0; ///< replies that match no request in flight
+    std::uint64_t foreign_replies = 0;  ///< replies that match no request in flight
+    std::uint64_t warm_up_refusals = 0; ///< by nodes whose targets warm up
 };
 
 /// Not thread-safe: runs on one loop.
@@ -107,9 +108,11 @@
         time_point arrived;
         time_point aim; ///< latency goal: an answer after this time is worth less
         time_point deadline;
-        time_point owner_wait_end;    ///< end of the wait for an owner or a target
-        std::uint32_t sends = 0;      ///< attempts that may have reached a target
-        std::uint32_t tries = 0;      ///< all attempts
+        time_point owner_wait_end;          ///< end of the wait for an owner or a target
+        std::uint32_t sends = 0;            ///< attempts that may have reached a target
+        std::uint32_t tries = 0;            ///< all attempts
+        std::uint32_t warm_up_refusals = 0; ///< attempts refused because the target warms up
+        milliseconds warm_up_wait{0}; ///< least time until one of these targets accepts a request
         bool waits_for_owner = false; ///< waits for an owner or a target
         bool in_flight = false;       ///< sent, no reply yet
         std::uint64_t number = 0;     ///< of the last message that was sent for the request
@@ -126,6 +129,7 @@
     void send(pending_request& request, incarnation_id node, const std::string& address);
     void wait_for_owner(pending_request& request, const char* cause);
     void on_not_run(pending_request& request, const wire::forward_reply& reply);
+    void count_warm_up_refusal(pending_request& request, const wire::forward_reply& reply);
     void on_unknown_outcome(pending_request& request, request::reason why);
     void on_deadline(std::uint64_t id);
     void deliver(pending_request& request, const wire::forward_reply& reply);
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -336,6 +336,7 @@
     auto extracted = active_.extract(id);
     tickets_.erase(extracted.mapped().key);
     reply.load = static_cast<std::uint32_t>(load());
+    reply.work_percent = queue_.work_percent(loop_.now());
     extracted.mapped().done(std::move(reply));
 }
 
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -264,6 +264,9 @@
             gauges.store_calls = store_.calls();
             gauges.lines_dropped = journal_.dropped();
             gauges.target_load = gate_.load();
+            gauges.warm_up_delays = gate_.warm_up_delays();
+            gauges.warm_up_refusals = gate_.warm_up_refusals();
+            gauges.target_is_cold = counts_as_cold_;
             gauges.holds_lease = member.holds_lease(loop_.now());
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
@@ -500,7 +503,11 @@
         return;
     }
     std::set<std::string> sharded;
+    std::map<std::string, double> cold_rates;
     for (const auto& service : content.services) {
+        if (service.cold_requests_per_s > 0) {
+            cold_rates[service.name] = service.cold_requests_per_s;
+        }
         if (service.sharded) {
             sharded.insert(service.name);
         }
@@ -515,6 +522,7 @@
     if (const auto idle = routes_->content().limits.idle_time; idle.count() > 0) {
         request_server_->set_idle_timeout(idle + idle_margin);
     }
+    coordination_.set_cold_rates(std::move(cold_rates));
     coordination_.set_manifest(version, std::move(sharded));
     set_start_bound();
     check_target();
@@ -593,16 +601,20 @@
 {
     update_warmth();
     const bool accepts = watch_.accepts(loop_.now());
-    if (watch_.changes() == notified_changes_ && accepts == notified_accepts_) {
+    auto status = watch_.status();
+    status.warming_up = warm_up_.is_warming_up(loop_.now());
+    if (watch_.changes() == notified_changes_ && accepts == notified_accepts_ &&
+        status.warming_up == notified_warming_up_) {
         return;
     }
     notified_changes_ = watch_.changes();
     notified_accepts_ = accepts;
-    const auto& status = watch_.status();
+    notified_warming_up_ = status.warming_up;
     log("target_changed", {{"target", status.id},
                            {"born", status.start_time_ms},
                            {"slots", status.slots},
                            {"phase", static_cast<int>(status.phase)},
+                           {"warming_up", status.warming_up},
                            {"accepts", accepts}});
     gate_.on_target();
     coordination_.on_target(status);
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -98,6 +98,7 @@
     std::string manifest_text_;
     std::uint64_t notified_changes_ = 0; ///< `target_watch::changes` at the last notification
     bool notified_accepts_ = false;      ///< `target_watch::accepts` at the last notification
+    bool notified_warming_up_ = false;   ///< `warm_up_state::is_warming_up` at that time
     std::optional<time_point> stopping_since_;
     /// Time at which this stopping node was found idle and began to refuse new requests.
     std::optional<time_point> closing_since_;
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -57,6 +57,9 @@
     write_metric(out, "requests_ignored_total", "counter", gauges.requests_ignored);
     write_metric(out, "request_repeats_total", "counter", requests.retries);
     write_metric(out, "foreign_replies_total", "counter", requests.foreign_replies);
+    write_metric(out, "warm_up_delays_total", "counter", gauges.warm_up_delays);
+    write_metric(out, "warm_up_refusals_total", "counter", gauges.warm_up_refusals);
+    write_metric(out, "warm_up_refusals_received_total", "counter", requests.warm_up_refusals);
     write_metric(out, "store_calls_total", "counter", gauges.store_calls);
     write_metric(out, "log_lines_dropped_total", "counter", gauges.lines_dropped);
     write_metric(out, "unexpected_errors_total", "counter", gauges.errors);
@@ -64,6 +67,7 @@
     write_metric(out, "term", "gauge", gauges.term);
     write_metric(out, "directory_version", "gauge", gauges.directory_version);
     write_metric(out, "target_load", "gauge", gauges.target_load);
+    write_metric(out, "target_cold", "gauge", gauges.target_is_cold ? 1 : 0);
     write_metric(out, "holds_lease", "gauge", gauges.holds_lease ? 1 : 0);
     write_metric(out, "leads", "gauge", gauges.leads ? 1 : 0);
     write_metric(out, "store_up", "gauge", gauges.store_up ? 1 : 0);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -27,8 +27,8 @@
     double sum_s_ = 0;
 };
 
-/// Values at the time of a metrics request. `store_calls`, `lines_dropped`, `errors` and
-/// `requests_ignored` are totals since the start.
+/// Values at the time of a metrics request. `store_calls`, `lines_dropped`, `errors`,
+/// `requests_ignored`, `warm_up_delays` and `warm_up_refusals` are totals since the start.
 struct sidecar_gauges {
     std::uint64_t manifest_version = 0;
     std::uint64_t term = 0;
@@ -38,6 +38,9 @@
     std::uint64_t target_load = 0;
     std::uint64_t errors = 0;           ///< unexpected exceptions from handlers
     std::uint64_t requests_ignored = 0; ///< whose clients had left before they were read
+    std::uint64_t warm_up_delays = 0;   ///< requests that waited because the target warms up
+    std::uint64_t warm_up_refusals = 0; ///< requests refused because the target warms up
+    bool target_is_cold = false;        ///< starts at the target are limited
     bool holds_lease = false;
     bool leads = false;
     bool store_up = false;
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -48,7 +48,7 @@
 BULRUSHGW_FIELDS(forward, m.number, m.service, m.route, m.range, m.key, m.request_id, m.attempt,
                  m.idempotent, m.worth, m.deadline, m.aim, m.method, m.path, m.headers, m.body)
 BULRUSHGW_FIELDS(forward_reply, m.number, m.request_id, m.outcome, m.reason, m.version, m.load,
-                 m.retry_after, m.status, m.headers, m.body)
+                 m.work_percent, m.retry_after, m.status, m.headers, m.body)
 BULRUSHGW_FIELDS(cancel, m.number)
 BULRUSHGW_FIELDS(no_replies, m.requests)
 BULRUSHGW_FIELDS(probe, m.number)
@@ -56,7 +56,8 @@
 BULRUSHGW_FIELDS(rules_pull, m.version)
 BULRUSHGW_FIELDS(rules_text, m.version, m.digest, m.text, m.record)
 BULRUSHGW_FIELDS(protocol_failure, m.reason)
-BULRUSHGW_FIELDS(assignment::target_status, m.id, m.start_time_ms, m.service, m.slots, m.phase)
+BULRUSHGW_FIELDS(assignment::target_status, m.id, m.start_time_ms, m.service, m.slots, m.phase,
+                 m.warming_up)
 BULRUSHGW_FIELDS(assignment::holding, m.service, m.first, m.last, m.range_fence)
 BULRUSHGW_FIELDS(assignment::released_keys, m.service, m.first, m.last, m.range_fence, m.handover,
                  m.evidence)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -34,7 +34,7 @@
     using frame_error::frame_error;
 };
 
-inline constexpr std::uint8_t protocol_version = 5;
+inline constexpr std::uint8_t protocol_version = 6;
 /// Size of the length prefix of each frame.
 inline constexpr std::size_t length_bytes = 4;
 /// Upper bound on the bytes of a frame after its length prefix.
@@ -84,6 +84,8 @@
     int status = 0;
     header_pairs headers;
     std::string body;
+    /// Current duration of work on the target's machine in percent of the usual one.
+    std::uint32_t work_percent = 100;
 };
 
 /// Cancels the `forward` with this number: the client disconnected or its deadline passed.
--- a/tests/assignment/member_test.cpp
+++ b/tests/assignment/member_test.cpp
@@ -212,3 +212,22 @@
     CHECK(std::any_of(counts.begin(), counts.end(),
                       [](const auto& item) { return item.first == 1999 && item.second == 51; }));
 }
+
+// Guards against entries and a leader that learn late of a warm-up, or report it when nothing
+// changed.
+TEST(member, change_of_the_warm_up_is_reported_at_once)
+{
+    member tested({}, {self, "h", "a", "z", 0});
+    time_point now{milliseconds{1000}};
+    tested.on_leader(now, term, leader_node, "leader");
+    auto status = target(target_phase::ready);
+    tested.on_target(now, status);
+    CHECK(tested.take_report(now).has_value());
+    tested.on_target(now, status);
+    CHECK_FALSE(tested.take_report(now).has_value());
+    status.warming_up = true;
+    tested.on_target(now, status);
+    const auto sent = tested.take_report(now);
+    CHECK(sent.has_value());
+    CHECK(sent->body.target.warming_up);
+}
--- a/tests/assignment/planner_test.cpp
+++ b/tests/assignment/planner_test.cpp
@@ -240,3 +240,24 @@
         CHECK(load < 1.2 * keys.sum(0, 1023));
     }
 }
+
+// Guards against a cold target that gets as many keys as a warm one, or none at all.
+TEST(planner, cold_target_gets_keys_in_proportion_to_what_it_tolerates)
+{
+    key_load_table keys;
+    // 100 requests per second for ten seconds.
+    for (int step = 0; step < 100; ++step) {
+        keys.decay(milliseconds{100});
+        keys.add(static_cast<std::uint32_t>(step * 600), 10);
+    }
+    CHECK(std::abs(keys.requests_per_s() - 90) < 10);
+    DOUBLES_EQUAL(1, tolerated_share(12, 5), 0);
+    DOUBLES_EQUAL(0.25, tolerated_share(12, 48), 0.001);
+    CHECK(tolerated_share(0.001, 1000) > 0);
+    const auto candidates = owners({1, 1, 1, tolerated_share(12, 48)});
+    std::vector<double> loads(4, 0);
+    distribute_keys(key_load_table{}, std::vector<unassigned_keys>{{0, last_key, ""}}, candidates,
+                    loads);
+    CHECK(loads[3] > 0);
+    CHECK(loads[3] < 0.35 * loads[0]);
+}
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -175,3 +175,62 @@
     share_of_refusing(110000, 113000, false);
     CHECK(share_of_refusing(113000, 118000, false) > 0.2);
 }
+
+// Guards against a cold target that gets its full share, and against one that gets nothing because
+// the others are faster.
+TEST(target_picker, cold_target_gets_few_requests_but_is_not_starved)
+{
+    for (auto& candidate : candidates) {
+        candidate.same_zone = true;
+        answer(candidate.node.value, 50, 20, 0);
+    }
+    candidates[1].warming_up = true;
+    candidates[2].warming_up = true;
+    candidates[2].same_zone = false;
+    std::map<std::uint64_t, int> count;
+    for (long now = 10000; now < 14000; now += 50) {
+        count[picker.pick(at(now), candidates, {}, aim, random)->value] += 1;
+    }
+    CHECK(count[2] >= 2 && count[2] <= 8);
+    CHECK(count[3] >= 1 && count[3] <= 3);
+}
+
+// Guards against asking a cold target again before it accepts requests, and against refusing a
+// request only because all targets are cold.
+TEST(target_picker, cold_target_is_not_picked_before_the_time_that_its_node_told)
+{
+    candidates.resize(2);
+    for (auto& candidate : candidates) {
+        candidate.same_zone = true;
+        candidate.warming_up = true;
+    }
+    picker.on_sent(incarnation_id{1});
+    picker.on_warm_up_refusal(at(1000), incarnation_id{1}, 0, milliseconds{400});
+    LONGS_EQUAL(0, picks(1399, 50)[1]);
+    CHECK(picks(1400, 50)[1] > 0);
+    CHECK(picker.pick(at(1399), candidates, {incarnation_id{2}}, aim, random)->value == 1);
+}
+
+// Guards against a target that counts as slow for a long time because of its answers while it was
+// cold.
+TEST(target_picker, answers_of_a_cold_target_do_not_count_as_those_of_a_slow_one)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true, true}};
+    answer(1, 50, 20, 0);
+    picks(0, 1);
+    answer(2, 100, 20, 0);
+    candidates[1].warming_up = false;
+    CHECK(picks(1000, 100)[2] > 20);
+}
+
+// Guards against sending requests to a machine that is slow for a moment, and against avoiding it
+// for longer than the figure is valid.
+TEST(target_picker, machine_that_reports_slow_work_is_avoided_while_the_report_is_valid)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    picker.on_work_percent(at(1000), incarnation_id{2}, 300);
+    LONGS_EQUAL(0, picks(1300, 50)[2]);
+    CHECK(picks(1500, 50)[2] > 10);
+}
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -257,3 +257,43 @@
     LONGS_EQUAL(2, tested_entry->counters().unknown);
     LONGS_EQUAL(0, tested_entry->counters().refused);
 }
+
+// Guards against a request that is refused, or costs a retry, because one of several targets warms
+// up, and against a refusal by all of them that does not tell when a start is allowed.
+TEST(entry, warm_up_refusal_leads_to_another_target_without_a_retry)
+{
+    constexpr incarnation_id third{4};
+    dispatch::allowance_settings no_retries;
+    tested_entry->set_retry_limits(no_retries);
+    assignment::directory_change view;
+    view.term = 1;
+    view.base = 1;
+    view.version = 2;
+    view.leader = other;
+    view.nodes = {node_of(third, "pool")};
+    member.on_directory(loop.now(), view);
+    const auto refuse_last = [&](milliseconds retry_after) {
+        wire::forward_reply refusal;
+        refusal.number = last_forward().number;
+        refusal.request_id = "r-1";
+        refusal.outcome = wire::forward_outcome::not_run;
+        refusal.reason = request::to_text(request::reason::warming_up);
+        refusal.retry_after = retry_after;
+        tested_entry->on_reply(sent.back().first, refusal);
+    };
+    const auto caller = call("/pool-write/a", milliseconds{2000});
+    const auto first = sent.back().first;
+    LONGS_EQUAL(1, last_forward().attempt);
+    refuse_last(milliseconds{800});
+    LONGS_EQUAL(2, forwards());
+    CHECK(sent.back().first != first);
+    LONGS_EQUAL(2, last_forward().attempt);
+    refuse_last(milliseconds{600});
+    CHECK(caller->answer.has_value());
+    LONGS_EQUAL(503, caller->answer->status);
+    const auto told = net::find_header(caller->answer->headers, "retry-after");
+    CHECK(told.has_value());
+    CHECK(std::stod(std::string(*told)) >= 0.6);
+    LONGS_EQUAL(2, tested_entry->counters().warm_up_refusals);
+    LONGS_EQUAL(0, tested_entry->counters().retries);
+}
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -49,7 +49,7 @@
 
 assignment::target_status sample_target()
 {
-    return {"i-1", 1700000000000, "catalogue", 12, assignment::target_phase::draining};
+    return {"i-1", 1700000000000, "catalogue", 12, assignment::target_phase::draining, true};
 }
 
 assignment::directory_change sample_directory()
@@ -148,7 +148,8 @@
                       milliseconds{120},
                       503,
                       {{"a", "b"}},
-                      "body"},
+                      "body",
+                      310},
         cancel{77},
         rules_pull{5},
         rules_text{5, "digest", "text", "{}"},
