--- a/standins/platform_model.cpp
+++ b/standins/platform_model.cpp
@@ -161,7 +161,7 @@
                                  std::vector<platform_target*>& running_targets)
     : loop_(loop), settings_(std::move(settings)), history_(history),
       running_targets_(running_targets), id_("i-" + std::to_string(settings_.address.port)),
-      started_ms_(unix_ms()), client_(loop, 2, max_answer_bytes),
+      started_ms_(unix_ms()), started_(loop.now()), client_(loop, 2, max_answer_bytes),
       server_(loop, settings_.address,
               [this](const net::http_exchange& exchange) { handle(exchange); })
 {
@@ -184,12 +184,33 @@
                     {"version", "v1"},
                     {"slots", settings_.slots},
                     {"state", "ready"},
-                    {"warmupLeftMs", 0},
+                    {"warmupLeftMs", warm_up_left().count()},
                     {"born", started_ms_},
                     {"sequence", ++sequence_}};
     return body.dump();
 }
 
+milliseconds platform_target::warm_up_left() const
+{
+    const auto left = started_ + settings_.warm_up - loop_.now();
+    return std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(left));
+}
+
+void platform_target::count_arrival()
+{
+    const auto now = loop_.now();
+    if (warm_up_left().count() == 0) {
+        return;
+    }
+    constexpr std::chrono::seconds window{1};
+    cold_arrivals_.push_back(now);
+    while (now - cold_arrivals_.front() >= window) {
+        cold_arrivals_.pop_front();
+    }
+    history_.highest_cold_arrivals =
+        std::max(history_.highest_cold_arrivals, cold_arrivals_.size());
+}
+
 void platform_target::send_control(const std::string& path, const std::string& body)
 {
     client_.send(settings_.control, {"POST", path + id_, {}, body}, heartbeat_interval,
@@ -231,8 +252,11 @@
     }
     else if (path == "/health") {
         constexpr int unavailable = 503;
+        count_arrival();
         exchange.respond(answer(leaving_ ? unavailable : ok, "",
-                                {{"Instance-Id", id_}, {"Server-Load", "0,0,6"}}));
+                                {{"Instance-Id", id_},
+                                 {"Server-Load", "0,0,6,100"},
+                                 {"Warmup-Ms", std::to_string(warm_up_left().count())}}));
     }
     else {
         run(exchange);
@@ -254,6 +278,7 @@
         exchange.respond(answer(misdirected, "", {{"Not-Executed", "1"}}));
         return;
     }
+    count_arrival();
     if (running_ >= settings_.slots) {
         ++history_.over_limit_requests;
         exchange.respond(answer(unavailable, "", {{"Not-Executed", "1"}}));
--- a/standins/platform_model.h
+++ b/standins/platform_model.h
@@ -4,6 +4,7 @@
 /// and targets that hold ranges of keys. Both speak the published protocol over HTTP on loopback.
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -67,6 +68,7 @@
     bool sharded = false;
     std::uint32_t slots = 6;
     milliseconds execution_time{20};
+    milliseconds warm_up{0}; ///< time for which the target reports a warm-up after its start
 };
 
 /// Requests and protocol violations seen by all targets of a test.
@@ -77,6 +79,9 @@
     std::uint64_t over_limit_requests = 0;  ///< requests refused because all slots were taken
     /// Grants with a lower fence than another running target got for overlapping keys.
     std::uint64_t lower_fence_grants = 0;
+    /// Highest number of requests and health checks that reached a target in one second while it
+    /// was warming up.
+    std::size_t highest_cold_arrivals = 0;
 };
 
 /// A target. It is in the list of running targets as long as it exists. Not thread-safe:
@@ -107,6 +112,9 @@
 
     void handle(const net::http_exchange& exchange);
     void run(const net::http_exchange& exchange);
+    [[nodiscard]] milliseconds warm_up_left() const;
+    /// Counts a request or health check that the target does not reject as misdirected.
+    void count_arrival();
     void grant(const net::http_exchange& exchange);
     void release(const net::http_exchange& exchange);
     void send_heartbeat();
@@ -122,6 +130,8 @@
     std::vector<platform_target*>& running_targets_;
     std::string id_;
     std::uint64_t started_ms_;
+    time_point started_;
+    std::deque<time_point> cold_arrivals_; ///< of the last second
     std::uint64_t sequence_ = 0;
     bool leaving_ = false;
     std::vector<held_range> held_ranges_;
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -12,6 +12,7 @@
 DEFINE_string(store, "", "address of the store");
 DEFINE_string(manifest, "", "file with the manifest");
 DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded]");
+DEFINE_int32(warm_up_ms, 0, "time for which the targets warm up after their start");
 DEFINE_int32(late_heartbeat_ms, 1500, "delay of the last heartbeat of a target that leaves");
 
 namespace {
@@ -36,6 +37,7 @@
     result.control = net::parse_endpoint(parts.at(1));
     result.service = parts.at(2);
     result.sharded = parts.size() > 3;
+    result.warm_up = milliseconds{FLAGS_warm_up_ms};
     return result;
 }
 
@@ -66,8 +68,8 @@
     for (const auto& [id, runs] : history.runs) {
         repeated += runs > 1 ? 1 : 0;
     }
-    std::cout << "runs=" << history.runs.size() << " repeated=" << repeated
-              << " foreign_keys=" << history.misdirected_requests
+    std::cout << "runs=" << history.runs.size() << " cold_second=" << history.highest_cold_arrivals
+              << " repeated=" << repeated << " foreign_keys=" << history.misdirected_requests
               << " shared_keys=" << history.overlapping_grants
               << " over_slots=" << history.over_limit_requests
               << " lower_fences=" << history.lower_fence_grants << std::endl;
