Let a request wait late at a cold target only if no other can run it

A request for a service with a single target was refused when the warm-up limit delayed it beyond its latency goal, although it could be answered before its deadline. The entry now says in the forward whether there is another target. A request that cannot be written within 100 ms is held back only from a target that counts as cold, so that a pause of the process costs warm targets nothing.

--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -260,6 +260,10 @@
         refuse(request, reason::overloaded, default_retry_after, "all targets refused");
         return;
     }
+    // After a refusal because of a warm-up, the request may wait at the next target: the others may
+    // be cold, too.
+    request.has_alternative =
+        request.warm_up_refusals == 0 && candidates.size() > request.avoid.size() + 1;
     const auto node = std::find_if(view.nodes.begin(), view.nodes.end(),
                                    [&](const auto& item) { return item.node == *picked; });
     send(request, *picked, node->address);
@@ -275,7 +279,7 @@
     message.route = request.route.name;
     message.key = request.key ? std::to_string(*request.key) : std::string{};
     message.request_id = request.request_id;
-    message.attempt = request.tries;
+    message.has_alternative = request.has_alternative;
     message.idempotent = request.route.idempotent;
     message.worth = request.route.rank;
     message.deadline = std::chrono::duration_cast<milliseconds>(request.deadline - now);
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -112,6 +112,7 @@
         std::uint32_t sends = 0;            ///< attempts that may have reached a target
         std::uint32_t tries = 0;            ///< all attempts
         std::uint32_t warm_up_refusals = 0; ///< attempts refused because the target warms up
+        bool has_alternative = false;       ///< another target can probably run the request
         milliseconds warm_up_wait{0}; ///< least time until one of these targets accepts a request
         bool waits_for_owner = false; ///< waits for an owner or a target
         bool in_flight = false;       ///< sent, no reply yet
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -33,7 +33,7 @@
 /// times vary by about as much as their mean, so nearly all runs end within four times the mean.
 constexpr int max_run_to_mean_ratio = 4;
 /// A request or health check that cannot be written within this time after its start is not sent
-/// to a target with a limit on its requests. `dispatch::warm_up_limiter` allows for this time
+/// to a cold target. `dispatch::warm_up_limiter` allows for this time
 /// between the starts of requests and their arrivals.
 constexpr milliseconds max_write_delay{100};
 } // namespace
@@ -132,8 +132,7 @@
     waiting.rank = entry.request.worth;
     waiting.aim = now + entry.request.aim;
     waiting.deadline = entry.deadline;
-    // A request that was refused before waits here: the other targets may be cold, too.
-    waiting.has_alternative = entry.request.key.empty() && entry.request.attempt <= 1;
+    waiting.has_alternative = entry.request.has_alternative;
     send_due_check();
     apply(queue_.offer(now, std::move(waiting)));
 }
@@ -173,7 +172,7 @@
 
 bool gate::may_write(time_point started) const
 {
-    return limiter_.max_starts() == 0 || loop_.now() - started <= max_write_delay;
+    return !limiter_.is_limiting() || loop_.now() - started <= max_write_delay;
 }
 
 net::http_request gate::message_for(const active_request& entry) const
@@ -300,7 +299,10 @@
                 : result.failure == net::http_failure::malformed ? reason::malformed_answer
                                                                  : reason::connection_lost;
             reply.reason = request::to_text(why);
-            hooks_.on_failure(entry.request, why, "the target sent no complete answer");
+            warm_up_refusals_ += is_late ? 1 : 0;
+            hooks_.on_failure(entry.request, why,
+                              is_late ? "the connection to the cold target took too long"
+                                      : "the target sent no complete answer");
         }
         finish(id, std::move(reply));
     }
@@ -396,7 +398,7 @@
     }
     limiter_.on_start(now);
     const auto due = std::exchange(check_, std::nullopt);
-    const auto latest_write = limiter_.max_starts() > 0 ? max_write_delay : due->timeout;
+    const auto latest_write = limiter_.is_limiting() ? max_write_delay : due->timeout;
     send_order(orders_, due->request, due->timeout, latest_write, due->done);
 }
 
--- a/src/sidecar/warm_up_state.cpp
+++ b/src/sidecar/warm_up_state.cpp
@@ -43,10 +43,12 @@
         // Answers name the target, so they are no evidence about the one before it.
         count_as_cold(now);
         cold_since_ = now;
+        run_seen_ = now;
     }
     else if (has_restarted || became_absent) {
         forget_warmth(now);
         cold_since_ = now;
+        run_seen_ = has_restarted ? now : run_seen_;
     }
     target_ = target;
 }
@@ -63,7 +65,8 @@
         return;
     }
     const bool is_newer = now - evidence_since_ >= settings_.max_heartbeat_delay;
-    const bool began_long_ago = run_age && *run_age >= cold_time_ + settings_.max_heartbeat_delay;
+    const auto age = run_age.value_or(std::chrono::duration_cast<milliseconds>(now - run_seen_));
+    const bool began_long_ago = age >= cold_time_ + settings_.max_heartbeat_delay;
     if (is_newer && began_long_ago) {
         become_warm();
     }
--- a/src/sidecar/warm_up_state.h
+++ b/src/sidecar/warm_up_state.h
@@ -42,8 +42,8 @@
     /// The state of the target according to `target_watch`. Call it before each of the calls below.
     /// A new run, and one that was absent, count as cold.
     void on_target(time_point now, const assignment::target_status& target);
-    /// A heartbeat of the known target, which began `run_age` ago; none: not known. `left` is the
-    /// rest of its warm-up.
+    /// A heartbeat of the known target, which began `run_age` ago; none: its start time is not
+    /// known. `left` is the rest of its warm-up.
     void on_heartbeat(time_point now, milliseconds left, std::optional<milliseconds> run_age);
     /// A health check was sent.
     void on_check_sent(time_point now);
@@ -71,6 +71,7 @@
     bool is_limited_ = false;
     milliseconds cold_time_{0};
     assignment::target_status target_;
+    time_point run_seen_{}; ///< when this process first knew of the target's run
     bool is_warm_ = false;
     time_point cold_since_; ///< the target has not been known to be warm since
     /// Evidence of warmth from before this time does not count.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -67,6 +67,8 @@
     std::string path;
     header_pairs headers;
     std::string body;
+    /// Another target can probably run the request if this one warms up.
+    bool has_alternative = false;
 };
 
 enum class forward_outcome : std::uint8_t { answered, not_run, unknown, not_owner };
--- a/tests/dispatch/slot_queue_test.cpp
+++ b/tests/dispatch/slot_queue_test.cpp
@@ -422,3 +422,43 @@
     queue.offer(at(710), request(3, 710, 200, 1000));
     LONGS_EQUAL(0, queue.offer(at(710), request(4, 710, 200, 400)).refuse.size());
 }
+
+// Guards against a saturated cold target that runs far less than it tolerates, and against requests
+// that wait there until they are late.
+TEST(slot_queue, saturated_cold_target_runs_near_its_limit_and_in_time)
+{
+    constexpr long work = 60;
+    constexpr long aim = 250;
+    warm_up_limiter limiter(at(0));
+    limiter.set_bound({12, 1.5, 8});
+    slot_queue queue(6);
+    train_work_time(queue, work);
+    queue.set_limiter(&limiter);
+    std::mt19937 random(11);
+    std::map<ticket, long> arrivals;
+    std::multimap<long, ticket> run_ends;
+    int runs = 0;
+    int late = 0;
+    long now = 5000;
+    const auto apply = [&](const slot_decisions& decisions) {
+        for (const auto id : decisions.start) {
+            ++runs;
+            late += now + work > arrivals[id] + aim ? 1 : 0;
+            run_ends.emplace(now + work, id);
+        }
+    };
+    for (ticket next = 1; now < 15000; ++now) {
+        for (; !run_ends.empty() && run_ends.begin()->first <= now;) {
+            const ticket id = run_ends.extract(run_ends.begin()).mapped();
+            apply(queue.finish(at(now), id, true));
+        }
+        if (random() % 25 == 0) { // 40 requests a second
+            arrivals[next] = now;
+            apply(queue.offer(at(now), request(next++, now, aim, 1000)));
+        }
+        apply(queue.on_tick(at(now)));
+    }
+    CHECK(runs >= 10 * 15);
+    CHECK(runs <= 10 * 18 + 8);
+    CHECK(late <= runs / 20);
+}
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -283,11 +283,11 @@
     };
     const auto caller = call("/pool-write/a", milliseconds{2000});
     const auto first = sent.back().first;
-    LONGS_EQUAL(1, last_forward().attempt);
+    CHECK(last_forward().has_alternative);
     refuse_last(milliseconds{800});
     LONGS_EQUAL(2, forwards());
     CHECK(sent.back().first != first);
-    LONGS_EQUAL(2, last_forward().attempt);
+    CHECK_FALSE(last_forward().has_alternative);
     refuse_last(milliseconds{600});
     CHECK(caller->answer.has_value());
     LONGS_EQUAL(503, caller->answer->status);
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -261,6 +261,7 @@
     CHECK_FALSE(loop.run_until([&] { return !arrived.empty(); }, milliseconds{300}));
     auto urgent = request_for(1);
     urgent.aim = milliseconds{200};
+    urgent.has_alternative = true;
     tested_gate->run({incarnation_id{9}, 1}, urgent,
                      [this](const wire::forward_reply& reply) { replies.push_back(reply); });
     wait_for(1);
--- a/tests/sidecar/warm_up_state_test.cpp
+++ b/tests/sidecar/warm_up_state_test.cpp
@@ -91,6 +91,7 @@
     CHECK(state.is_cold());
     state.on_heartbeat(at(6200), milliseconds{0}, milliseconds{6000});
     CHECK(state.is_cold());
+    // The start time is not known, and this process has not known the run for long.
     state.on_heartbeat(at(6200), milliseconds{0}, std::nullopt);
     CHECK(state.is_cold());
     state.on_heartbeat(at(6200), milliseconds{0}, milliseconds{60000});
