--- a/standins/soak_host.cpp
+++ b/standins/soak_host.cpp
@@ -63,7 +63,9 @@
                       {"longest_hold_ms", 10000},
                       {"retry_ratio", 0.2},
                       {"retry_slack", 50},
-                      {"retry_window_s", 10}}}};
+                      {"retry_window_s", 10},
+                      {"warm_up_overage", 1.5},
+                      {"warm_up_slack", 8}}}};
     std::ofstream(settings_.directory + "/" + std::to_string(settings_.number) + ".json")
         << root.dump(1);
 }
@@ -125,6 +127,7 @@
     values.service = settings_.service;
     values.sharded = settings_.sharded;
     values.execution_time = settings_.execution_time;
+    values.warm_up = settings_.warm_up;
     target_ = std::make_unique<platform_target>(loop_, values, history_, running_targets_);
 }
 
--- a/standins/soak_host.h
+++ b/standins/soak_host.h
@@ -24,6 +24,7 @@
     std::string service;
     bool sharded = false;
     milliseconds execution_time{20};
+    milliseconds warm_up{0}; ///< see `platform_target_settings::warm_up`
 };
 
 /// Not thread-safe: runs on one loop.
--- a/standins/soak_main.cpp
+++ b/standins/soak_main.cpp
@@ -25,6 +25,7 @@
 DEFINE_int32(hosts, 6, "sidecars, each with a target");
 DEFINE_int32(base_port, 30000,
              "first port; ten ports for the store and ten for each host are used");
+DEFINE_int32(warm_up_ms, 0, "time for which each target warms up after its start; 0: none");
 DEFINE_string(program, "build/bulrushgw", "the program under test");
 DEFINE_string(
     keep, "",
@@ -59,8 +60,16 @@
 /// the target ran it.
 constexpr milliseconds read_allowance{200};
 
+/// Requests per second that a cold target tolerates, and the requests in one second that must not
+/// be exceeded, with the bounds that `soak_host` sets.
+constexpr double cold_requests_per_s = 12;
+constexpr std::size_t max_cold_arrivals = 26;
+
 std::string manifest(int version)
 {
+    constexpr double ms_per_s = 1000;
+    const double cold_rate = FLAGS_warm_up_ms > 0 ? cold_requests_per_s : 0;
+    const double cold_s = FLAGS_warm_up_ms / ms_per_s;
     json rules = json::array();
     const auto add = [&](const std::string& name, const std::string& kind,
                          const std::string& prefix, const std::string& service) {
@@ -80,21 +89,25 @@
     }
     std::string digits = std::to_string(version);
     digits.insert(0, 8 - digits.size(), '0');
-    return json{
-        {"version", digits},
-        {"limits",
-         {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", 100000},
-          {"headerTimeoutMs", 3000},
-          {"idleTimeoutMs", 15000}}},
-        {"listeners", json::array({{{"host", "h.example"}, {"ruleSet", rules}}})},
-        {"clusters",
-         json::array({{{"name", "ladder"},
-                       {"healthPath", "/health"},
-                       {"maxConnections", 100},
-                       {"sharded", true},
-                       {"warmS", 1}},
-                      {{"name", "desk"}, {"healthPath", "/health"}, {"maxConnections", 100}}})}}
+    return json{{"version", digits},
+                {"limits",
+                 {{"maxHeaderBytes", 16384},
+                  {"maxBodyBytes", 100000},
+                  {"headerTimeoutMs", 3000},
+                  {"idleTimeoutMs", 15000}}},
+                {"listeners", json::array({{{"host", "h.example"}, {"ruleSet", rules}}})},
+                {"clusters", json::array({{{"name", "ladder"},
+                                           {"healthPath", "/health"},
+                                           {"maxConnections", 100},
+                                           {"sharded", true},
+                                           {"warmS", 1},
+                                           {"warmupPerS", cold_rate},
+                                           {"warmupS", cold_s}},
+                                          {{"name", "desk"},
+                                           {"healthPath", "/health"},
+                                           {"maxConnections", 100},
+                                           {"warmupPerS", cold_rate},
+                                           {"warmupS", cold_s}}})}}
         .dump();
 }
 
@@ -121,6 +134,7 @@
         std::filesystem::create_directories(directory_);
         for (int i = 0; i < FLAGS_hosts; ++i) {
             standin::soak_host_settings values;
+            values.warm_up = milliseconds{FLAGS_warm_up_ms};
             values.program = FLAGS_program;
             values.directory = directory_;
             values.number = i;
@@ -476,7 +490,13 @@
                           " grants below a fence that "
                           "another target had");
         }
-        std::cout << "seed=" << FLAGS_seed << " runs=" << target_history_.runs.size();
+        const auto cold_arrivals = target_history_.highest_cold_arrivals;
+        if (cold_arrivals > max_cold_arrivals) {
+            add_violation(std::to_string(cold_arrivals) +
+                          " requests reached a cold target in one second");
+        }
+        std::cout << "seed=" << FLAGS_seed << " cold_second=" << cold_arrivals
+                  << " runs=" << target_history_.runs.size();
         for (const auto& [status, count] : client_results_.statuses) {
             std::cout << " " << status << ":" << count;
         }
