Keep to tolerated rates below one request a second

The window of the warm-up limiter is lengthened to hold one start at such a rate. The warm-up time of a health check counts also if a full target refuses the check.

--- a/src/dispatch/warm_up_limiter.h
+++ b/src/dispatch/warm_up_limiter.h
@@ -49,12 +49,14 @@
     [[nodiscard]] time_point next_start(time_point now) const;
     /// True if a target that became cold at this moment would get no further start at first.
     [[nodiscard]] bool is_window_full(time_point now) const;
-    /// Maximum number of starts in one window; 0: no limit.
-    [[nodiscard]] std::size_t max_starts() const { return max_starts_; }
     /// Starts per second that the limiter admits in the long run; 0: no limit.
     [[nodiscard]] double starts_per_s() const;
 
 private:
+    /// Length of the window: one second, for which the hard bound holds, and the time by which
+    /// requests may arrive at the target closer to each other than they were started.
+    static constexpr milliseconds min_window{1100};
+
     /// Time of the `n`-th latest start, counted from 1; none if there were fewer.
     [[nodiscard]] std::optional<time_point> latest(std::size_t n) const;
     void drop_expired(time_point now);
@@ -62,7 +64,8 @@
     time_point process_start_;
     bool is_cold_ = true;
     start_bound bound_;
-    std::size_t max_starts_ = 0;
+    std::size_t max_starts_ = 0; ///< in one window; 0: no limit
+    boot_clock::duration window_ = min_window;
     std::size_t earlier_starts_ = 0; ///< assumed starts of an earlier process, at `process_start_`
     std::deque<time_point> starts_;  ///< of this process, in order
 };
--- a/src/sidecar/process_warm_up.cpp
+++ b/src/sidecar/process_warm_up.cpp
@@ -81,10 +81,9 @@
                                {"refused", refused},
                                {"slots", health.slots}});
     }
-    if (!health.is_ready && (status != status_unavailable || refused)) {
-        return;
+    if (health.is_ready || (status == status_unavailable && !refused)) {
+        watch_.on_health(now, health);
     }
-    watch_.on_health(now, health);
     warm_up_.on_target(now, watch_.status());
     if (const auto left = protocol_.parse_warm_up(
             net::find_header(headers, protocol_.names.warm_up).value_or(""))) {
--- a/tests/dispatch/warm_up_limiter_test.cpp
+++ b/tests/dispatch/warm_up_limiter_test.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+// Guards against a request each second to a target that tolerates fewer.
+TEST(warm_up_limiter, slow_rates_are_kept)
+{
+    auto limiter = limiter_started_at(0, {0.25, 1, 0});
+    std::vector<time_point> starts;
+    start_all(limiter, 5000, 45000, starts);
+    LONGS_EQUAL(10, starts.size());
+}
+
 // Guards against a restarted process that sends its own full window directly after that of the
 // process before it.
 TEST(warm_up_limiter, two_processes_together_stay_below_the_hard_bound)
