--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -71,6 +71,8 @@
     void set_sharded(std::set<std::string> services) { sharded_services_ = std::move(services); }
     /// Sets the zones under evacuation. Their targets own no keys if another target can own them.
     void set_evacuated_zones(std::set<std::string> zones);
+    /// Requests per second that a cold target of each service tolerates; others have no limit.
+    void set_cold_rates(std::map<std::string, double> rates) { cold_rates_ = std::move(rates); }
     /// Enables or disables moves of keys for load balancing.
     void set_balancing(bool on) { balancing_ = on; }
 
@@ -195,6 +197,8 @@
     void fill_gaps(const std::string& service);
     void merge_neighbours(time_point now);
     void assign_segment(segment& item, const owner_candidate& to, std::string handover);
+    /// Part of the requests of a warm target that a cold target of the service tolerates.
+    [[nodiscard]] double cold_target_share(const std::string& service, std::size_t targets) const;
     [[nodiscard]] std::vector<owner_candidate> candidates(const std::string& service) const;
     [[nodiscard]] bool can_own_keys(incarnation_id node, const std::string& service) const;
     /// As `can_own_keys`, but regardless of evacuations.
@@ -244,6 +248,7 @@
     /// Sharded services with a target outside of the evacuated zones that can own keys.
     std::set<std::string> services_elsewhere_;
     std::map<std::string, evacuation_pace> evacuation_paces_; ///< by service, while keys must move
+    std::map<std::string, double> cold_rates_;                ///< see `set_cold_rates`
     std::map<incarnation_id, member_state> members_;
     /// The node of each host in `members_`.
     std::map<std::string, incarnation_id, std::less<>> node_by_host_;
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -224,6 +224,14 @@
     hooks_.on_evacuations(changes);
 }
 
+void coordination::set_cold_rates(std::map<std::string, double> rates)
+{
+    cold_rates_ = std::move(rates);
+    if (leader_) {
+        leader_->set_cold_rates(cold_rates_);
+    }
+}
+
 void coordination::on_lead_request(const assignment::lead_request& request)
 {
     if (!leader_ && !leaving_ && request.term == member_.term()) {
@@ -275,6 +283,7 @@
         store_confirmed);
     leader_->set_sharded(sharded_);
     leader_->set_evacuated_zones(evacuations_.zones());
+    leader_->set_cold_rates(cold_rates_);
     member_.on_notice(now, leader_->make_notice(now));
     hooks_.log("leading", {{"term", transfer.term}, {"transfers", transfer.transfers}});
     announce_leadership(transfer.recorded.members);
@@ -739,6 +748,7 @@
         std::move(start));
     leader_->set_sharded(sharded_);
     leader_->set_evacuated_zones(evacuations_.zones());
+    leader_->set_cold_rates(cold_rates_);
     member_.on_leader(now, claimed.term, self_.node, self_.address);
     hooks_.log("leading", {{"term", claimed.term}});
     requested_claim_term_ = 0;
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -80,6 +80,9 @@
     /// Takes over the orders of evacuation in an answer of the store: to a read of all orders, or
     /// to a watch for changes.
     void on_evacuation_rows(const routing::evacuation_rows& rows, bool is_read);
+    /// Requests per second that a cold target of each service tolerates. Services without a limit
+    /// are left out.
+    void set_cold_rates(std::map<std::string, double> rates);
     void set_mean_work(std::chrono::microseconds mean) { member_.set_mean_work(mean); }
     /// Begins a planned stop: the keys of this node's target move to other targets, and if this
     /// node leads, it asks another node to take over the leadership.
@@ -135,6 +138,7 @@
     assignment::member member_;
     std::unique_ptr<assignment::leader> leader_;
     std::set<std::string> sharded_;
+    std::map<std::string, double> cold_rates_; ///< see `set_cold_rates`
     std::uint64_t manifest_version_ = 0;
     routing::evacuations evacuations_;
     /// Leader that last answered a report of this node, and the version of the evacuations that it
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -49,6 +49,7 @@
     std::uint64_t foreign_replies = 0;   ///< replies that match no request in flight
     std::uint64_t refused_evacuated = 0; ///< because of an evacuation; part of `refused`
     std::uint64_t refused_by_region = 0; ///< no target in the regions; part of `refused`
+    std::uint64_t warm_up_refusals = 0;  ///< by nodes whose targets warm up
 };
 
 /// Implemented in two files: requests (entry.cpp), and the exclusion of targets by regions and
@@ -116,9 +117,12 @@
         time_point arrived;
         time_point aim; ///< latency goal: an answer after this time is worth less
         time_point deadline;
-        time_point owner_wait_end;    ///< end of the wait for an owner or a target
-        std::uint32_t sends = 0;      ///< attempts that may have reached a target
-        std::uint32_t tries = 0;      ///< all attempts
+        time_point owner_wait_end;          ///< end of the wait for an owner or a target
+        std::uint32_t sends = 0;            ///< attempts that may have reached a target
+        std::uint32_t tries = 0;            ///< all attempts
+        std::uint32_t warm_up_refusals = 0; ///< attempts refused because the target warms up
+        bool has_alternative = false;       ///< another target can probably run the request
+        milliseconds warm_up_wait{0}; ///< least time until one of these targets accepts a request
         bool waits_for_owner = false; ///< waits for an owner or a target
         bool in_flight = false;       ///< sent, no reply yet
         std::uint64_t number = 0;     ///< of the last message that was sent for the request
@@ -151,6 +155,7 @@
     bool avoids_owner(pending_request& request, const std::string& zone);
     void await_evacuation(pending_request& request);
     void on_not_run(pending_request& request, const wire::forward_reply& reply);
+    void count_warm_up_refusal(pending_request& request, const wire::forward_reply& reply);
     void on_unknown_outcome(pending_request& request, request::reason why);
     void on_deadline(std::uint64_t id);
     void deliver(pending_request& request, const wire::forward_reply& reply);
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -24,6 +24,7 @@
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/store_session.h"
 #include "sidecar/target_watch.h"
+#include "sidecar/warm_up_state.h"
 
 namespace bulrushgw::sidecar {
 
@@ -58,7 +59,10 @@
     void release(const assignment::release_order& order);
     void on_release_result(const assignment::release_order& order, const net::http_result& result);
     void check_target();
-    void on_target_health(const net::http_result& result);
+    void on_target_health(const net::http_result& result, bool is_readiness_check);
+    void set_start_bound();
+    void observe_warmth(const heartbeat& beat);
+    void update_warmth();
     void on_target_changed();
     void on_evacuations(const routing::evacuations::changes& changes);
     /// The evacuation of this host's zone ended. The target gets requests again and may be cold.
@@ -85,6 +89,7 @@
     journal journal_;
     sidecar_metrics metrics_;
     target_watch watch_;
+    warm_up_state warm_up_;
     store_session store_;
     gate gate_;
     coordination coordination_;
@@ -100,6 +105,7 @@
     std::string manifest_text_;
     std::uint64_t notified_changes_ = 0; ///< `target_watch::changes` at the last notification
     bool notified_accepts_ = false;      ///< `target_watch::accepts` at the last notification
+    bool notified_warming_up_ = false;   ///< `warm_up_state::is_warming_up` at that time
     std::optional<time_point> stopping_since_;
     /// Time at which this stopping node was found idle and began to refuse new requests.
     std::optional<time_point> closing_since_;
@@ -113,7 +119,8 @@
     entry_counters logged_counters_;         ///< as of the last "state" log line
     std::uint64_t errors_ = 0;               ///< exceptions from handlers, in total
     std::uint64_t recent_errors_ = 0;        ///< since `error_window_start_`
-    bool logged_evacuated_ = false;   ///< `gate::is_evacuated` as last logged
+    bool logged_evacuated_ = false;          ///< `gate::is_evacuated` as last logged
+    bool counts_as_cold_ = false;            ///< `warm_up_state::is_cold` as told to the gate
     time_point error_window_start_{};
 };
 
--- a/src/sidecar/process_evacuation.cpp
+++ b/src/sidecar/process_evacuation.cpp
@@ -21,6 +21,9 @@
 void process::on_own_evacuation_ended()
 {
     log("own_evacuation_ended", {{"zone", settings_.zone}, {"target", watch_.status().id}});
+    warm_up_.forget_warmth(loop_.now());
+    update_warmth();
+    check_target();
 }
 
 void process::log_evacuation()
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -17,6 +17,8 @@
 constexpr double min_memory_mb = 32;
 /// See `assignment::timing::evacuation_grace`.
 constexpr int evacuation_grace_divisor = 2;
+/// A target tolerates at least the rate that the manifest names.
+constexpr double min_warm_up_overage = 1;
 
 /// Looks fields up by their path, such as "bounds.drain_ms".
 class field_reader {
@@ -75,6 +77,12 @@
         return value.get<double>();
     }
 
+    /// The number, or `fallback` if the field is missing.
+    [[nodiscard]] double number_or(const std::string& path, double minimum, double fallback) const
+    {
+        return has(path) ? number(path, minimum) : fallback;
+    }
+
     [[nodiscard]] milliseconds time_ms(const std::string& path) const
     {
         return milliseconds{static_cast<milliseconds::rep>(number(path, 0))};
@@ -160,6 +168,9 @@
     if (fields.has("region")) {
         result.regions.emplace(result.zone, fields.text("region"));
     }
+    result.bounds.warm_up_overage =
+        fields.number_or("bounds.warm_up_overage", min_warm_up_overage, 1);
+    result.bounds.warm_up_slack = fields.number_or("bounds.warm_up_slack", 0, 0);
     result.times.lease = std::min(result.times.lease, result.bounds.longest_hold);
     return result;
 }
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -35,6 +35,10 @@
     milliseconds retry_window{0}; ///< time over which retries are counted
     /// Time from the order to evacuate a zone after which no request may reach a target there.
     milliseconds evacuation{5000};
+    /// Hard bound on the requests that arrive at a cold target in any second: the rate that it
+    /// tolerates, times `warm_up_overage`, and `warm_up_slack` more.
+    double warm_up_overage = 1;
+    double warm_up_slack = 0;
 };
 
 /// Filled by `parse_settings`.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -67,6 +67,8 @@
     std::string path;
     header_pairs headers;
     std::string body;
+    /// Another target can probably run the request if this one warms up.
+    bool has_alternative = false;
 };
 
 enum class forward_outcome : std::uint8_t { answered, not_run, unknown, not_owner };
@@ -84,6 +86,8 @@
     int status = 0;
     header_pairs headers;
     std::string body;
+    /// Current duration of work on the target's machine in percent of the usual one.
+    std::uint32_t work_percent = 100;
 };
 
 /// Cancels the `forward` with this number: the client disconnected or its deadline passed.
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -12,6 +12,7 @@
 DEFINE_string(store, "", "address of the store");
 DEFINE_string(manifest, "", "file with the manifest");
 DEFINE_string(targets, "", "comma-separated ADDRESS/CONTROL/SERVICE[/sharded][/zone=ZONE]");
+DEFINE_int32(warm_up_ms, 0, "time for which the targets warm up after their start");
 DEFINE_int32(late_heartbeat_ms, 1500, "delay of the last heartbeat of a target that leaves");
 DEFINE_int32(execution_ms, 20, "time that a target takes for a request");
 DEFINE_uint32(answer_bytes, 0, "minimum size of the body of an answer");
@@ -48,6 +49,7 @@
             result.sharded = result.sharded || parts[i] == "sharded";
         }
     }
+    result.warm_up = milliseconds{FLAGS_warm_up_ms};
     return result;
 }
 
@@ -82,8 +84,8 @@
     for (const auto& [id, runs] : history.runs) {
         repeated += runs > 1 ? 1 : 0;
     }
-    std::cout << "runs=" << history.runs.size() << " repeated=" << repeated
-              << " foreign_keys=" << history.misdirected_requests
+    std::cout << "runs=" << history.runs.size() << " cold_second=" << history.highest_cold_arrivals
+              << " repeated=" << repeated << " foreign_keys=" << history.misdirected_requests
               << " shared_keys=" << history.overlapping_grants
               << " over_slots=" << history.over_limit_requests
               << " lower_fences=" << history.lower_fence_grants
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -49,7 +49,7 @@
 
 assignment::target_status sample_target()
 {
-    return {"i-1", 1700000000000, "catalogue", 12, assignment::target_phase::draining};
+    return {"i-1", 1700000000000, "catalogue", 12, assignment::target_phase::draining, true};
 }
 
 assignment::directory_change sample_directory()
@@ -145,7 +145,8 @@
                 "POST",
                 "/moulds/7",
                 {{"accept", "*/*"}, {"x", ""}},
-                std::string(300, '\0')},
+                std::string(300, '\0'),
+                true},
         forward_reply{1,
                       "r-1",
                       forward_outcome::not_owner,
@@ -155,7 +156,8 @@
                       milliseconds{120},
                       503,
                       {{"a", "b"}},
-                      "body"},
+                      "body",
+                      310},
         cancel{77},
         rules_pull{5},
         rules_text{5, "digest", "text", "{}"},
