Move keys from cold targets only as far as their requests are not tolerated

A cold target counted as half as fast besides. Idle targets that became cold then gave away keys that they could have served. The reported work times still tell of a slow target.

Tests: sidecar_tests (73) and assignment_tests (28) pass.

--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -20,8 +20,6 @@
 /// trusted.
 constexpr double min_relative_speed = 0.4;
 constexpr double max_relative_speed = 2.5;
-/// Speed of a cold target: it works about twice as slowly as a warm one.
-constexpr double cold_relative_speed = 0.5;
 
 bool overlaps(const segment& item, const std::string& service, std::uint32_t first,
               std::uint32_t last)
@@ -178,7 +176,7 @@
                                                  min_relative_speed, max_relative_speed)
                                     : 1.0;
         if (members[i]->last_report.target.warming_up) {
-            relative_speed = std::min(relative_speed, cold_relative_speed) * cold_share;
+            relative_speed *= cold_share;
         }
         result[i].capacity =
             relative_speed * std::max<std::uint32_t>(members[i]->last_report.target.slots, 1);
