--- a/tests/process/warm_up_test.sh
+++ b/tests/process/warm_up_test.sh
@@ -15,7 +15,8 @@
 trap finish EXIT
 fail() { echo "warm-up test: $1"; tail -n 5 "$work"/*.log; exit 1; }
 
-base=$((29000 + ($$ % 200) * 30))
+# Below the ephemeral ports of the system, and beside those of the other tests.
+base=$((29000 + ($$ % 120) * 30))
 port() { echo "127.0.0.1:$((base + $1 * 10 + $2))"; }
 hard_bound=26
 
