Date orders only from confirmations by the store

An order that a full read shows for the first time counted from the arrival of a peer's knowledge, which may itself have been old. Only answers of the store date later orders now.

--- a/src/routing/evacuations.cpp
+++ b/src/routing/evacuations.cpp
@@ -92,8 +92,7 @@
     return replace(std::move(next));
 }
 
-evacuations::changes evacuations::on_peer(time_point now, time_point heard_since,
-                                          const evacuation_snapshot& news)
+evacuations::changes evacuations::on_peer(time_point heard_since, const evacuation_snapshot& news)
 {
     if (news.version <= version_) {
         return {};
@@ -104,7 +103,6 @@
                            heard_since - std::clamp(zone.age, milliseconds{0}, unknown_age)};
     }
     version_ = news.version;
-    confirmed_at_ = now;
     return replace(std::move(next));
 }
 
--- a/src/routing/evacuations.h
+++ b/src/routing/evacuations.h
@@ -62,7 +62,7 @@
     /// arrived at some time after `heard_since`.
     changes on_feed(time_point now, time_point heard_since, const evacuation_rows& rows);
     /// Takes over the knowledge of another host if it is newer. `heard_since`: as in `on_feed`.
-    changes on_peer(time_point now, time_point heard_since, const evacuation_snapshot& news);
+    changes on_peer(time_point heard_since, const evacuation_snapshot& news);
 
     [[nodiscard]] evacuation_snapshot snapshot(time_point now) const;
     /// Version of the store as of which the orders are known; 0: nothing is known.
@@ -74,7 +74,7 @@
     /// Earliest time at which the evacuation of the zone was ordered, on this host's clock. None if
     /// the zone is not under evacuation.
     [[nodiscard]] std::optional<time_point> ordered_at(const std::string& zone) const;
-    /// Latest time at which the store or a peer's newer knowledge confirmed the state.
+    /// Latest time at which the store confirmed the state. The knowledge of a peer may be old.
     [[nodiscard]] std::optional<time_point> confirmed_at() const { return confirmed_at_; }
 
 private:
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -204,7 +204,7 @@
                                       const std::vector<routing::evacuation_snapshot>& news)
 {
     for (const auto& item : news) {
-        apply_evacuations(evacuations_.on_peer(now, heard_since(now), item), "peer");
+        apply_evacuations(evacuations_.on_peer(heard_since(now), item), "peer");
     }
 }
 
--- a/src/sidecar/entry_targets.cpp
+++ b/src/sidecar/entry_targets.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Retry-after time for requests that no target may run: another evacuation or region setting is
-/// needed first. Callers of this platform give up after one to four seconds.
+/// Retry-after time for requests that no target may run until an evacuation ends or the manifest
+/// changes. It is longer than that of other refusals, which may pass within milliseconds.
 constexpr milliseconds unservable_retry_after{1000};
 
 } // namespace
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -42,7 +42,7 @@
     std::uint64_t evacuated_zones = 0;
     std::uint64_t keys_to_evacuate = 0;          ///< see `coordination::keys_to_evacuate`
     std::uint64_t target_refusals_evacuated = 0; ///< total since the start
-    /// Time since the knowledge of evacuations was confirmed; none: nothing is known.
+    /// See `routing::evacuations::confirmed_at`; none: the store has not answered yet.
     std::optional<milliseconds> evacuations_age;
     bool holds_lease = false;
     bool leads = false;
--- a/tests/process/evacuation_test.sh
+++ b/tests/process/evacuation_test.sh
@@ -101,6 +101,10 @@
 sleep 6
 expect_refusal 3 /ladder/x all "all zones with targets under evacuation"
 
+refused=$(metric 3 bulrushgw_requests_refused_evacuated_total)
+[ "$refused" -ge 1 ] || fail "the refusal is not counted"
+[ -n "$(metric 3 bulrushgw_evacuations_age_seconds)" ] || fail "the age of the knowledge is missing"
+
 change_order remove z1
 await_keys 2 revoked || fail "the revoked zone does not serve"
 change_order remove z2
--- a/tests/routing/evacuations_test.cpp
+++ b/tests/routing/evacuations_test.cpp
@@ -34,7 +34,7 @@
     CHECK_FALSE(known.is_evacuated("a"));
     CHECK(known.is_evacuated("b"));
     // A peer that does not know of the changes yet.
-    CHECK(known.on_peer(at(200), at(200), {10, {{"a", 5, milliseconds{1}}}}).empty());
+    CHECK(known.on_peer(at(200), {10, {{"a", 5, milliseconds{1}}}}).empty());
     CHECK_FALSE(known.is_evacuated("a"));
 }
 
@@ -42,13 +42,13 @@
 TEST(evacuations, newer_version_wins)
 {
     known.on_read(at(0), rows_of(10, {}));
-    CHECK(known.on_peer(at(1), at(1), {30, {{"a", 30, milliseconds{0}}}}).size() == 1);
+    CHECK(known.on_peer(at(1), {30, {{"a", 30, milliseconds{0}}}}).size() == 1);
     CHECK(known.on_feed(at(2), at(2), rows_of(20, {{"a", 20, false}})).empty());
     CHECK(known.on_read(at(2), rows_of(25, {})).empty());
     CHECK(known.is_evacuated("a"));
     CHECK(known.on_feed(at(3), at(3), rows_of(40, {{"a", 40, false}})).size() == 1);
     CHECK(known.empty());
-    CHECK(known.on_peer(at(4), at(4), {30, {{"a", 30, milliseconds{0}}}}).empty());
+    CHECK(known.on_peer(at(4), {30, {{"a", 30, milliseconds{0}}}}).empty());
     CHECK(known.empty());
 }
 
@@ -76,14 +76,23 @@
     known.on_read(at(9000), rows_of(40, {{"b", 30, true}, {"c", 35, true}}));
     CHECK(*known.ordered_at("b") == at(2000));
     CHECK(*known.ordered_at("c") == at(3000)); // the store had confirmed the state then
-    known.on_peer(at(9000), at(9000),
-                  {50, {{"b", 30, milliseconds{1}}, {"d", 50, milliseconds{400}}}});
+    known.on_peer(at(9000), {50, {{"b", 30, milliseconds{1}}, {"d", 50, milliseconds{400}}}});
     CHECK(*known.ordered_at("d") == at(8600));
     CHECK_FALSE(known.ordered_at("a").has_value());
     CHECK(known.snapshot(at(9100)) ==
           evacuation_snapshot({50, {{"b", 30, milliseconds{7100}}, {"d", 50, milliseconds{500}}}}));
 }
 
+// Guards against an order that counts from the arrival of a peer's older knowledge, which did not
+// rule it out.
+TEST(evacuations, knowledge_of_a_peer_does_not_date_later_orders)
+{
+    known.on_read(at(1000), rows_of(10, {}));
+    known.on_peer(at(5000), {20, {}});
+    known.on_read(at(6000), rows_of(30, {{"a", 25, true}}));
+    CHECK(*known.ordered_at("a") == at(1000));
+}
+
 // Guards against orders that end because an answer of the store did not contain them.
 TEST(evacuations, incomplete_read_ends_no_order)
 {
