Release parts of each segment when few segments leave a zone

A release takes as long as the longest run for any of its keys, and in a small deployment one segment holds all keys of a target.

--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -173,7 +173,8 @@
     };
     /// Pace at which keys leave the evacuated zones.
     struct evacuation_pace {
-        std::size_t round_size = 0; ///< segments whose release begins in one round
+        std::size_t rounds = 0;      ///< rounds of releases so far
+        bool whole_segments = false; ///< false: a round releases a part of each segment
         time_point next_round{};
     };
 
@@ -187,6 +188,7 @@
     void update_directory_log();
     [[nodiscard]] std::uint64_t base_version_for(const member_state& member, time_point now) const;
     void begin_releases(time_point now);
+    [[nodiscard]] std::vector<segment> segments_to_evacuate(const std::string& service) const;
     void begin_evacuation(time_point now, const std::string& service);
     void find_services_elsewhere();
     void assign_free(time_point now, const std::string& service);
@@ -224,6 +226,8 @@
     [[nodiscard]] bool is_sent_after_takeover(const report& body) const;
     fence next_fence();
     void begin_release(segment& item);
+    /// Begins the release of the keys. Precondition: they belong to one segment.
+    void release_keys(const std::string& service, std::uint32_t first, std::uint32_t last);
     void mark_changed() { changed_ = true; }
 
     timing times_;
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -301,15 +301,20 @@
     }
     for (const auto& move :
          find_moves(loads_[service], service_segments, owners, max_moves - moves_under_way)) {
-        split_at(service, move.first, move.last);
-        for (auto& item : view_.segments) {
-            if (item.service == service && item.first == move.first && item.last == move.last) {
-                begin_release(item);
-                planned_moves_.push_back({service, item.first, item.last, move.to});
-            }
+        release_keys(service, move.first, move.last);
+        planned_moves_.push_back({service, move.first, move.last, move.to});
+    }
+}
+
+void leader::release_keys(const std::string& service, std::uint32_t first, std::uint32_t last)
+{
+    split_at(service, first, last);
+    for (auto& item : view_.segments) {
+        if (item.service == service && item.first == first && item.last == last) {
+            begin_release(item);
         }
-        mark_changed();
     }
+    mark_changed();
 }
 
 // Both parts keep their fence, since the target holds the keys under that fence.
--- a/tests/sidecar/evacuation_test.cpp
+++ b/tests/sidecar/evacuation_test.cpp
@@ -67,19 +67,21 @@
 
 // Guards against keys that are still in the zone when its targets stop serving them, against keys
 // that all move at once, and against a zone that gets no keys after the order is revoked.
-TEST(evacuation, keys_of_thirty_targets_leave_the_zone_within_the_grace)
+TEST(evacuation, keys_of_few_and_of_thirty_targets_leave_the_zone_within_the_grace)
 {
-    simulated_cluster cluster(11, settings_of(90));
-    cluster.run(settle_time);
-    cluster.set_evacuated("zone-1", true);
-    double least_held = 1;
-    const long ms = time_to_leave(cluster, grace, least_held);
-    CHECK(ms < grace.count() * 3 / 4);
-    CHECK(least_held > 0.8);
-    cluster.set_evacuated("zone-1", false);
-    cluster.run(settle_time);
-    CHECK(cluster.is_serving(1));
-    check_invariants(cluster, "thirty targets");
+    for (const std::size_t hosts : {6, 90}) {
+        simulated_cluster cluster(11, settings_of(hosts));
+        cluster.run(settle_time);
+        cluster.set_evacuated("zone-1", true);
+        double least_held = 1;
+        const long ms = time_to_leave(cluster, grace, least_held);
+        CHECK(ms < grace.count() * 3 / 4);
+        CHECK(least_held > 0.8);
+        cluster.set_evacuated("zone-1", false);
+        cluster.run(settle_time);
+        CHECK(cluster.is_serving(1));
+        check_invariants(cluster, std::to_string(hosts) + " hosts");
+    }
 }
 
 // Guards against a host that goes on with requests because its connection to the store is broken
