--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -43,7 +43,7 @@
     std::uint64_t evacuated_zones = 0;
     std::uint64_t keys_to_evacuate = 0;          ///< see `coordination::keys_to_evacuate`
     std::uint64_t target_refusals_evacuated = 0; ///< total since the start
-    /// Time since the knowledge of evacuations was confirmed; none: nothing is known.
+    /// See `routing::evacuations::confirmed_at`; none: the store has not answered yet.
     std::optional<milliseconds> evacuations_age;
     std::uint64_t warm_up_delays = 0;   ///< requests that waited because the target warms up
     std::uint64_t warm_up_refusals = 0; ///< requests refused because the target warms up
