Cut runs that outlast their hold in the stand-in and in the simulated cluster

A target ends work with 500 when it outlasts the hold under which it began, whatever renewals follow. Neither the stand-in target nor the targets of the simulated cluster did, so no test could show such runs.

The simulated cluster can now send requests for held keys; its checker counts runs that a hold cut while their owner was alive, and finds targets that hold a key for which another one runs a request.

--- a/standins/platform_model.cpp
+++ b/standins/platform_model.cpp
@@ -270,14 +270,36 @@
             }
         };
     }
-    loop_.after(settings_.execution_time, [this, alive = alive_, ended, exchange, id] {
-        if (!*alive || std::exchange(*ended, true)) {
-            return;
+    // A renewal of the hold does not extend the time of a run that has begun.
+    const milliseconds hold = settings_.sharded ? hold_left(number) : settings_.execution_time;
+    const bool completes = settings_.execution_time <= hold;
+    loop_.after(std::min(settings_.execution_time, hold),
+                [this, alive = alive_, ended, exchange, id, completes] {
+                    if (*alive && !std::exchange(*ended, true)) {
+                        finish_run(exchange, id, completes);
+                    }
+                });
+}
+
+void platform_target::finish_run(const net::http_exchange& exchange, const std::string& id,
+                                 bool completed)
+{
+    constexpr int failed = 500;
+    --running_;
+    history_.cut_runs += completed ? 0 : 1;
+    exchange.respond(answer(completed ? ok : failed, completed ? "done " + id : "",
+                            {{"Request-Id", id}, {"Response-Seal", "seal-" + id}}));
+}
+
+milliseconds platform_target::hold_left(std::uint32_t key) const
+{
+    time_point end = loop_.now();
+    for (const held_range& item : held_ranges_) {
+        if (item.first <= key && key <= item.last) {
+            end = std::max(end, item.until);
         }
-        --running_;
-        exchange.respond(
-            answer(ok, "done " + id, {{"Request-Id", id}, {"Response-Seal", "seal-" + id}}));
-    });
+    }
+    return std::chrono::duration_cast<milliseconds>(end - loop_.now());
 }
 
 bool platform_target::has_higher_fence(const std::vector<held_range>& seen, const held_range& next)
--- a/standins/platform_model.h
+++ b/standins/platform_model.h
@@ -77,6 +77,8 @@
     std::uint64_t over_limit_requests = 0;  ///< requests refused because all slots were taken
     /// Grants with a lower fence than another running target got for overlapping keys.
     std::uint64_t lower_fence_grants = 0;
+    /// Runs that ended with 500 because they outlasted the hold under which they began.
+    std::uint64_t cut_runs = 0;
 };
 
 /// A target. It is in the list of running targets as long as it exists. Not thread-safe:
@@ -113,6 +115,11 @@
     [[nodiscard]] std::string next_heartbeat();
     void send_control(const std::string& path, const std::string& body);
     [[nodiscard]] bool holds(std::uint32_t first, std::uint32_t last) const;
+    /// Answers the request of a run that ends now. `completed` is false if the run outlasted the
+    /// hold under which it began.
+    void finish_run(const net::http_exchange& exchange, const std::string& id, bool completed);
+    /// Time until the end of the hold of the key; zero if the target does not hold it.
+    [[nodiscard]] milliseconds hold_left(std::uint32_t key) const;
     [[nodiscard]] static bool has_higher_fence(const std::vector<held_range>& seen,
                                                const held_range& next);
 
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -68,7 +68,7 @@
     }
     std::cout << "runs=" << history.runs.size() << " repeated=" << repeated
               << " foreign_keys=" << history.misdirected_requests
-              << " shared_keys=" << history.overlapping_grants
+              << " cut_runs=" << history.cut_runs << " shared_keys=" << history.overlapping_grants
               << " over_slots=" << history.over_limit_requests
               << " lower_fences=" << history.lower_fence_grants << std::endl;
     return 0;
--- a/tests/sidecar/simulated_cluster.cpp
+++ b/tests/sidecar/simulated_cluster.cpp
@@ -102,6 +102,7 @@
                 each.node->on_tick();
             }
         }
+        run_requests();
         check();
     }
 }
@@ -203,6 +204,7 @@
     local_target.alive = false;
     local_target.holds.clear();
     local_target.work.clear();
+    local_target.runs.clear();
     schedule_at_node(host_index, hosts_[host_index].process, 200 * us_per_ms,
                      [this, host_index] { announce(host_index); });
 }
@@ -218,6 +220,7 @@
     local_target.alive = true;
     local_target.holds.clear();
     local_target.work.clear();
+    local_target.runs.clear();
     local_target.highest_fences.clear();
     if (hosts_[host_index].node != nullptr) {
         schedule_at_node(host_index, hosts_[host_index].process, message_delay_us(),
@@ -466,6 +469,7 @@
             work_us = std::max(work_us, item.end_us - now_us_);
         }
     }
+    work_us = std::max(work_us, time_of_runs(local_target, first, last));
     std::vector<hold> rest;
     for (const hold& item : local_target.holds) {
         if (item.first > last || item.last < first) {
@@ -551,6 +555,7 @@
         }
     }
     check_running_work();
+    check_runs();
 }
 
 void simulated_cluster::check_running_work()
--- a/tests/sidecar/simulated_cluster.h
+++ b/tests/sidecar/simulated_cluster.h
@@ -3,7 +3,9 @@
 /// Simulation of a deployment in virtual time: the real coordination code with a model of the
 /// network, the store and the targets, into which a test injects faults. Targets outlive their
 /// nodes. After each step a checker verifies that no key is held by two targets, and that no target
-/// holds a key on which another one still works under a hold that has not ended.
+/// holds a key on which another one still works under a hold that has not ended. With requests, it
+/// also reports runs (executions of requests) that outlasted the hold under which they began while
+/// their owner was alive. Implemented in two files: the requests are in simulated_requests.cpp.
 
 #include <cstdint>
 #include <functional>
@@ -28,6 +30,10 @@
     milliseconds longest_discovery{1};
     double clock_error = 0.01; ///< largest relative rate error of node clocks, either sign
     double hold_error = 0.02;  ///< largest share by which a hold lasts too long
+    /// Interval between two requests for keys of each host; 0: none. A request runs for 180 to
+    /// 480 ms, one in fifty for five to seven times as long, and at most for `route_timeout`.
+    milliseconds request_interval{0};
+    milliseconds route_timeout{2000};
 };
 
 class simulated_cluster {
@@ -73,6 +79,13 @@
     [[nodiscard]] double held_share() const;
     /// Violated invariants in the order of their detection.
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
+    /// Number of runs since the start, and of those that outlasted the hold under which they began
+    /// while the node and the target were alive.
+    struct run_counts {
+        std::uint64_t started = 0;
+        std::uint64_t cut = 0;
+    };
+    [[nodiscard]] const run_counts& runs() const { return run_counts_; }
     /// Number of hosts that sent a conditional write to the store.
     [[nodiscard]] std::size_t store_writers() const { return store_writers_.size(); }
     [[nodiscard]] std::mt19937_64& random() { return random_; }
@@ -93,6 +106,14 @@
         std::int64_t end_us = 0;      ///< in simulated time
         std::int64_t hold_end_us = 0; ///< end that the released hold would have had
     };
+    /// A request that the target runs. Ends at the latest with the hold under which it began, which
+    /// a renewal does not extend.
+    struct key_run {
+        std::uint32_t key = 0;
+        std::int64_t started_us = 0;
+        std::int64_t end_us = 0;
+        std::int64_t hold_end_us = 0;
+    };
     struct target {
         bool alive = false;
         std::string id;
@@ -100,6 +121,7 @@
         std::vector<hold> holds;
         std::vector<hold> highest_fences; ///< highest fences that the target has received
         std::vector<running_work> work;
+        std::vector<key_run> runs;
     };
     struct host {
         std::string address;
@@ -131,6 +153,13 @@
     void announce(std::size_t host);
     void check();
     void check_running_work();
+    void run_requests();
+    void start_run(std::size_t host);
+    void finish_runs(std::size_t host);
+    void check_runs();
+    [[nodiscard]] std::int64_t time_of_runs(const target& from, std::uint32_t first,
+                                            std::uint32_t last) const;
+    void add_violation(std::string what);
     std::int64_t end_holds(std::size_t host, std::uint32_t first, std::uint32_t last);
     void trace(std::size_t host, const std::string& what);
 
@@ -149,6 +178,7 @@
     std::uint64_t next_incarnation_ = 1;
     std::uint64_t next_run_number_ = 1;
     std::vector<std::string> violations_;
+    run_counts run_counts_;
     std::function<void(const std::string&)> trace_;
 };
 
