Start runs only under holds that cover their expected work

A run that starts just before the renewal of its hold is cut off with it, since the renewal does not extend the hold of a run that has begun. The gate now asks the member for a renewal and waits for it, for at most as long as for a pending grant, unless the hold covers the expected work of the kind or a renewal could not make it longer. A request that is cancelled or refused while it waits frees its slot. Metrics: lease_milliseconds, renewal_waits_total.

--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -412,7 +412,8 @@
         // and may assign other keys. A range whose hold has ended was not in the latest report.
         const bool not_reported = last_lease_term_ != term_ && may_hold_until(item) <= now;
         const bool has_new_fence = item.granted != item.range_fence;
-        const bool due = has_new_fence || item.served_until - now < renewal_threshold();
+        const bool due = has_new_fence || item.served_until < item.needed_until ||
+                         item.served_until - now < renewal_threshold();
         if (not_reported || item.releasing || item.order_id != 0 || !due || now < item.retry_at ||
             hold < min_hold || !is_worth_renewal(now, item, hold)) {
             continue;
@@ -620,6 +621,24 @@
     return serve_verdict::not_owner;
 }
 
+bool member::covers_work(time_point now, const std::string& service, std::uint32_t key,
+                         milliseconds work)
+{
+    const milliseconds hold = grant_hold(now);
+    for (auto& item : held_ranges_) {
+        if (item.service != service || key < item.first || item.last < key) {
+            continue;
+        }
+        const time_point end = now + std::min(work, times_.longest_lease);
+        if (item.served_until >= end || hold < min_hold || !is_worth_renewal(now, item, hold)) {
+            return true;
+        }
+        item.needed_until = std::max(item.needed_until, end);
+        return false;
+    }
+    return true;
+}
+
 key_owner member::owner_of(const std::string& service, std::uint32_t key) const
 {
     key_owner result;
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -121,6 +121,13 @@
 
     [[nodiscard]] serve_verdict may_serve(time_point now, const std::string& service,
                                           std::uint32_t key) const;
+    /// True if the hold of the key covers `work`, or if a new grant could not make it longer now.
+    /// Otherwise `take_grants` renews the hold. A run that starts ends at the latest with the hold.
+    /// Precondition: `may_serve` allows to serve the key.
+    bool covers_work(time_point now, const std::string& service, std::uint32_t key,
+                     milliseconds work);
+    /// Length of the last lease that the leader gave.
+    [[nodiscard]] milliseconds lease_length() const { return lease_length_; }
     [[nodiscard]] key_owner owner_of(const std::string& service, std::uint32_t key) const;
     [[nodiscard]] const directory& view() const { return view_; }
     [[nodiscard]] std::uint64_t term() const { return term_; }
@@ -156,6 +163,7 @@
         fence granted; ///< fence of the last confirmed grant
         std::string handover;
         time_point served_until{}; ///< the target is certain to hold the keys until this time
+        time_point needed_until{}; ///< longest work that waits for a renewal ends then
         /// Latest end of the holds that this process granted, see `may_hold_until`.
         time_point granted_until{};
         /// The target may hold the keys under a grant of an earlier process of this host.
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -45,7 +45,7 @@
 coordination::coordination(assignment::timing times, assignment::member_identity self,
                            std::uint64_t seed, hooks callbacks)
     : times_(times), self_(std::move(self)), random_(seed), hooks_(std::move(callbacks)),
-      member_(times, self_)
+      member_(times, self_), logged_lease_(times.lease)
 {
 }
 
@@ -166,6 +166,23 @@
     process_outputs();
 }
 
+bool coordination::covers_work(const std::string& service, std::uint32_t key, milliseconds work)
+{
+    const bool is_covered = member_.covers_work(hooks_.now(), service, key, work);
+    if (!is_covered) {
+        process_outputs();
+    }
+    return is_covered;
+}
+
+void coordination::log_own_lease()
+{
+    if (member_.lease_length() != logged_lease_) {
+        logged_lease_ = member_.lease_length();
+        hooks_.log("lease_length", {{"lease_ms", logged_lease_.count()}});
+    }
+}
+
 void coordination::log_lease_lengths() const
 {
     journal::fields lengths = journal::fields::object();
@@ -350,6 +367,7 @@
         hooks_.release(order);
     }
     processing_outputs_ = false;
+    log_own_lease();
     const auto& view = member_.view();
     if (view.term != notified_term_ || view.version != notified_version_) {
         notified_term_ = view.term;
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -77,6 +77,8 @@
     void set_manifest(std::uint64_t version, std::set<std::string> sharded,
                       std::map<std::string, milliseconds> longest_work = {});
     void set_mean_work(std::chrono::microseconds mean) { member_.set_mean_work(mean); }
+    /// See `assignment::member::covers_work`. Sends the renewal at once if one is due.
+    bool covers_work(const std::string& service, std::uint32_t key, milliseconds work);
     /// Begins a planned stop: the keys of this node's target move to other targets, and if this
     /// node leads, it asks another node to take over the leadership.
     void leave();
@@ -107,6 +109,7 @@
     void on_claimed(time_point sent, const assignment::leader_record& claimed);
     void step_down(const char* cause);
     void log_lease_lengths() const;
+    void log_own_lease();
     void transfer_leadership(time_point now);
     void request_claim(time_point now);
     bool transfer_term(time_point now);
@@ -155,6 +158,7 @@
     std::uint64_t notified_term_ = 0;
     std::uint64_t notified_version_ = 0;
     bool processing_outputs_ = false;
+    milliseconds logged_lease_{0}; ///< length of the member's lease in the last log line
     time_point next_summary_{};
 };
 
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -178,6 +178,10 @@
         refuse(id, reason::shut_down, milliseconds{0}, "the node stops");
         return;
     }
+    if (!covers_work(entry)) {
+        wait_for_renewal(id, entry);
+        return;
+    }
     entry.sent = true;
     entry.target_id = watch_.status().id;
     const auto left = std::chrono::duration_cast<milliseconds>(entry.deadline - now);
@@ -190,6 +194,29 @@
         });
 }
 
+// A renewal does not extend the hold of a run that has begun, so a run that starts just before the
+// renewal would be cut off.
+bool gate::covers_work(const active_request& entry) const
+{
+    const auto& request = entry.request;
+    return request.key.empty() ||
+           hooks_.covers_work(request.service, key_of(request), queue_.expected(request.route));
+}
+
+void gate::wait_for_renewal(dispatch::ticket id, active_request& entry)
+{
+    const auto now = loop_.now();
+    if (!entry.renewal_limit) {
+        entry.renewal_limit = std::min(now + max_grant_wait, entry.deadline);
+        ++renewal_waits_;
+    }
+    if (now >= *entry.renewal_limit) {
+        refuse(id, reason::not_owner, milliseconds{0}, "the hold of the key was not renewed");
+        return;
+    }
+    loop_.after(grant_poll_interval, [this, id] { start(id); });
+}
+
 wire::forward_reply gate::reply_for(const active_request& entry, const net::http_response& answer)
 {
     wire::forward_reply reply;
@@ -306,8 +333,9 @@
         // `on_result` frees the slot once the connection is closed.
         http_.cancel(entry.mapped().call);
     }
-    else {
-        queue_.cancel_queued(id);
+    else if (!queue_.cancel_queued(id)) {
+        // The request may have a slot while it waits for a renewal.
+        apply(queue_.finish(loop_.now(), id, false));
     }
 }
 
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -34,6 +34,10 @@
         /// Whether the target may run a request for the key now.
         std::function<assignment::serve_verdict(const std::string& service, std::uint32_t key)>
             may_serve;
+        /// Whether the hold of a key that the target may serve covers `work`, see
+        /// `assignment::member::covers_work`.
+        std::function<bool(const std::string& service, std::uint32_t key, milliseconds work)>
+            covers_work;
         /// The state in `target_watch` may have changed.
         std::function<void()> on_target_changed;
         /// A request was refused, or the target gave no answer. For logs.
@@ -75,6 +79,8 @@
     [[nodiscard]] std::size_t running() const { return queue_.running(); }
     [[nodiscard]] std::size_t queued() const { return queue_.queued(); }
     [[nodiscard]] std::size_t load() const { return queue_.running() + queue_.queued(); }
+    /// Number of requests that waited for a renewal of the hold of their key.
+    [[nodiscard]] std::uint64_t renewal_waits() const { return renewal_waits_; }
     [[nodiscard]] std::size_t active() const { return active_.size() + arrivals_.size(); }
 
 private:
@@ -89,6 +95,8 @@
         completion done;
         time_point deadline;
         bool sent = false;
+        /// While the request has a slot but waits for a renewal: the end of the wait.
+        std::optional<time_point> renewal_limit;
         net::http_client::call_id call = 0;
         std::string target_id;
     };
@@ -99,6 +107,10 @@
     void apply(const dispatch::slot_decisions& decisions);
     void run_arrival(request_key key);
     void start(dispatch::ticket id);
+    [[nodiscard]] bool covers_work(const active_request& entry) const;
+    /// Starts the request once the hold of its key is renewed, and refuses it if the hold is not
+    /// renewed within `max_grant_wait`.
+    void wait_for_renewal(dispatch::ticket id, active_request& entry);
     void on_result(dispatch::ticket id, const net::http_result& result);
     /// Admits the request once the grant of its key is confirmed. Refuses the request if the grant
     /// is still unconfirmed at `until`, or at once if the target does not own the key.
@@ -127,6 +139,7 @@
     std::map<dispatch::ticket, active_request> active_;
     std::map<request_key, dispatch::ticket> tickets_;
     dispatch::ticket next_ticket_ = 1;
+    std::uint64_t renewal_waits_ = 0;
     std::optional<time_point> exit_time_; ///< exit time of the process; none: not stopping
 };
 
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -130,6 +130,9 @@
     hooks.may_serve = [this](const std::string& service, std::uint32_t key) {
         return coordination_.member().may_serve(loop_.now(), service, key);
     };
+    hooks.covers_work = [this](const std::string& service, std::uint32_t key, milliseconds work) {
+        return coordination_.covers_work(service, key, work);
+    };
     hooks.on_target_changed = [this] {
         on_target_changed();
         check_target();
@@ -268,6 +271,8 @@
             gauges.store_calls = store_.calls();
             gauges.lines_dropped = journal_.dropped();
             gauges.target_load = gate_.load();
+            gauges.lease_ms = static_cast<std::uint64_t>(member.lease_length().count());
+            gauges.renewal_waits = gate_.renewal_waits();
             gauges.holds_lease = member.holds_lease(loop_.now());
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -64,6 +64,8 @@
     write_metric(out, "term", "gauge", gauges.term);
     write_metric(out, "directory_version", "gauge", gauges.directory_version);
     write_metric(out, "target_load", "gauge", gauges.target_load);
+    write_metric(out, "lease_milliseconds", "gauge", gauges.lease_ms);
+    write_metric(out, "renewal_waits_total", "counter", gauges.renewal_waits);
     write_metric(out, "holds_lease", "gauge", gauges.holds_lease ? 1 : 0);
     write_metric(out, "leads", "gauge", gauges.leads ? 1 : 0);
     write_metric(out, "store_up", "gauge", gauges.store_up ? 1 : 0);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -38,6 +38,8 @@
     std::uint64_t target_load = 0;
     std::uint64_t errors = 0;           ///< unexpected exceptions from handlers
     std::uint64_t requests_ignored = 0; ///< whose clients had left before they were read
+    std::uint64_t lease_ms = 0;         ///< length of the last lease
+    std::uint64_t renewal_waits = 0;    ///< requests that waited for a renewal, since the start
     bool holds_lease = false;
     bool leads = false;
     bool store_up = false;
--- a/tests/assignment/member_test.cpp
+++ b/tests/assignment/member_test.cpp
@@ -212,3 +212,20 @@
     CHECK(std::any_of(counts.begin(), counts.end(),
                       [](const auto& item) { return item.first == 1999 && item.second == 51; }));
 }
+
+// Guards against runs that a hold cuts off although a renewal would have covered them, and against
+// requests that wait for a renewal which cannot extend the hold.
+TEST(member, hold_that_does_not_cover_the_work_is_renewed)
+{
+    leased_member test;
+    test.report_and_get_lease({keys(0, 99, 2)});
+    LONGS_EQUAL(1, test.confirm_grants());
+    CHECK(test.member_.covers_work(test.now_, "s", 5, milliseconds{1400}));
+    CHECK(test.member_.covers_work(test.now_, "s", 5, milliseconds{3000}));
+    test.report_and_get_lease({keys(0, 99, 2)});
+    CHECK(test.member_.covers_work(test.now_, "s", 5, milliseconds{1000}));
+    LONGS_EQUAL(0, test.confirm_grants());
+    CHECK(!test.member_.covers_work(test.now_, "s", 5, milliseconds{1400}));
+    LONGS_EQUAL(1, test.confirm_grants());
+    CHECK(test.member_.covers_work(test.now_, "s", 5, milliseconds{1400}));
+}
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -50,6 +50,7 @@
     net::loop loop;
     platform_protocol protocol = protocol_for_tests();
     milliseconds work{20};
+    bool hold_covers = true;
     std::vector<std::string> arrived;
     /// Replaces the target's normal answer, if set.
     std::function<void(const net::http_exchange&)> answer_override;
@@ -80,6 +81,9 @@
         hooks.may_serve = [](const std::string&, std::uint32_t) {
             return assignment::serve_verdict::serve;
         };
+        hooks.covers_work = [this](const std::string&, std::uint32_t, milliseconds) {
+            return hold_covers;
+        };
         hooks.on_target_changed = [] {};
         hooks.on_failure = [](const wire::forward&, request::reason, const std::string&) {};
         tested_gate =
@@ -103,6 +107,13 @@
         tested_gate->run({incarnation_id{9}, number}, request_for(number),
                          [this](const wire::forward_reply& reply) { replies.push_back(reply); });
     }
+    void run_for_key(std::uint64_t number)
+    {
+        auto request = request_for(number);
+        request.key = "5";
+        tested_gate->run({incarnation_id{9}, number}, request,
+                         [this](const wire::forward_reply& reply) { replies.push_back(reply); });
+    }
     void wait_for(std::size_t count)
     {
         CHECK(loop.run_until([&] { return replies.size() >= count; }, wait_limit));
@@ -245,3 +256,28 @@
     CHECK(watch->status().phase == assignment::target_phase::absent);
     CHECK(watch->needs_check(loop.now()));
 }
+
+// Guards against runs that the end of their hold cuts off because they start just before its
+// renewal, and against a slot that stays taken when such a request is refused or cancelled.
+TEST(gate, request_waits_for_the_renewal_of_its_hold)
+{
+    hold_covers = false;
+    run_for_key(1);
+    run_for_key(2);
+    run(3);
+    LONGS_EQUAL(2, tested_gate->running());
+    LONGS_EQUAL(2, tested_gate->renewal_waits());
+    tested_gate->cancel({incarnation_id{9}, 2});
+    wait_for(1);
+    STRCMP_EQUAL("r-3", replies[0].request_id.c_str());
+    LONGS_EQUAL(1, arrived.size());
+    hold_covers = true;
+    wait_for(2);
+    CHECK(replies[1].outcome == wire::forward_outcome::answered);
+    hold_covers = false;
+    run_for_key(4);
+    wait_for(3);
+    CHECK(replies[2].outcome == wire::forward_outcome::not_owner);
+    LONGS_EQUAL(0, tested_gate->running());
+    LONGS_EQUAL(2, arrived.size());
+}
--- a/tests/sidecar/simulated_requests.cpp
+++ b/tests/sidecar/simulated_requests.cpp
@@ -13,6 +13,7 @@
 /// Run times of requests, from the figures of docs/design/new-deployments.md section 3.
 constexpr std::int64_t shortest_run_ms = 180;
 constexpr std::int64_t longest_usual_run_ms = 480;
+constexpr milliseconds expected_run{350};
 constexpr double share_of_long_runs = 0.02;
 constexpr double min_long_run_factor = 5;
 constexpr double max_long_run_factor = 7;
@@ -79,6 +80,11 @@
             assignment::serve_verdict::serve) {
         return;
     }
+    // Like the gate, which then waits for the renewal. The call may send it.
+    const std::int64_t hold_end_us = held.until_us;
+    if (!each.node->covers_work(service, key, expected_run)) {
+        return;
+    }
     const double usual_ms =
         shortest_run_ms +
         random_fraction() * static_cast<double>(longest_usual_run_ms - shortest_run_ms);
@@ -89,7 +95,7 @@
             : 1;
     const auto run_us = std::min(static_cast<std::int64_t>(usual_ms * factor) * us_per_ms,
                                  settings_.route_timeout.count() * us_per_ms);
-    local_target.runs.push_back({key, now_us_, now_us_ + run_us, held.until_us});
+    local_target.runs.push_back({key, now_us_, now_us_ + run_us, hold_end_us});
     ++run_counts_.started;
 }
 
