--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -122,6 +122,13 @@
 
     [[nodiscard]] serve_verdict may_serve(time_point now, const std::string& service,
                                           std::uint32_t key) const;
+    /// True if the hold of the key covers `work`, or if a new grant could not make it longer now.
+    /// Otherwise `take_grants` renews the hold. A run that starts ends at the latest with the hold.
+    /// Precondition: `may_serve` allows to serve the key.
+    bool covers_work(time_point now, const std::string& service, std::uint32_t key,
+                     milliseconds work);
+    /// Length of the last lease that the leader gave.
+    [[nodiscard]] milliseconds lease_length() const { return lease_length_; }
     [[nodiscard]] key_owner owner_of(const std::string& service, std::uint32_t key) const;
     [[nodiscard]] const directory& view() const { return view_; }
     [[nodiscard]] std::uint64_t term() const { return term_; }
@@ -157,9 +164,11 @@
         fence granted; ///< fence of the last confirmed grant
         std::string handover;
         time_point served_until{}; ///< the target is certain to hold the keys until this time
-        /// The target may hold the keys until this time, under a grant of this process or of an
-        /// earlier one. It is certain not to hold them afterwards.
-        time_point may_hold_until{};
+        time_point needed_until{}; ///< longest work that waits for a renewal ends then
+        /// Latest end of the holds that this process granted, see `may_hold_until`.
+        time_point granted_until{};
+        /// The target may hold the keys under a grant of an earlier process of this host.
+        bool inherited = false;
         bool releasing = false;
         std::uint64_t order_id = 0; ///< id of the order in progress; 0: none
         time_point retry_at{};
@@ -181,6 +190,15 @@
     void split_held_range(const std::string& service, std::uint32_t start);
     void finish_release(const held_range& item, release_evidence evidence, std::string handover);
     void consider_clearing(time_point now);
+    void limit_earlier_holds(milliseconds longest_lease);
+    /// The target may hold the keys until this time, under a grant of this process or of an earlier
+    /// one. It is certain not to hold them afterwards. The epoch: it never held them.
+    [[nodiscard]] time_point may_hold_until(const held_range& item) const;
+    [[nodiscard]] milliseconds lease_of(const report_reply& reply) const;
+    [[nodiscard]] bool has_long_lease() const { return lease_length_ > times_.lease; }
+    [[nodiscard]] milliseconds renewal_threshold() const;
+    [[nodiscard]] bool is_worth_renewal(time_point now, const held_range& item,
+                                        milliseconds hold) const;
     [[nodiscard]] milliseconds grant_hold(time_point now) const;
 
     timing times_;
@@ -208,6 +226,7 @@
     std::uint64_t manifest_version_ = 0;
     std::chrono::microseconds mean_work_{0};
     time_point lease_end_{};
+    milliseconds lease_length_; ///< of the last lease that the leader gave
     time_point next_report_{};
     bool report_due_ = true;
     bool leaving_ = false;
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -49,7 +49,7 @@
 coordination::coordination(assignment::timing times, assignment::member_identity self,
                            std::uint64_t seed, hooks callbacks)
     : times_(times), self_(std::move(self)), random_(seed), hooks_(std::move(callbacks)),
-      member_(times, self_)
+      member_(times, self_), logged_lease_(times.lease)
 {
 }
 
@@ -162,13 +162,20 @@
     process_outputs();
 }
 
-void coordination::set_manifest(std::uint64_t version, std::set<std::string> sharded)
+void coordination::set_manifest(std::uint64_t version, std::set<std::string> sharded,
+                                std::map<std::string, milliseconds> longest_work)
 {
     manifest_version_ = version;
     sharded_ = std::move(sharded);
+    const bool lengths_changed = longest_work != longest_work_;
+    longest_work_ = std::move(longest_work);
     member_.set_manifest_version(version);
     if (leader_) {
         leader_->set_sharded(sharded_);
+        leader_->set_longest_work(longest_work_);
+    }
+    if (lengths_changed) {
+        log_lease_lengths();
     }
     process_outputs();
 }
@@ -232,6 +239,32 @@
     }
 }
 
+bool coordination::covers_work(const std::string& service, std::uint32_t key, milliseconds work)
+{
+    const bool is_covered = member_.covers_work(hooks_.now(), service, key, work);
+    if (!is_covered) {
+        process_outputs();
+    }
+    return is_covered;
+}
+
+void coordination::log_own_lease()
+{
+    if (member_.lease_length() != logged_lease_) {
+        logged_lease_ = member_.lease_length();
+        hooks_.log("lease_length", {{"lease_ms", logged_lease_.count()}});
+    }
+}
+
+void coordination::log_lease_lengths() const
+{
+    journal::fields lengths = journal::fields::object();
+    for (const auto& [service, work] : longest_work_) {
+        lengths[service] = assignment::lease_length(times_, work).count();
+    }
+    hooks_.log("lease_lengths", {{"lease_ms", times_.lease.count()}, {"services", lengths}});
+}
+
 void coordination::on_lead_request(const assignment::lead_request& request)
 {
     if (!leader_ && !leaving_ && request.term == member_.term()) {
@@ -284,6 +317,7 @@
     leader_->set_sharded(sharded_);
     leader_->set_evacuated_zones(evacuations_.zones());
     leader_->set_cold_rates(cold_rates_);
+    leader_->set_longest_work(longest_work_);
     member_.on_notice(now, leader_->make_notice(now));
     hooks_.log("leading", {{"term", transfer.term}, {"transfers", transfer.transfers}});
     announce_leadership(transfer.recorded.members);
@@ -410,6 +444,7 @@
         hooks_.release(order);
     }
     processing_outputs_ = false;
+    log_own_lease();
     const auto& view = member_.view();
     if (view.term != notified_term_ || view.version != notified_version_) {
         notified_term_ = view.term;
@@ -480,6 +515,7 @@
                                 {"unassigned", state.unassigned},
                                 {"authority", state.authority},
                                 {"old_leases_ms", state.old_leases.count()},
+                                {"longest_lease_ms", state.longest_lease.count()},
                                 {"keys_to_evacuate", leader_->keys_to_evacuate()}});
 }
 
@@ -695,9 +731,14 @@
     next.host = self_.host;
     next.address = self_.address;
     next.members.push_back({self_.node, self_.host, self_.address});
+    next.longest_lease = times_.lease;
+    for (const auto& [service, work] : longest_work_) {
+        next.longest_lease = std::max(next.longest_lease, assignment::lease_length(times_, work));
+    }
     if (record != nullptr) {
         next.earlier = record->earlier;
-        assignment::leader_record::earlier_leader previous{record->host, record->members, {}};
+        assignment::leader_record::earlier_leader previous{
+            record->host, record->members, {}, record->longest_lease};
         for (const auto& member : record->members) {
             if (std::find(record->successors.begin(), record->successors.end(), member.node) !=
                 record->successors.end()) {
@@ -741,6 +782,7 @@
     start.claimed = now;
     start.claim_sent = sent;
     start.recorded = claimed.members;
+    start.longest_lease = claimed.longest_lease;
     start.earlier = claimed.earlier;
     unresolved_claim_.reset();
     leader_ = std::make_unique<assignment::leader>(
@@ -749,6 +791,7 @@
     leader_->set_sharded(sharded_);
     leader_->set_evacuated_zones(evacuations_.zones());
     leader_->set_cold_rates(cold_rates_);
+    leader_->set_longest_work(longest_work_);
     member_.on_leader(now, claimed.term, self_.node, self_.address);
     hooks_.log("leading", {{"term", claimed.term}});
     requested_claim_term_ = 0;
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -75,15 +75,19 @@
     {
         member_.count_request(service, key);
     }
-    /// `sharded` contains the services whose keys the manifest divides among targets.
-    void set_manifest(std::uint64_t version, std::set<std::string> sharded);
     /// Takes over the orders of evacuation in an answer of the store: to a read of all orders, or
     /// to a watch for changes.
     void on_evacuation_rows(const routing::evacuation_rows& rows, bool is_read);
     /// Requests per second that a cold target of each service tolerates. Services without a limit
     /// are left out.
     void set_cold_rates(std::map<std::string, double> rates);
+    /// `sharded` contains the services whose keys the manifest divides among targets, and
+    /// `longest_work` the longest time for which their targets run a request, if it is limited.
+    void set_manifest(std::uint64_t version, std::set<std::string> sharded,
+                      std::map<std::string, milliseconds> longest_work = {});
     void set_mean_work(std::chrono::microseconds mean) { member_.set_mean_work(mean); }
+    /// See `assignment::member::covers_work`. Sends the renewal at once if one is due.
+    bool covers_work(const std::string& service, std::uint32_t key, milliseconds work);
     /// Begins a planned stop: the keys of this node's target move to other targets, and if this
     /// node leads, it asks another node to take over the leadership.
     void leave();
@@ -125,6 +129,8 @@
     void claim(time_point now, const assignment::leader_record* record);
     void on_claimed(time_point sent, const assignment::leader_record& claimed);
     void step_down(const char* cause);
+    void log_lease_lengths() const;
+    void log_own_lease();
     void transfer_leadership(time_point now);
     void request_claim(time_point now);
     bool transfer_term(time_point now);
@@ -139,6 +145,7 @@
     std::unique_ptr<assignment::leader> leader_;
     std::set<std::string> sharded_;
     std::map<std::string, double> cold_rates_; ///< see `set_cold_rates`
+    std::map<std::string, milliseconds> longest_work_; ///< by sharded service
     std::uint64_t manifest_version_ = 0;
     routing::evacuations evacuations_;
     /// Leader that last answered a report of this node, and the version of the evacuations that it
@@ -183,6 +190,7 @@
     std::uint64_t notified_term_ = 0;
     std::uint64_t notified_version_ = 0;
     bool processing_outputs_ = false;
+    milliseconds logged_lease_{0}; ///< length of the member's lease in the last log line
     time_point next_summary_{};
 };
 
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -36,6 +36,10 @@
         /// Whether the target may run a request for the key now.
         std::function<assignment::serve_verdict(const std::string& service, std::uint32_t key)>
             may_serve;
+        /// Whether the hold of a key that the target may serve covers `work`, see
+        /// `assignment::member::covers_work`.
+        std::function<bool(const std::string& service, std::uint32_t key, milliseconds work)>
+            covers_work;
         /// The state in `target_watch` may have changed.
         std::function<void()> on_target_changed;
         /// A request was refused, or the target gave no answer. For logs.
@@ -99,6 +103,8 @@
     /// Requests that waited, or were refused, because the target warms up.
     [[nodiscard]] std::uint64_t warm_up_delays() const { return queue_.delayed_starts(); }
     [[nodiscard]] std::uint64_t warm_up_refusals() const { return warm_up_refusals_; }
+    /// Number of requests that waited for a renewal of the hold of their key.
+    [[nodiscard]] std::uint64_t renewal_waits() const { return renewal_waits_; }
     [[nodiscard]] std::size_t active() const { return active_.size() + arrivals_.size(); }
 
 private:
@@ -114,6 +120,8 @@
         time_point deadline;
         bool sent = false;
         bool is_late = false; ///< not written, because the connection took too long
+        /// While the request has a slot but waits for a renewal: the end of the wait.
+        std::optional<time_point> renewal_limit;
         net::http_client::call_id call = 0;
         std::string target_id;
     };
@@ -137,6 +145,10 @@
     void apply(const dispatch::slot_decisions& decisions);
     void run_arrival(request_key key);
     void start(dispatch::ticket id);
+    [[nodiscard]] bool covers_work(const active_request& entry) const;
+    /// Starts the request once the hold of its key is renewed, and refuses it if the hold is not
+    /// renewed within `max_grant_wait`.
+    void wait_for_renewal(dispatch::ticket id, active_request& entry);
     void on_result(dispatch::ticket id, const net::http_result& result);
     /// Admits the request once the grant of its key is confirmed. Refuses the request if the grant
     /// is still unconfirmed at `until`, or at once if the target does not own the key.
@@ -173,6 +185,7 @@
     std::optional<time_point> exit_time_;      ///< exit time of the process; none: not stopping
     std::optional<time_point> evacuated_from_; ///< see `refuse_from`
     std::uint64_t evacuation_refusals_ = 0;
+    std::uint64_t renewal_waits_ = 0;
 };
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 #include <utility>
 
+#include "routing/work_bounds.h"
 #include "sidecar/peer_dictionary.h"
 
 namespace bulrushgw::sidecar {
@@ -147,6 +148,9 @@
     hooks.may_serve = [this](const std::string& service, std::uint32_t key) {
         return coordination_.member().may_serve(loop_.now(), service, key);
     };
+    hooks.covers_work = [this](const std::string& service, std::uint32_t key, milliseconds work) {
+        return coordination_.covers_work(service, key, work);
+    };
     hooks.on_target_changed = [this] {
         on_target_changed();
         check_target();
@@ -297,6 +301,8 @@
             gauges.warm_up_delays = gate_.warm_up_delays();
             gauges.warm_up_refusals = gate_.warm_up_refusals();
             gauges.target_is_cold = counts_as_cold_;
+            gauges.lease_ms = static_cast<std::uint64_t>(member.lease_length().count());
+            gauges.renewal_waits = gate_.renewal_waits();
             gauges.holds_lease = member.holds_lease(loop_.now());
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
@@ -573,8 +579,9 @@
         request_server_->set_idle_timeout(idle + idle_margin);
     }
     coordination_.set_cold_rates(std::move(cold_rates));
-    coordination_.set_manifest(version, std::move(sharded));
     set_start_bound();
+    coordination_.set_manifest(version, std::move(sharded),
+                               routing::longest_keyed_work(routes_->content()));
     check_target();
 }
 
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -172,6 +172,7 @@
         fields.number_or("bounds.warm_up_overage", min_warm_up_overage, 1);
     result.bounds.warm_up_slack = fields.number_or("bounds.warm_up_slack", 0, 0);
     result.times.lease = std::min(result.times.lease, result.bounds.longest_hold);
+    result.times.longest_lease = std::min(result.times.longest_lease, result.bounds.longest_hold);
     return result;
 }
 
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -48,6 +48,8 @@
     std::uint64_t warm_up_delays = 0;   ///< requests that waited because the target warms up
     std::uint64_t warm_up_refusals = 0; ///< requests refused because the target warms up
     bool target_is_cold = false;        ///< starts at the target are limited
+    std::uint64_t lease_ms = 0;         ///< length of the last lease
+    std::uint64_t renewal_waits = 0;    ///< requests that waited for a renewal, since the start
     bool holds_lease = false;
     bool leads = false;
     bool store_up = false;
--- a/tests/sidecar/simulated_cluster.cpp
+++ b/tests/sidecar/simulated_cluster.cpp
@@ -17,7 +17,8 @@
 } // namespace
 
 simulated_cluster::simulated_cluster(std::uint64_t seed, cluster_settings settings)
-    : settings_(settings), random_(seed)
+    : settings_(settings), random_(seed),
+      manifest_timeout_(settings.has_long_leases ? settings.route_timeout : milliseconds{0})
 {
     hosts_.resize(settings.hosts);
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
@@ -44,9 +45,9 @@
 
 void simulated_cluster::trace(std::size_t host_index, const std::string& what)
 {
-    if (trace_) {
-        trace_(std::to_string(now_us_ / us_per_ms) + " ms " + hosts_[host_index].address + ": " +
-               what);
+    if (settings_.trace) {
+        settings_.trace(std::to_string(now_us_ / us_per_ms) + " ms " + hosts_[host_index].address +
+                        ": " + what);
     }
 }
 
@@ -102,6 +103,7 @@
                 each.node->on_tick();
             }
         }
+        run_requests();
         check();
     }
 }
@@ -157,12 +159,12 @@
         trace(host_index, std::string(event) + " " + details.dump());
     };
     each.node = std::make_unique<coordination>(
-        assignment::timing{},
+        settings_.times,
         assignment::member_identity{incarnation_id{next_incarnation_++}, each.address, each.address,
                                     zone_of_host(settings_, host_index), 0, clock_of(host_index)},
         random_(), std::move(hooks));
     schedule_at_node(host_index, process, us_per_ms,
-                     [this, host_index] { hosts_[host_index].node->set_manifest(1, {service}); });
+                     [this, host_index] { set_manifest(host_index); });
     each.in_contact = false;
     each.process_reads = 0;
     // Without a longer discovery no random number is drawn, so that the faults of a seed stay.
@@ -206,6 +208,7 @@
     local_target.alive = false;
     local_target.holds.clear();
     local_target.work.clear();
+    local_target.runs.clear();
     schedule_at_node(host_index, hosts_[host_index].process, 200 * us_per_ms,
                      [this, host_index] { announce(host_index); });
 }
@@ -221,6 +224,7 @@
     local_target.alive = true;
     local_target.holds.clear();
     local_target.work.clear();
+    local_target.runs.clear();
     local_target.highest_fences.clear();
     if (hosts_[host_index].node != nullptr) {
         schedule_at_node(host_index, hosts_[host_index].process, message_delay_us(),
@@ -417,7 +421,11 @@
             // A grant that is delayed for longer than its hold has no effect.
             if (local_target.alive && local_target.run_number == run_number &&
                 now_us_ - sent < order.hold.count() * us_per_ms) {
-                apply_grant(host_index, order);
+                auto late_order = order;
+                if (settings_.times.holds_count_from_arrival) {
+                    late_order.hold -= milliseconds{(now_us_ - sent) / us_per_ms};
+                }
+                apply_grant(host_index, late_order);
             }
         });
         answer(assignment::order_outcome::unknown, order_timeout_us);
@@ -469,6 +477,7 @@
             work_us = std::max(work_us, item.end_us - now_us_);
         }
     }
+    work_us = std::max(work_us, time_of_runs(local_target, first, last));
     std::vector<hold> rest;
     for (const hold& item : local_target.holds) {
         if (item.first > last || item.last < first) {
@@ -555,6 +564,7 @@
     }
     check_running_work();
     check_evacuations();
+    check_runs();
 }
 
 void simulated_cluster::check_running_work()
--- a/tests/sidecar/simulated_cluster.h
+++ b/tests/sidecar/simulated_cluster.h
@@ -5,7 +5,9 @@
 /// nodes. After each step a checker verifies that no key is held by two targets, that no target
 /// holds a key on which another one still works under a hold that has not ended, and that no node
 /// in contact with the store admits requests to the target of a zone whose evacuation was ordered
-/// longer ago than the bound.
+/// longer ago than the bound. With requests, it
+/// also reports runs (executions of requests) that outlasted the hold under which they began while
+/// their owner was alive. Implemented in two files: the requests are in simulated_requests.cpp.
 
 #include <cstdint>
 #include <functional>
@@ -32,6 +34,15 @@
     double hold_error = 0.02;  ///< largest share by which a hold lasts too long
     /// Host i is in zone "zone-N", where N is the remainder of i divided by this.
     std::size_t zones = 1;
+    /// Interval between two requests for keys of each host; 0: none. A request runs for 180 to
+    /// 480 ms, one in fifty for five to seven times as long, and at most for `route_timeout`.
+    milliseconds request_interval{0};
+    milliseconds route_timeout{2000};
+    /// The manifest names `route_timeout`, so that leases are long enough for it.
+    bool has_long_leases = false;
+    assignment::timing times;
+    /// Receives each event as text, to find the cause of a violation.
+    std::function<void(const std::string&)> trace;
 };
 
 [[nodiscard]] std::string zone_of_host(const cluster_settings& settings, std::size_t host);
@@ -46,6 +57,9 @@
 
     void kill_node(std::size_t host);
     void start_node(std::size_t host);
+    /// All nodes, also those that start later, get a manifest with this timeout of their routes; 0:
+    /// none. Each node gets it up to 500 ms late.
+    void change_timeout(milliseconds timeout);
     /// Begins a planned stop of the node.
     void begin_stop(std::size_t host);
     /// Suspends the node for `time`; it then continues with the messages that arrived meanwhile.
@@ -80,6 +94,7 @@
     /// Number of targets in zones under evacuation that hold keys.
     [[nodiscard]] std::size_t evacuated_holders() const;
 
+    [[nodiscard]] const cluster_settings& settings() const { return settings_; }
     [[nodiscard]] std::size_t hosts() const { return hosts_.size(); }
     [[nodiscard]] bool is_node_alive(std::size_t host) const;
     [[nodiscard]] std::optional<std::size_t> leader() const;
@@ -90,11 +105,16 @@
     [[nodiscard]] double held_share() const;
     /// Violated invariants in the order of their detection.
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
+    /// Number of runs since the start, and of those that outlasted the hold under which they began
+    /// while the node and the target were alive.
+    struct run_counts {
+        std::uint64_t started = 0;
+        std::uint64_t cut = 0;
+    };
+    [[nodiscard]] const run_counts& runs() const { return run_counts_; }
     /// Number of hosts that sent a conditional write to the store.
     [[nodiscard]] std::size_t store_writers() const { return store_writers_.size(); }
     [[nodiscard]] std::mt19937_64& random() { return random_; }
-    /// Reports each event as text, to find the cause of a violation.
-    void set_trace(std::function<void(const std::string&)> trace) { trace_ = std::move(trace); }
 
 private:
     struct hold {
@@ -110,6 +130,14 @@
         std::int64_t end_us = 0;      ///< in simulated time
         std::int64_t hold_end_us = 0; ///< end that the released hold would have had
     };
+    /// A request that the target runs. Ends at the latest with the hold under which it began, which
+    /// a renewal does not extend.
+    struct key_run {
+        std::uint32_t key = 0;
+        std::int64_t started_us = 0;
+        std::int64_t end_us = 0;
+        std::int64_t hold_end_us = 0;
+    };
     struct target {
         bool alive = false;
         std::string id;
@@ -117,6 +145,7 @@
         std::vector<hold> holds;
         std::vector<hold> highest_fences; ///< highest fences that the target has received
         std::vector<running_work> work;
+        std::vector<key_run> runs;
     };
     struct host {
         std::string address;
@@ -157,6 +186,14 @@
     [[nodiscard]] bool reaches_store(std::size_t host) const;
     void read_evacuations(std::size_t host);
     void update_contacts();
+    void set_manifest(std::size_t host);
+    void run_requests();
+    void start_run(std::size_t host);
+    void finish_runs(std::size_t host);
+    void check_runs();
+    [[nodiscard]] std::int64_t time_of_runs(const target& from, std::uint32_t first,
+                                            std::uint32_t last) const;
+    void add_violation(std::string what);
     std::int64_t end_holds(std::size_t host, std::uint32_t first, std::uint32_t last);
     void trace(std::size_t host, const std::string& what);
 
@@ -177,7 +214,9 @@
     std::uint64_t next_incarnation_ = 1;
     std::uint64_t next_run_number_ = 1;
     std::vector<std::string> violations_;
-    std::function<void(const std::string&)> trace_;
+    run_counts run_counts_;
+    std::uint64_t manifest_version_ = 1;
+    milliseconds manifest_timeout_{0};
 };
 
 } // namespace bulrushgw::sidecar::test
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -93,6 +93,7 @@
     body.cpu_millicores = 500;
     body.evacuations_version = 41;
     body.evacuations = {sample_evacuations()};
+    body.process_age = milliseconds{1300};
     return body;
 }
 
@@ -113,8 +114,8 @@
                      false,
                      true}};
     body.superseded = {first};
-    body.recorded = {{{second, "host-b", "127.0.0.1:7002"}}, {second}};
-    body.unresolved = {{{{first, "host-a", "127.0.0.1:7001"}}, {}}};
+    body.recorded = {{{second, "host-b", "127.0.0.1:7002"}}, {second}, milliseconds{4400}};
+    body.unresolved = {{{{first, "host-a", "127.0.0.1:7001"}}, {}, milliseconds{2400}}};
     return body;
 }
 
@@ -163,8 +164,19 @@
         rules_text{5, "digest", "text", "{}"},
         protocol_failure{"unknown-version"},
         sample_report(),
-        assignment::report_reply{
-            3, 9, 1700, true, false, true, 12, 7, {sample_directory()}, 41, {sample_evacuations()}},
+        assignment::report_reply{3,
+                                 9,
+                                 1700,
+                                 true,
+                                 false,
+                                 true,
+                                 12,
+                                 7,
+                                 {sample_directory()},
+                                 41,
+                                 {sample_evacuations()},
+                                 milliseconds{4400},
+                                 milliseconds{4600}},
         assignment::leader_hint{3, first, "127.0.0.1:7002"},
         assignment::directory_update{sample_directory(), {"127.0.0.1:7003"}},
         assignment::lead_request{3},
