--- a/src/net/http.h
+++ b/src/net/http.h
@@ -186,8 +186,8 @@
     /// connection is closed if `accept_head` refuses or throws, skips a third response, or skips a
     /// response that ends only when the connection is closed.
     call_id send(
-        const endpoint& address, const http_request& request, milliseconds timeout,
-        callback on_result, std::function<bool()> before_write = {},
+        const endpoint& address, http_request request, milliseconds timeout, callback on_result,
+        std::function<bool()> before_write = {},
         std::function<head_verdict(const http_response&, bool is_new_connection)> accept_head = {});
     /// Ends the call and closes its connection, which cancels the request at the server. Does
     /// nothing if the call has ended, or within its `before_write`.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <deque>
 #include <map>
@@ -48,7 +49,8 @@
            std::all_of(request.headers.begin(), request.headers.end(), detail::is_valid_header);
 }
 
-std::string serialize_request(const endpoint& address, const http_request& request)
+/// The request without its body.
+std::string serialize_head(const endpoint& address, const http_request& request)
 {
     std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
     if (!find_header(request.headers, "host")) {
@@ -59,8 +61,7 @@
             head += entry.name + ": " + entry.value + "\r\n";
         }
     }
-    head += "content-length: " + std::to_string(request.body.size()) + "\r\n\r\n";
-    return head + request.body;
+    return head + "content-length: " + std::to_string(request.body.size()) + "\r\n\r\n";
 }
 
 std::string lower_case(std::string text)
@@ -101,7 +102,8 @@
         h2o_socket_t* socket = nullptr;
         http_parser parser{};
         call* current_call = nullptr; ///< null while idle
-        std::string write_buffer;     ///< h2o keeps a pointer to its bytes until the write ends
+        std::string written_head;     ///< h2o keeps a pointer to its bytes until the write ends
+        std::string written_body;     ///< h2o keeps a pointer to its bytes until the write ends
         bool write_pending = false;
         bool reused = false; ///< an earlier call received its response on this connection
         time_point idle_since{};
@@ -123,7 +125,8 @@
         call_id id = 0;
         destination* dest = nullptr;
         connection* conn = nullptr;
-        std::string request_bytes;
+        std::string request_head;
+        std::string request_body;
         bool head_only = false;
         phase current_phase = phase::waiting;
         bool in_before_write = false;
@@ -318,10 +321,14 @@
     entry.current_phase = phase::written;
     http_parser_init(&conn.parser, HTTP_RESPONSE);
     conn.parser.data = &conn;
-    conn.write_buffer = std::move(entry.request_bytes);
+    conn.written_head = std::move(entry.request_head);
+    conn.written_body = std::move(entry.request_body);
     conn.write_pending = true;
-    h2o_iovec_t buffer = h2o_iovec_init(conn.write_buffer.data(), conn.write_buffer.size());
-    h2o_socket_write(conn.socket, &buffer, 1, on_written);
+    std::array<h2o_iovec_t, 2> buffers{
+        h2o_iovec_init(conn.written_head.data(), conn.written_head.size()),
+        h2o_iovec_init(conn.written_body.data(), conn.written_body.size())};
+    const std::size_t count = conn.written_body.empty() ? 1 : buffers.size();
+    h2o_socket_write(conn.socket, buffers.data(), count, on_written);
     h2o_socket_read_start(conn.socket, on_readable);
 }
 
@@ -329,6 +336,8 @@
 {
     auto& conn = *static_cast<connection*>(socket->data);
     conn.write_pending = false;
+    // A body is not kept while the server works on the request, or while the connection is idle.
+    conn.written_body = {};
     // The connection of an active call is kept after a failed write, because the server may have
     // sent a response before it closed the connection.
     if (failure != nullptr && conn.current_call == nullptr) {
@@ -580,7 +589,7 @@
 }
 
 http_client::call_id
-http_client::send(const endpoint& address, const http_request& request, milliseconds timeout,
+http_client::send(const endpoint& address, http_request request, milliseconds timeout,
                   callback on_result, std::function<bool()> before_write,
                   std::function<head_verdict(const http_response&, bool)> accept_head)
 {
@@ -601,7 +610,8 @@
         self.fail(entry, http_failure::not_sent);
         return id;
     }
-    entry.request_bytes = serialize_request(address, request);
+    entry.request_head = serialize_head(address, request);
+    entry.request_body = std::move(request.body);
     entry.timer = self.event_loop.after(timeout, [&self, id] {
         const auto found = self.calls.find(id);
         if (found != self.calls.end()) {
--- a/src/net/peer_incoming.cpp
+++ b/src/net/peer_incoming.cpp
@@ -53,9 +53,17 @@
                sizeof(unacknowledged_timeout_ms));
 }
 
+void limit_unsent_bytes(h2o_socket_t* socket, std::size_t bytes)
+{
+    const auto limit = static_cast<unsigned>(bytes);
+    setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &limit, sizeof(limit));
+}
+
 peer_incoming::peer_incoming(loop& loop, const endpoint& address, const peer_limits& limits,
-                             peer_counters& counters, receiver on_frame)
+                             peer_counters& counters, receiver on_frame,
+                             peer_lost_hook on_peer_lost)
     : loop_(loop), limits_(limits), counters_(counters), on_frame_(std::move(on_frame)),
+      on_peer_lost_(std::move(on_peer_lost)),
       listener_(loop, address, [this](h2o_socket_t* socket) { open(socket); })
 {
     const auto interval =
@@ -66,6 +74,7 @@
 peer_incoming::~peer_incoming()
 {
     loop_.cancel(sweep_timer_);
+    on_peer_lost_ = {};
     while (!connections_.empty()) {
         close(**connections_.begin());
     }
@@ -90,6 +99,13 @@
 void peer_incoming::close(connection& peer)
 {
     connections_.erase(&peer);
+    set_unfinished(peer, 0);
+    const bool is_last =
+        peer.peer && std::none_of(connections_.begin(), connections_.end(),
+                                  [&](const auto* other) { return other->peer == peer.peer; });
+    if (is_last && on_peer_lost_) {
+        on_peer_lost_(peer.peer);
+    }
     h2o_socket_close(peer.socket);
     delete &peer;
 }
@@ -97,14 +113,36 @@
 void peer_incoming::on_readable(h2o_socket_t* socket, const char* failure)
 {
     auto& peer = *static_cast<connection*>(socket->data);
+    auto& self = *peer.owner;
     if (peer.closing_after_failure) {
         h2o_buffer_consume(&socket->input, socket->input->size);
     }
     else {
-        peer.owner->read_frames(peer);
+        self.read_frames(peer);
     }
     if (failure != nullptr) {
-        peer.owner->close(peer);
+        self.close(peer);
+    }
+    self.enforce_unfinished_limit();
+}
+
+void peer_incoming::set_unfinished(connection& peer, std::size_t bytes)
+{
+    unfinished_bytes_ += bytes - peer.unfinished_bytes;
+    peer.unfinished_bytes = bytes;
+}
+
+void peer_incoming::enforce_unfinished_limit()
+{
+    while (unfinished_bytes_ > limits_.max_unfinished_bytes) {
+        const auto slowest = std::min_element(
+            connections_.begin(), connections_.end(),
+            [](const connection* left, const connection* right) {
+                return std::pair{left->unfinished_bytes == 0, left->waiting_since} <
+                       std::pair{right->unfinished_bytes == 0, right->waiting_since};
+            });
+        ++counters_.unfinished_closed;
+        close(**slowest);
     }
 }
 
@@ -136,6 +174,7 @@
         ++counters_.frames_received;
         counters_.bytes_received += wire::length_bytes + size;
         frame_received = true;
+        peer.peer = frame.from;
         try {
             on_frame_(frame);
         }
@@ -182,7 +221,11 @@
             return;
         }
         peer.decompressed.erase(0, *consumed);
+        if (peer.decompressed.empty() && peer.decompressed.capacity() > max_kept_input_bytes) {
+            peer.decompressed = {};
+        }
         has_remainder = !peer.decompressed.empty();
+        set_unfinished(peer, has_remainder ? peer.decompressed.capacity() : 0);
     }
     else {
         const auto consumed =
@@ -192,6 +235,7 @@
         }
         h2o_buffer_consume(&socket->input, *consumed);
         has_remainder = socket->input->size > 0;
+        set_unfinished(peer, has_remainder ? socket->input->capacity : 0);
     }
     if (socket->input->size == 0 && socket->input->capacity > max_kept_input_bytes) {
         h2o_buffer_dispose(&socket->input);
@@ -213,6 +257,8 @@
     ++counters_.frames_broken;
     peer.closing_after_failure = true;
     peer.waiting_since = loop_.now();
+    peer.decompressed = {};
+    set_unfinished(peer, 0);
     peer.failure = wire::encode({{}, {}, to_string(address()), wire::protocol_failure{reason}});
     h2o_buffer_consume(&peer.socket->input, peer.socket->input->size);
     h2o_iovec_t bytes = h2o_iovec_init(peer.failure.data(), peer.failure.size());
--- a/src/net/peer_incoming.h
+++ b/src/net/peer_incoming.h
@@ -18,10 +18,11 @@
 class peer_incoming {
 public:
     using receiver = std::function<void(const wire::frame&)>;
+    using peer_lost_hook = std::function<void(incarnation_id)>;
 
     /// Throws `listen_error` when the address cannot be bound.
     peer_incoming(loop& loop, const endpoint& address, const peer_limits& limits,
-                  peer_counters& counters, receiver on_frame);
+                  peer_counters& counters, receiver on_frame, peer_lost_hook on_peer_lost);
     ~peer_incoming();
     peer_incoming(const peer_incoming&) = delete;
     peer_incoming& operator=(const peer_incoming&) = delete;
@@ -35,11 +36,13 @@
     struct connection {
         peer_incoming* owner = nullptr;
         h2o_socket_t* socket = nullptr;
+        incarnation_id peer;                ///< sender of the latest frame
         bool closing_after_failure = false; ///< a `protocol_failure` was sent; input is discarded
         std::string failure;                ///< the failure frame; h2o keeps a pointer to it
         bool has_partial_frame = false;     ///< the rest of a frame is awaited
         std::optional<stream_decompressor> decompressor; ///< with compression only
         std::string decompressed;                        ///< decompressed input, not yet decoded
+        std::size_t unfinished_bytes = 0; ///< buffer of a frame whose rest is awaited
         /// Start of the wait for the rest of a frame, or for the peer to close the connection
         /// after a failure.
         time_point waiting_since;
@@ -53,6 +56,8 @@
                                               bool& frame_received);
     void send_failure(connection& peer, const std::string& reason);
     void close_stalled();
+    void set_unfinished(connection& peer, std::size_t bytes);
+    void enforce_unfinished_limit();
 
     static void on_readable(h2o_socket_t* socket, const char* failure);
 
@@ -60,7 +65,9 @@
     const peer_limits& limits_;
     peer_counters& counters_;
     receiver on_frame_;
+    peer_lost_hook on_peer_lost_;
     std::set<connection*> connections_;
+    std::size_t unfinished_bytes_ = 0; ///< of all connections
     listener listener_;
     loop::timer_id sweep_timer_ = 0;
 };
@@ -69,4 +76,7 @@
 /// that the kernel reports a peer whose host disappeared without closing the connection.
 void enable_lost_peer_detection(h2o_socket_t* socket, milliseconds unacknowledged_limit);
 
+/// Limits the bytes that the kernel holds for the socket before it sends them.
+void limit_unsent_bytes(h2o_socket_t* socket, std::size_t bytes);
+
 } // namespace bulrushgw::net::detail
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -67,6 +67,8 @@
     peer_limits limits;
     peer_counters counters;
     std::function<bool(const std::string&, bool)> should_drop;
+    drain_hook on_drained;
+    peer_lost_hook on_peer_lost;
     std::map<std::string, std::unique_ptr<outgoing_connection>, std::less<>> connections;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     loop::timer_id sweep_timer = 0;
@@ -76,8 +78,10 @@
           disconnect_hook disconnect_callback, peer_limits limits_to_use)
         : event_loop(loop_to_use), on_frame(std::move(frame_receiver)),
           on_disconnect(std::move(disconnect_callback)), limits(std::move(limits_to_use)),
-          incoming(loop_to_use, address, limits, counters,
-                   [this](const wire::frame& frame) { receive(frame); })
+          incoming(
+              loop_to_use, address, limits, counters,
+              [this](const wire::frame& frame) { receive(frame); },
+              [this](incarnation_id peer) { report_lost_peer(peer); })
     {
         const auto interval =
             std::clamp(limits.idle_timeout / 4, min_sweep_interval, max_sweep_interval);
@@ -85,6 +89,8 @@
     }
 
     void receive(const wire::frame& frame);
+    void report_lost_peer(incarnation_id peer);
+    void report_drained(const outgoing_connection& conn);
     outgoing_connection* find_or_connect(const std::string& address);
     bool queue_frame(outgoing_connection& conn, const std::string& bytes);
     void defer_flush(outgoing_connection& conn);
@@ -107,6 +113,27 @@
     on_frame(frame);
 }
 
+void peer_transport::state::report_lost_peer(incarnation_id peer)
+{
+    event_loop.defer([this, is_alive = alive, peer] {
+        if (*is_alive && on_peer_lost) {
+            on_peer_lost(peer);
+        }
+    });
+}
+
+void peer_transport::state::report_drained(const outgoing_connection& conn)
+{
+    if (!on_drained || conn.queued_bytes.size() > limits.max_write_bytes) {
+        return;
+    }
+    event_loop.defer([this, is_alive = alive, address = conn.address] {
+        if (*is_alive && on_drained) {
+            on_drained(address);
+        }
+    });
+}
+
 peer_transport::state::outgoing_connection*
 peer_transport::state::find_or_connect(const std::string& address)
 {
@@ -174,15 +201,21 @@
         conn.queued_bytes.empty()) {
         return;
     }
-    conn.write_buffer.swap(conn.queued_bytes);
+    if (conn.queued_bytes.size() <= limits.max_write_bytes) {
+        conn.write_buffer.swap(conn.queued_bytes);
+        conn.write_buffer_frames = std::exchange(conn.queued_frames, 0);
+    }
+    else {
+        // The frames count as written with the last of their bytes.
+        conn.write_buffer.assign(conn.queued_bytes, 0, limits.max_write_bytes);
+        conn.queued_bytes.erase(0, limits.max_write_bytes);
+    }
     if (limits.compress) {
         if (!conn.compressor) {
             conn.compressor.emplace(limits.dictionary);
         }
         conn.write_buffer = conn.compressor->compress(conn.write_buffer);
-        conn.queued_bytes.clear();
     }
-    conn.write_buffer_frames = std::exchange(conn.queued_frames, 0);
     ++counters.writes;
     conn.timer = event_loop.after(limits.stall_timeout, [this, &conn] { disconnect(conn); });
     h2o_iovec_t bytes = h2o_iovec_init(conn.write_buffer.data(), conn.write_buffer.size());
@@ -249,6 +282,7 @@
     self.event_loop.cancel(conn.timer);
     conn.current_phase = phase::open;
     detail::enable_lost_peer_detection(socket, self.limits.stall_timeout);
+    detail::limit_unsent_bytes(socket, self.limits.max_write_bytes);
     h2o_socket_read_start(socket, on_readable);
     self.flush(conn);
 }
@@ -266,6 +300,7 @@
     self.counters.frames_sent += std::exchange(conn.write_buffer_frames, 0);
     clear_buffer(conn.write_buffer);
     self.flush(conn);
+    self.report_drained(conn);
 }
 
 // The only frame that a peer writes on this connection is a `protocol_failure`, after which it
@@ -344,6 +379,12 @@
     return state_->counters;
 }
 
+void peer_transport::set_flow_hooks(drain_hook on_drained, peer_lost_hook on_peer_lost)
+{
+    state_->on_drained = std::move(on_drained);
+    state_->on_peer_lost = std::move(on_peer_lost);
+}
+
 void peer_transport::set_filter(std::function<bool(const std::string&, bool)> should_drop)
 {
     state_->should_drop = std::move(should_drop);
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -22,6 +22,14 @@
     std::size_t max_frame_bytes = wire::max_frame_bytes;
     /// Upper bound on the unsent bytes for one peer; `send` refuses frames above it.
     std::size_t max_queued_bytes = std::size_t{4} * 1024 * 1024;
+    /// Upper bound on the queued bytes that one write takes, and on the bytes that the kernel holds
+    /// unsent for a connection. On a link of 10 Mbit/s, the slowest of a deployment, a write takes
+    /// 0.1 s, well below `stall_timeout`.
+    std::size_t max_write_bytes = std::size_t{128} * 1024;
+    /// Upper bound on the buffers of unfinished frames of all incoming connections together. Above
+    /// it, the connection that has waited longest for the rest of a frame is closed. Room for eight
+    /// frames of the highest size; a frame of a deployment usually takes a few kilobytes.
+    std::size_t max_unfinished_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t max_connections = 2000; ///< in each direction
     /// Compresses all connections. All nodes of a deployment must use the same value.
     bool compress = false;
@@ -56,6 +64,8 @@
     /// Incoming frames that were refused with a `protocol_failure`. Their length, version, type,
     /// body or compressed stream was invalid, or they were incomplete after `stall_timeout`.
     std::uint64_t frames_broken = 0;
+    /// Incoming connections closed because of `max_unfinished_bytes`.
+    std::uint64_t unfinished_closed = 0;
     std::uint64_t frames_lost = 0;         ///< queued or being written when a connection broke
     std::uint64_t frames_filtered = 0;     ///< dropped by the filter of `set_filter`
     std::uint64_t writes = 0;              ///< socket writes; one may take several system calls
@@ -80,6 +90,13 @@
     using disconnect_hook =
         std::function<void(const std::string& address, std::optional<time_point> unsent_since)>;
 
+    /// Called after a write of the outgoing connection to `address`, when at most
+    /// `max_write_bytes` are still queued for it. Senders of much data wait for it.
+    using drain_hook = std::function<void(const std::string& address)>;
+    /// Called when the last incoming connection on which `peer` sent frames has closed. Frames that
+    /// are still under way from it are lost, or arrive on a connection that it opens later.
+    using peer_lost_hook = std::function<void(incarnation_id peer)>;
+
     /// Throws `listen_error` when the address cannot be bound.
     peer_transport(loop& loop, const endpoint& address, receiver on_frame,
                    disconnect_hook on_disconnect, peer_limits limits = {});
@@ -98,6 +115,8 @@
     /// called, because the peer may still reply to frames that it received before.
     void reset(const std::string& address);
     [[nodiscard]] const peer_counters& counters() const;
+    /// Both hooks are called at the end of a loop iteration. They may be empty.
+    void set_flow_hooks(drain_hook on_drained, peer_lost_hook on_peer_lost);
     /// For tests: drops each frame for which `should_drop` returns true. `address` is the peer's
     /// address, and `outgoing` is true for frames to the peer.
     void set_filter(std::function<bool(const std::string& address, bool outgoing)> should_drop);
--- /dev/null
+++ b/src/sidecar/body_assembly.h
@@ -0,0 +1,81 @@
+#pragma once
+
+/// Bodies that peers send in parts, until they are complete.
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "common/boot_clock.h"
+#include "common/ids.h"
+#include "net/memory_reservation.h"
+#include "sidecar/gate.h"
+#include "wire/messages.h"
+
+namespace bulrushgw::sidecar {
+
+enum class part_verdict {
+    more_expected, ///< the part was taken; others follow
+    complete,      ///< the part was the last one: call `take`
+    invalid,       ///< the part does not continue the body, which was dropped
+    not_expected,  ///< the body is unknown: it was refused, cancelled or dropped before
+};
+
+/// Collects the bodies of forwards whose parts follow them, by sender and number, within a memory
+/// budget. The memory of a body is reserved when its first frame arrives, so that a body for which
+/// there is no room is refused at once. A body is dropped, and its memory released, when the sender
+/// disconnects or cancels, when the deadline passes, or when a part is missing: it never runs in
+/// part. Addresses many large uploads at once to the target of a host with little memory, and
+/// senders that disappear midway. Not thread-safe.
+class body_assembly {
+public:
+    /// A request whose body is complete, with times that count from now.
+    struct assembled {
+        wire::forward request;
+        std::string reply_address;
+        net::memory_reservation memory; ///< to be kept as long as the request
+    };
+
+    /// `budget` must outlive this object and everything that `take` returned.
+    explicit body_assembly(net::memory_budget& budget) : budget_(budget) {}
+
+    /// Begins to collect the body of `request`. Returns false if there is no room for it, or if the
+    /// request carries a part of the body itself, which no sender does.
+    bool begin(time_point now, request_key key, const std::string& reply_address,
+               const wire::forward& request);
+    /// Adds the next part of a body.
+    part_verdict add(request_key key, const wire::forward_part& part);
+    /// Id of the request whose body is being collected, or empty text.
+    [[nodiscard]] std::string request_id(request_key key) const;
+    /// Removes a complete request, after `add` returned `complete`.
+    std::optional<assembled> take(time_point now, request_key key);
+    /// Drops the body, if it is being collected. Returns whether it was.
+    bool cancel(request_key key);
+    /// Drops all bodies of a sender. Returns their number.
+    std::size_t drop_sender(incarnation_id sender);
+    /// Drops the bodies whose deadline has passed. Returns their number.
+    std::size_t expire(time_point now);
+
+    [[nodiscard]] std::size_t size() const { return bodies_.size(); }
+
+private:
+    struct incomplete {
+        wire::forward request;
+        std::string reply_address;
+        net::memory_reservation memory;
+        time_point aim;
+        time_point deadline;
+        std::uint64_t next_part = 0;
+    };
+
+    net::memory_budget& budget_;
+    std::map<request_key, incomplete> bodies_;
+};
+
+/// Bytes that a request takes in memory, with its head.
+std::size_t held_bytes(const wire::forward& request);
+
+} // namespace bulrushgw::sidecar
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -58,6 +58,17 @@
     return value;
 }
 
+/// The reply in place of a peer that did not get the request, or not all of it.
+wire::forward_reply unsent_reply(std::uint64_t number, const std::string& request_id)
+{
+    wire::forward_reply reply;
+    reply.number = number;
+    reply.request_id = request_id;
+    reply.outcome = wire::forward_outcome::not_run;
+    reply.reason = request::to_text(reason::peer_unreachable);
+    return reply;
+}
+
 std::string seconds_text(milliseconds time)
 {
     std::array<char, 32> text{};
@@ -71,7 +82,11 @@
 entry::entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
              std::uint64_t seed, hooks callbacks)
     : loop_(loop), settings_(std::move(settings)), protocol_(protocol), random_(seed),
-      hooks_(std::move(callbacks))
+      hooks_(std::move(callbacks)),
+      parts_({[this](const std::string& address, incarnation_id to, const wire::body& content) {
+                  return hooks_.send(address, to, content);
+              },
+              [this](std::uint64_t number) { return body_of(number); }})
 {
 }
 
@@ -274,7 +289,6 @@
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
     message.method = request.exchange.request.method;
     message.path = request.exchange.request.path;
-    message.body = request.exchange.request.body;
     for (const auto& header : request.exchange.request.headers) {
         const bool skipped =
             is_same_header_name(header.name, names.request_id) ||
@@ -304,8 +318,10 @@
     requests_by_number_[request.number] = id;
     picker_.on_sent(node);
     wire::forward message = message_for(request);
+    const std::string& body = request.exchange.request.body;
     const auto self = hooks_.self();
     if (node == self) {
+        message.body = body;
         // `run_locally` may complete synchronously. The reply is deferred, since it must not modify
         // the request that is being dispatched.
         hooks_.run_locally(
@@ -314,13 +330,35 @@
             });
         return;
     }
+    const bool in_parts = body.size() > max_single_frame_body_bytes;
+    if (in_parts) {
+        message.body_bytes = body.size();
+    }
+    else {
+        message.body = body;
+    }
     if (!hooks_.send(address, node, std::move(message))) {
-        wire::forward_reply reply;
-        reply.number = request.number;
-        reply.request_id = request.request_id;
-        reply.outcome = wire::forward_outcome::not_run;
-        reply.reason = request::to_text(reason::peer_unreachable);
-        loop_.defer([this, node, reply = std::move(reply)] { on_reply(node, reply); });
+        loop_.defer([this, node, reply = unsent_reply(request.number, request.request_id)] {
+            on_reply(node, reply);
+        });
+    }
+    else if (in_parts) {
+        parts_.begin(request.number, address, node);
+    }
+}
+
+const std::string* entry::body_of(std::uint64_t number) const
+{
+    const auto found = requests_by_number_.find(number);
+    const auto request =
+        found == requests_by_number_.end() ? pending_.end() : pending_.find(found->second);
+    return request == pending_.end() ? nullptr : &request->second.exchange.request.body;
+}
+
+void entry::stop_parts(pending_request& request)
+{
+    if (parts_.stop(request.number)) {
+        --request.sends;
     }
 }
 
@@ -370,6 +408,7 @@
         return;
     }
     request->in_flight = false;
+    parts_.stop(request->number);
     const auto now = loop_.now();
     switch (reply.outcome) {
     case wire::forward_outcome::answered:
@@ -481,7 +520,8 @@
         wire::forward_reply reply;
         reply.number = request.number;
         reply.request_id = request.request_id;
-        const bool unsent = unsent_since && request.sent >= *unsent_since;
+        const bool unsent =
+            parts_.is_sending(request.number) || (unsent_since && request.sent >= *unsent_since);
         reply.outcome = unsent ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
         reply.reason =
             request::to_text(unsent ? reason::peer_unreachable : reason::connection_lost);
@@ -499,10 +539,17 @@
     }
     for (const auto id : affected) {
         const auto found = pending_.find(id);
-        if (found == pending_.end() || !try_spend_retry(found->second)) {
+        if (found == pending_.end()) {
             continue;
         }
         auto& request = found->second;
+        if (parts_.is_sending(request.number)) {
+            on_reply(request.node, unsent_reply(request.number, request.request_id));
+            continue;
+        }
+        if (!try_spend_retry(request)) {
+            continue;
+        }
         log("repeat", request, {{"cause", "the connection lost data"}, {"sends", request.sends}});
         request.in_flight = false;
         requests_by_number_.erase(request.number);
@@ -550,10 +597,9 @@
     }
     auto& request = found->second;
     ++counters_.timed_out;
-    const bool may_have_run = request.sends > 0;
     count_timeout(request);
     cancel_sent(request);
-    if (may_have_run) {
+    if (request.sends > 0) {
         fail(request, 504, reason::deadline_sent);
     }
     else {
@@ -567,6 +613,7 @@
         return;
     }
     request.in_flight = false;
+    stop_parts(request);
     requests_by_number_.erase(request.number);
     picker_.on_end(request.node);
     const auto self = hooks_.self();
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -22,6 +22,7 @@
 #include "routing/route_index.h"
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
+#include "sidecar/part_sender.h"
 #include "sidecar/protocol.h"
 #include "wire/messages.h"
 
@@ -83,6 +84,8 @@
     /// The connection to `address` broke. If `unsent_since` has a value, the frames of that time
     /// and later were not sent. Without a value, all frames were sent.
     void on_disconnect(const std::string& address, std::optional<time_point> unsent_since);
+    /// A write of the connection to `address` ended: parts of bodies can be sent.
+    void on_drained(const std::string& address) { parts_.on_drained(address); }
     /// The connections to and from `address` lost data and were reset. Idempotent requests in
     /// flight to `address` are retried within the retry limits. Replies to the other requests may
     /// still arrive.
@@ -134,9 +137,13 @@
     void fail(pending_request& request, int status, request::reason why);
     void end(std::uint64_t id, net::http_response response);
     void cancel_sent(pending_request& request);
+    /// Sends no more parts of the body. A request with unsent parts has not run.
+    void stop_parts(pending_request& request);
+    [[nodiscard]] const std::string* body_of(std::uint64_t number) const;
     void count_timeout(const pending_request& request);
     /// Takes one retry from the service's allowance, if the request may be retried.
     bool try_spend_retry(pending_request& request);
+    /// The message without the body.
     [[nodiscard]] wire::forward message_for(const pending_request& request) const;
     /// A plain-text response that this node generates itself.
     [[nodiscard]] net::http_response make_response(const std::string& request_id, int status,
@@ -155,6 +162,7 @@
     hooks hooks_;
     std::shared_ptr<const routing::route_index> routes_;
     dispatch::target_picker picker_;
+    part_sender parts_;
     dispatch::time_spent time_spent_;
     std::map<std::string, dispatch::retry_allowance> retry_allowances_;
     std::map<std::uint64_t, pending_request> pending_;
--- /dev/null
+++ b/src/sidecar/forward_intake.cpp
@@ -0,0 +1,146 @@
+#include "sidecar/forward_intake.h"
+
+#include <memory>
+#include <utility>
+
+namespace bulrushgw::sidecar {
+
+namespace {
+
+using request::reason;
+
+/// Interval of the log line with the counts of refused and dropped bodies.
+constexpr milliseconds log_interval{2000};
+
+/// Adds the memory of a request to its completion, which the gate keeps as long as the request.
+gate::completion keep_until_done(net::memory_reservation memory, gate::completion done)
+{
+    return [held = std::make_shared<net::memory_reservation>(std::move(memory)),
+            done = std::move(done)](wire::forward_reply reply) { done(std::move(reply)); };
+}
+
+} // namespace
+
+forward_intake::forward_intake(net::memory_budget& budget, hooks callbacks)
+    : budget_(budget), hooks_(std::move(callbacks)), bodies_(budget)
+{
+}
+
+wire::forward_reply forward_intake::refusal(std::uint64_t number, const std::string& request_id,
+                                            reason why) const
+{
+    wire::forward_reply reply;
+    reply.number = number;
+    reply.request_id = request_id;
+    reply.outcome = why == reason::not_owner ? wire::forward_outcome::not_owner
+                                             : wire::forward_outcome::not_run;
+    reply.reason = request::to_text(why);
+    reply.load = static_cast<std::uint32_t>(hooks_.load());
+    return reply;
+}
+
+void forward_intake::refuse(const std::string& address, request_key key,
+                            const std::string& request_id, reason why)
+{
+    hooks_.send(address, key.first, refusal(key.second, request_id, why));
+}
+
+void forward_intake::run_local(request_key key, wire::forward request, gate::completion done)
+{
+    auto memory = net::memory_reservation::take(budget_, held_bytes(request));
+    if (!memory) {
+        ++counters_.refused;
+        done(refusal(request.number, request.request_id, reason::overloaded));
+        return;
+    }
+    hooks_.run(key, std::move(request), keep_until_done(std::move(*memory), std::move(done)));
+}
+
+void forward_intake::on_forward(const wire::frame& frame, const wire::forward& request)
+{
+    const request_key key{frame.from, request.number};
+    if (request.body_bytes > 0) {
+        if (const auto why = hooks_.expected_refusal(request)) {
+            refuse(frame.reply_address, key, request.request_id, *why);
+        }
+        else if (!bodies_.begin(hooks_.now(), key, frame.reply_address, request)) {
+            ++counters_.refused;
+            refuse(frame.reply_address, key, request.request_id, reason::overloaded);
+        }
+        return;
+    }
+    auto memory = net::memory_reservation::take(budget_, held_bytes(request));
+    if (!memory) {
+        ++counters_.refused;
+        refuse(frame.reply_address, key, request.request_id, reason::overloaded);
+        return;
+    }
+    hooks_.run_later(key, request,
+                     keep_until_done(std::move(*memory),
+                                     [this, to = frame.from,
+                                      address = frame.reply_address](wire::forward_reply reply) {
+                                         hooks_.send(address, to, std::move(reply));
+                                     }));
+}
+
+void forward_intake::on_part(const wire::frame& frame, const wire::forward_part& part)
+{
+    const request_key key{frame.from, part.number};
+    const std::string request_id = bodies_.request_id(key);
+    switch (bodies_.add(key, part)) {
+    case part_verdict::more_expected:
+    case part_verdict::not_expected:
+        return;
+    case part_verdict::invalid:
+        ++counters_.invalid;
+        refuse(frame.reply_address, key, request_id, reason::peer_unreachable);
+        return;
+    case part_verdict::complete:
+        break;
+    }
+    auto body = bodies_.take(hooks_.now(), key);
+    if (!body) {
+        return;
+    }
+    ++counters_.assembled;
+    hooks_.run_later(
+        key, std::move(body->request),
+        keep_until_done(std::move(body->memory),
+                        [this, to = frame.from,
+                         address = std::move(body->reply_address)](wire::forward_reply reply) {
+                            hooks_.send(address, to, std::move(reply));
+                        }));
+}
+
+void forward_intake::cancel(request_key key)
+{
+    if (!bodies_.cancel(key)) {
+        hooks_.cancel(key);
+    }
+}
+
+void forward_intake::on_sender_lost(incarnation_id sender)
+{
+    counters_.dropped += bodies_.drop_sender(sender);
+}
+
+void forward_intake::on_tick()
+{
+    const auto now = hooks_.now();
+    counters_.dropped += bodies_.expire(now);
+    const bool changed = counters_.refused != logged_.refused ||
+                         counters_.dropped != logged_.dropped ||
+                         counters_.invalid != logged_.invalid;
+    if (!changed || now < next_log_) {
+        return;
+    }
+    hooks_.log("bodies_lost", {{"refused", counters_.refused - logged_.refused},
+                               {"dropped", counters_.dropped - logged_.dropped},
+                               {"invalid", counters_.invalid - logged_.invalid},
+                               {"reserved_kb", budget_.used() / 1024},
+                               {"limit_kb", budget_.limit() / 1024}});
+    logged_ = counters_;
+    next_log_ = now + log_interval;
+}
+
+} // namespace bulrushgw::sidecar
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -51,6 +51,17 @@
     return key;
 }
 
+std::optional<reason> gate::refusal_for(const wire::forward& request) const
+{
+    if (watch_.status().service != request.service || !watch_.accepts(loop_.now())) {
+        return reason::no_target;
+    }
+    const bool not_owned =
+        !request.key.empty() &&
+        hooks_.may_serve(request.service, key_of(request)) == assignment::serve_verdict::not_owner;
+    return not_owned ? std::optional{reason::not_owner} : std::nullopt;
+}
+
 void gate::run(request_key key, wire::forward request, completion done)
 {
     const auto now = loop_.now();
@@ -140,15 +151,15 @@
     }
 }
 
-net::http_request gate::message_for(const active_request& entry) const
+net::http_request gate::message_for(active_request& entry) const
 {
-    const auto& request = entry.request;
+    auto& request = entry.request;
     const auto left =
         std::chrono::duration_cast<milliseconds>(entry.deadline - loop_.now()).count();
     net::http_request message;
     message.method = request.method;
     message.path = request.path;
-    message.body = request.body;
+    message.body = std::move(request.body);
     for (const auto& [name, value] : request.headers) {
         message.headers.push_back({name, value});
     }
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -51,6 +51,9 @@
     /// Runs the request as `run` does, after the events of this loop iteration, so that a `cancel`
     /// that arrived together with the request prevents the run.
     void run_later(request_key key, wire::forward request, completion done);
+    /// The reason for which the request would be refused now, whatever its load; none if it may
+    /// run.
+    [[nodiscard]] std::optional<request::reason> refusal_for(const wire::forward& request) const;
     /// Cancels the request: removes it from the queue, or closes its connection to the target.
     /// Unknown keys are ignored.
     void cancel(request_key key);
@@ -107,7 +110,8 @@
     void finish(dispatch::ticket id, wire::forward_reply reply);
     void refuse(dispatch::ticket id, request::reason why, milliseconds retry_after,
                 const std::string& cause);
-    [[nodiscard]] net::http_request message_for(const active_request& entry) const;
+    /// Moves the body of the request into the message.
+    [[nodiscard]] net::http_request message_for(active_request& entry) const;
     [[nodiscard]] wire::forward_reply reply_for(const active_request& entry,
                                                 const net::http_response& answer);
     /// True if the answer may arrive only after the exit of the process.
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -59,6 +59,10 @@
 /// Interval of the "traffic" log line.
 constexpr milliseconds traffic_interval{10000};
 constexpr double millicores_per_core = 1000;
+/// Share of the process's memory that requests may take: one in this many bytes. The others are for
+/// the process itself, copies in transit and the allocator.
+constexpr std::size_t memory_per_request_memory = 2;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
 constexpr int status_not_found = 404;
@@ -106,7 +110,8 @@
       random_(random_seed()), self_{random_() | 1},
       journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
       watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
-      store_(make_store()), gate_(make_gate()), coordination_(make_coordination()),
+      store_(make_store()), memory_(settings_.memory_mb * bytes_per_mb / memory_per_request_memory),
+      gate_(make_gate()), intake_(make_intake()), coordination_(make_coordination()),
       entry_(make_entry()), peer_check_(make_peer_check())
 {
     journal_.set_incarnation(self_);
@@ -148,6 +153,30 @@
     return {loop_, settings_.target, protocol_, watch_, std::move(hooks)};
 }
 
+forward_intake process::make_intake()
+{
+    forward_intake::hooks hooks;
+    hooks.now = [this] { return loop_.now(); };
+    hooks.run = [this](request_key key, wire::forward request, gate::completion done) {
+        gate_.run(key, std::move(request), std::move(done));
+    };
+    hooks.run_later = [this](request_key key, wire::forward request, gate::completion done) {
+        gate_.run_later(key, std::move(request), std::move(done));
+    };
+    hooks.cancel = [this](request_key key) { gate_.cancel(key); };
+    hooks.expected_refusal = [this](const wire::forward& request) {
+        return gate_.refusal_for(request);
+    };
+    hooks.load = [this] { return gate_.load(); };
+    hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
+        send(address, to, content);
+    };
+    hooks.log = [this](std::string_view event, const journal::fields& details) {
+        log(event, details);
+    };
+    return {memory_, std::move(hooks)};
+}
+
 coordination process::make_coordination()
 {
     coordination::hooks hooks;
@@ -192,12 +221,12 @@
         return send(address, to, content);
     };
     hooks.run_locally = [this](request_key key, wire::forward request, gate::completion done) {
-        gate_.run(key, std::move(request), std::move(done));
+        intake_.run_local(key, std::move(request), std::move(done));
     };
     hooks.on_keyed_request = [this](const std::string& service, std::uint32_t key) {
         coordination_.on_keyed_request(service, key);
     };
-    hooks.cancel_locally = [this](request_key key) { gate_.cancel(key); };
+    hooks.cancel_locally = [this](request_key key) { intake_.cancel(key); };
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
@@ -240,6 +269,8 @@
             entry_.on_disconnect(address, unsent_since);
         },
         make_peer_limits(protocol_));
+    transport_->set_flow_hooks([this](const std::string& address) { entry_.on_drained(address); },
+                               [this](incarnation_id peer) { intake_.on_sender_lost(peer); });
     net::http_server_limits limits;
     limits.request_timeout = default_idle_timeout;
     limits.max_connections = settings_.descriptors - reserved_descriptors;
@@ -272,10 +303,11 @@
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
             gauges.requests_ignored = request_server_->abandoned_requests();
-            exchange.respond(
-                {status_ok,
-                 {{"content-type", "text/plain; version=0.0.4"}},
-                 metrics_.text(entry_.counters(), gauges) + traffic_text(transport_->counters())});
+            exchange.respond({status_ok,
+                              {{"content-type", "text/plain; version=0.0.4"}},
+                              metrics_.text(entry_.counters(), gauges) +
+                                  intake_text(intake_, memory_) +
+                                  traffic_text(transport_->counters())});
         });
 }
 
@@ -366,14 +398,17 @@
     if (frame.to && frame.to != self_ && !std::holds_alternative<wire::forward>(frame.content)) {
         return;
     }
-    if (const auto* request = std::get_if<wire::forward>(&frame.content)) {
+    if (const auto* part = std::get_if<wire::forward_part>(&frame.content)) {
+        intake_.on_part(frame, *part);
+    }
+    else if (const auto* request = std::get_if<wire::forward>(&frame.content)) {
         on_forward(frame, *request);
     }
     else if (const auto* reply = std::get_if<wire::forward_reply>(&frame.content)) {
         entry_.on_reply(frame.from, *reply);
     }
     else if (const auto* cancel = std::get_if<wire::cancel>(&frame.content)) {
-        gate_.cancel({frame.from, cancel->number});
+        intake_.cancel({frame.from, cancel->number});
     }
     else if (const auto* report = std::get_if<assignment::report>(&frame.content)) {
         coordination_.on_report(frame, *report);
@@ -435,11 +470,7 @@
             {frame.to, frame.from, net::to_string(settings_.addresses.announced), reply});
         return;
     }
-    // After a pause of this process, or of the connection, a request may arrive together with its
-    // cancellation.
-    gate_.run_later({frame.from, request.number}, request,
-                    [this, to = frame.from, address = frame.reply_address](
-                        wire::forward_reply reply) { send(address, to, std::move(reply)); });
+    intake_.on_forward(frame, request);
 }
 
 void process::on_control(const net::http_exchange& exchange)
@@ -658,6 +689,7 @@
     on_target_changed();
     check_target();
     gate_.on_tick();
+    intake_.on_tick();
     peer_check_.on_tick();
     coordination_.set_mean_work(gate_.mean_work());
     coordination_.on_tick();
@@ -719,7 +751,7 @@
     if (elapsed >= settings_.bounds.grace / stop_accept_divisor) {
         entry_.close();
     }
-    const bool idle = entry_.pending() == 0 && gate_.active() == 0 &&
+    const bool idle = entry_.pending() == 0 && gate_.active() == 0 && intake_.incomplete() == 0 &&
                       now - last_request_ >= stop_idle_time &&
                       coordination_.member().holds_no_keys(now);
     if (elapsed >= min_stop_time && idle && !closing_since_) {
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -12,9 +12,11 @@
 
 #include "net/http.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "net/peer_transport.h"
 #include "sidecar/coordination.h"
 #include "sidecar/entry.h"
+#include "sidecar/forward_intake.h"
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
 #include "sidecar/peer_check.h"
@@ -40,6 +42,7 @@
 private:
     store_session make_store();
     gate make_gate();
+    forward_intake make_intake();
     coordination make_coordination();
     entry make_entry();
     peer_check make_peer_check();
@@ -80,7 +83,9 @@
     sidecar_metrics metrics_;
     target_watch watch_;
     store_session store_;
+    net::memory_budget memory_;
     gate gate_;
+    forward_intake intake_;
     coordination coordination_;
     entry entry_;
     peer_check peer_check_;
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -14,6 +14,9 @@
 /// Minimum for files, the store, the target, peers and a few clients.
 constexpr double min_descriptors = 600;
 
+/// Minimum for the process itself, with some room for requests.
+constexpr double min_memory_mb = 32;
+
 /// Looks fields up by their path, such as "bounds.drain_ms".
 class field_reader {
 public:
@@ -118,6 +121,9 @@
     result.addresses.metrics = fields.address("addresses.metrics");
     result.descriptors = static_cast<std::size_t>(fields.number("descriptors", min_descriptors));
     result.processor_share = fields.number("processor_share", 0);
+    if (fields.has("memory_mb")) {
+        result.memory_mb = static_cast<std::size_t>(fields.number("memory_mb", min_memory_mb));
+    }
     result.bounds.drain = fields.time_ms("bounds.drain_ms");
     result.bounds.grace = fields.time_s("bounds.grace_s");
     result.bounds.longest_hold = fields.time_ms("bounds.longest_hold_ms");
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -45,6 +45,7 @@
     sidecar_bounds bounds;
     std::size_t descriptors = 0; ///< limit on open file descriptors of this process
     double processor_share = 0;  ///< CPU limit of this process, in cores
+    std::size_t memory_mb = 256; ///< memory limit of this process
     assignment::timing times;
 };
 
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -70,6 +70,19 @@
     return out.str() + answer_time.text("bulrushgw_answer_seconds");
 }
 
+std::string intake_text(const forward_intake& intake, const net::memory_budget& budget)
+{
+    std::ostringstream out;
+    const auto& counters = intake.counters();
+    write_metric(out, "intake_refused_total", "counter", counters.refused);
+    write_metric(out, "bodies_assembled_total", "counter", counters.assembled);
+    write_metric(out, "bodies_dropped_total", "counter", counters.dropped);
+    write_metric(out, "bodies_invalid_total", "counter", counters.invalid);
+    write_metric(out, "bodies_incomplete", "gauge", intake.incomplete());
+    write_metric(out, "memory_reserved_bytes", "gauge", budget.used());
+    return out.str();
+}
+
 std::string traffic_text(const net::peer_counters& counters)
 {
     std::ostringstream out;
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -9,6 +9,7 @@
 #include "common/boot_clock.h"
 #include "net/peer_transport.h"
 #include "sidecar/entry.h"
+#include "sidecar/forward_intake.h"
 
 namespace bulrushgw::sidecar {
 
@@ -50,6 +51,10 @@
                                    const sidecar_gauges& gauges) const;
 };
 
+/// The metrics of the requests for the target on this host, and of the memory that they take.
+[[nodiscard]] std::string intake_text(const forward_intake& intake,
+                                      const net::memory_budget& budget);
+
 /// The metrics of the data sent to other nodes: bytes in total, frames and bytes by message type.
 [[nodiscard]] std::string traffic_text(const net::peer_counters& counters);
 
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -159,7 +159,8 @@
         "directory",         "lead_request",
         "no_replies",        "probe",
         "probe_reply",       "confirm_request",
-        "leadership_notice", "leadership_transfer"};
+        "leadership_notice", "leadership_transfer",
+        "forward_part"};
     return names.at(index);
 }
 
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -46,7 +46,9 @@
 BULRUSHGW_FIELDS(ownership::digest, m.members, m.placements, m.certificates, m.adoptions, m.rules,
                  m.reply_wanted, m.requests_per_second)
 BULRUSHGW_FIELDS(forward, m.number, m.service, m.route, m.range, m.key, m.request_id, m.attempt,
-                 m.idempotent, m.worth, m.deadline, m.aim, m.method, m.path, m.headers, m.body)
+                 m.idempotent, m.worth, m.deadline, m.aim, m.method, m.path, m.headers, m.body,
+                 m.body_bytes)
+BULRUSHGW_FIELDS(forward_part, m.number, m.index, m.bytes)
 BULRUSHGW_FIELDS(forward_reply, m.number, m.request_id, m.outcome, m.reason, m.version, m.load,
                  m.retry_after, m.status, m.headers, m.body)
 BULRUSHGW_FIELDS(cancel, m.number)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -34,7 +34,7 @@
     using frame_error::frame_error;
 };
 
-inline constexpr std::uint8_t protocol_version = 5;
+inline constexpr std::uint8_t protocol_version = 6;
 /// Size of the length prefix of each frame.
 inline constexpr std::size_t length_bytes = 4;
 /// Upper bound on the bytes of a frame after its length prefix.
@@ -67,6 +67,17 @@
     std::string path;
     header_pairs headers;
     std::string body;
+    /// Size of the body, if it follows in `forward_part` messages; `body` is then empty. 0: the
+    /// request is complete.
+    std::uint64_t body_bytes = 0;
+};
+
+/// A part of the body of the `forward` with this number, after that message. The body is the sum of
+/// its parts in the order of their indexes.
+struct forward_part {
+    std::uint64_t number = 0;
+    std::uint64_t index = 0; ///< from 0, without gaps
+    std::string bytes;
 };
 
 enum class forward_outcome : std::uint8_t { answered, not_run, unknown, not_owner };
@@ -129,7 +140,7 @@
                  protocol_failure, assignment::report, assignment::report_reply,
                  assignment::leader_hint, assignment::directory_update, assignment::lead_request,
                  no_replies, probe, probe_reply, assignment::confirm_request,
-                 assignment::leadership_notice, assignment::leadership_transfer>;
+                 assignment::leadership_notice, assignment::leadership_transfer, forward_part>;
 
 /// A message with its sender and receiver. `to` is none if the sender knows only the address. If
 /// `to` is another incarnation than that of the receiver, the receiver drops the frame, but answers
--- a/tests/net/peer_transport_test.cpp
+++ b/tests/net/peer_transport_test.cpp
@@ -1,3 +1,4 @@
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -277,3 +278,69 @@
     CHECK(a.send(b.at(), wire::cancel{2}));
     CHECK(loop.run_until([&] { return !b.frames.empty(); }, wait_limit));
 }
+
+// Guards against a sender of much data that is not told when the connection takes more, against a
+// frame that is lost or changed because it was written in several pieces, and against a write so
+// large that it counts as stalled on a slow link.
+TEST(peer_transport, large_queue_is_written_in_pieces_and_reported_when_drained)
+{
+    constexpr std::uint64_t count = 3;
+    int drained = 0;
+    a.transport->set_flow_hooks(
+        [&](const std::string& address) {
+            STRCMP_EQUAL(b.at().c_str(), address.c_str());
+            ++drained;
+        },
+        {});
+    for (std::uint64_t i = 0; i < count; ++i) {
+        CHECK(a.send(b.at(), wire::forward_part{1, i, std::string(900000, char('a' + i))}));
+    }
+    CHECK(wait_until([&] { return b.frames.size() == count && drained > 0; }));
+    for (std::uint64_t i = 0; i < count; ++i) {
+        const auto& part = std::get<wire::forward_part>(b.frames[i].content);
+        LONGS_EQUAL(i, part.index);
+        CHECK(part.bytes == std::string(900000, char('a' + i)));
+    }
+    const auto& counters = a.transport->counters();
+    CHECK(counters.writes > count * 900000 / peer_limits{}.max_write_bytes);
+    CHECK(wait_until([&] { return counters.frames_sent == count; }));
+    // The last three writes: with a write's bytes in the queue, with an empty queue, and the last.
+    CHECK(drained <= 3);
+}
+
+// Guards against bodies in parts that are kept although the node that was sending them has gone.
+TEST(peer_transport, loss_of_a_sender_is_reported)
+{
+    std::vector<std::uint64_t> lost;
+    b.transport->set_flow_hooks({}, [&](incarnation_id peer) { lost.push_back(peer.value); });
+    CHECK(a.send(b.at(), wire::cancel{1}));
+    CHECK(wait_until([&] { return b.frames.size() == 1; }));
+    LONGS_EQUAL(0, lost.size());
+    a.transport.reset();
+    CHECK(wait_until([&] { return lost.size() == 1; }));
+    LONGS_EQUAL(1, lost[0]);
+}
+
+// Guards against memory without a bound for frames whose rest never arrives, and against a peer
+// that can no longer be heard because of them.
+TEST(peer_transport, unfinished_frames_share_a_bound)
+{
+    constexpr std::size_t count = 40;
+    constexpr std::size_t frame_bytes = 60000;
+    peer_limits limits;
+    limits.max_unfinished_bytes = 10 * frame_bytes;
+    recording_peer limited;
+    limited.open(loop, any_port, limits);
+    const auto frame = wire::encode(
+        {{7}, {2}, "127.0.0.1:1", wire::forward_part{1, 0, std::string(frame_bytes, 'a')}});
+    std::vector<std::unique_ptr<test::raw_client>> crowd;
+    for (std::size_t i = 0; i < count; ++i) {
+        crowd.push_back(std::make_unique<test::raw_client>(limited.transport->address()));
+        crowd.back()->send(frame.substr(0, frame.size() - 1));
+    }
+    const auto& counters = limited.transport->counters();
+    CHECK(wait_until([&] { return counters.unfinished_closed >= count / 2; }));
+    CHECK(a.send(limited.at(), wire::cancel{1}));
+    CHECK(wait_until([&] { return limited.frames.size() == 1; }));
+    CHECK(counters.unfinished_closed < count);
+}
--- /dev/null
+++ b/tests/sidecar/body_assembly_test.cpp
@@ -0,0 +1,110 @@
+#include "sidecar/body_assembly.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::sidecar;
+
+namespace {
+
+constexpr incarnation_id sender{2};
+constexpr std::size_t budget_bytes = 100000;
+constexpr std::size_t body_bytes = 30000;
+
+wire::forward request_for(std::uint64_t number)
+{
+    wire::forward result;
+    result.number = number;
+    result.deadline = milliseconds{1000};
+    result.aim = milliseconds{300};
+    result.body_bytes = body_bytes;
+    return result;
+}
+
+} // namespace
+
+// Bodies of 30,000 bytes in parts of 10,000, and a budget for three of them.
+TEST_GROUP(body_assembly)
+{
+    net::memory_budget budget{budget_bytes};
+    time_point now{std::chrono::hours{1}};
+    body_assembly tested{budget};
+
+    bool begin(std::uint64_t number)
+    {
+        return tested.begin(now, {sender, number}, "n2", request_for(number));
+    }
+    part_verdict add(std::uint64_t number, std::uint64_t index, std::size_t size = 10000)
+    {
+        return tested.add({sender, number},
+                          {number, index, std::string(size, static_cast<char>('a' + index))});
+    }
+};
+
+// Guards against a body that reaches the target changed, a deadline that starts again with the last
+// part, and memory that is not released with the request.
+TEST(body_assembly, complete_body_is_the_sum_of_its_parts)
+{
+    CHECK(begin(1));
+    CHECK(add(1, 0) == part_verdict::more_expected);
+    CHECK_FALSE(tested.take(now, {sender, 1}).has_value());
+    CHECK(add(1, 1) == part_verdict::more_expected);
+    now += milliseconds{400};
+    CHECK(add(1, 2) == part_verdict::complete);
+    {
+        const auto body = tested.take(now, {sender, 1});
+        CHECK(body.has_value());
+        CHECK(body->request.body ==
+              std::string(10000, 'a') + std::string(10000, 'b') + std::string(10000, 'c'));
+        STRCMP_EQUAL("n2", body->reply_address.c_str());
+        LONGS_EQUAL(600, body->request.deadline.count());
+        LONGS_EQUAL(0, body->request.aim.count());
+        CHECK(budget.used() > body_bytes);
+    }
+    LONGS_EQUAL(0, budget.used());
+}
+
+// Guards against a request that runs with a part of its body, after a part was lost, repeated or
+// too long, and against memory that a dropped body keeps.
+TEST(body_assembly, body_with_a_wrong_part_is_dropped)
+{
+    const auto fails = [&](std::uint64_t number, std::uint64_t index, std::size_t size) {
+        CHECK(begin(number));
+        CHECK(add(number, 0) == part_verdict::more_expected);
+        CHECK(add(number, index, size) == part_verdict::invalid);
+        CHECK(add(number, 1) == part_verdict::not_expected);
+        CHECK_FALSE(tested.take(now, {sender, number}).has_value());
+    };
+    fails(1, 2, 10000);
+    fails(2, 0, 10000);
+    fails(3, 1, 20001);
+    fails(4, 1, 0);
+    LONGS_EQUAL(0, budget.used());
+}
+
+// Guards against more memory than the budget for bodies that only announce their size, and against
+// a refusal that ends the bodies which had room.
+TEST(body_assembly, body_without_room_is_refused)
+{
+    CHECK(begin(1) && begin(2) && begin(3));
+    CHECK_FALSE(begin(4));
+    auto endless = request_for(5);
+    endless.body_bytes = ~std::uint64_t{0};
+    CHECK_FALSE(tested.begin(now, {sender, 5}, "n2", endless));
+    CHECK(add(3, 0) == part_verdict::more_expected);
+    CHECK(tested.cancel({sender, 1}));
+    CHECK(begin(4));
+}
+
+// Guards against bodies that stay in memory after their sender has gone or their time is over.
+TEST(body_assembly, bodies_that_nobody_waits_for_are_dropped)
+{
+    CHECK(begin(1) && begin(2));
+    CHECK(tested.begin(now, {incarnation_id{3}, 1}, "n3", request_for(1)));
+    LONGS_EQUAL(2, tested.drop_sender(sender));
+    LONGS_EQUAL(0, tested.expire(now + milliseconds{999}));
+    LONGS_EQUAL(1, tested.expire(now + milliseconds{1000}));
+    LONGS_EQUAL(0, budget.used());
+}
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -117,7 +117,7 @@
     }
 
     std::shared_ptr<client> call(const std::string& path, milliseconds left,
-                                 const std::string& id = "r-1")
+                                 const std::string& id = "r-1", const std::string& body = "")
     {
         auto result = std::make_shared<client>();
         net::http_exchange exchange;
@@ -125,7 +125,7 @@
             "GET",
             path,
             {{"host", "h"}, {"x-id", id}, {"x-left", std::to_string(left.count())}, {"x-key", "7"}},
-            ""};
+            body};
         exchange.respond = [result](net::http_response response) {
             result->answer = std::move(response);
         };
@@ -151,6 +151,16 @@
         }
         return count;
     }
+    /// The parts that were sent of the body of a message.
+    std::string parts_of(const wire::forward& message) const
+    {
+        std::string result;
+        for (const auto& [to, content] : sent) {
+            const auto* part = std::get_if<wire::forward_part>(&content);
+            result += part != nullptr && part->number == message.number ? part->bytes : "";
+        }
+        return result;
+    }
     void reply(incarnation_id from, const wire::forward& to, int status)
     {
         wire::forward_reply answer;
@@ -219,6 +229,43 @@
     LONGS_EQUAL(200, never_sent->answer->status);
 }
 
+// Guards against a large body that is sent in one frame or not in full, and against a request that
+// is given up, or reported as possibly run, although its connection broke before the whole body was
+// sent.
+TEST(entry, request_with_unsent_parts_is_sent_again)
+{
+    const std::string body(2 * max_single_frame_body_bytes, 'b');
+    const auto caller = call("/keyed-write/a", milliseconds{2000}, "r-1", body);
+    const auto first = last_forward();
+    LONGS_EQUAL(body.size(), first.body_bytes);
+    LONGS_EQUAL(0, first.body.size());
+    tested_entry->on_drained("n2");
+    CHECK(parts_of(first).size() < body.size());
+    tested_entry->on_disconnect("n2", std::nullopt);
+    CHECK_FALSE(caller->answer.has_value());
+    tested_entry->on_tick();
+    LONGS_EQUAL(2, forwards());
+    for (std::size_t i = 0; i < body.size() / body_part_bytes; ++i) {
+        tested_entry->on_drained("n2");
+    }
+    CHECK(parts_of(last_forward()) == body);
+    CHECK(parts_of(first).size() < body.size());
+    tested_entry->on_disconnect("n2", std::nullopt);
+    LONGS_EQUAL(502,
+                caller->answer->status); // the whole body was sent, so the request may have run
+}
+
+// Guards against a request that is reported as possibly run although its time was over before its
+// whole body was sent, and against a peer that is not told to drop the body.
+TEST(entry, deadline_before_the_last_part_is_a_refusal)
+{
+    const auto caller = call("/keyed-write/a", milliseconds{20}, "r-1",
+                             std::string(2 * max_single_frame_body_bytes, 'b'));
+    CHECK(loop.run_until([&] { return caller->answer.has_value(); }, milliseconds{1000}));
+    LONGS_EQUAL(503, caller->answer->status);
+    CHECK(std::holds_alternative<wire::cancel>(sent.back().second));
+}
+
 // Guards against a caller that gets the answer to another request or from another node.
 TEST(entry, reply_that_matches_no_request_is_dropped)
 {
--- /dev/null
+++ b/tests/sidecar/forward_intake_test.cpp
@@ -0,0 +1,171 @@
+#include "sidecar/forward_intake.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace bulrushgw;
+using namespace bulrushgw::sidecar;
+
+namespace {
+
+constexpr incarnation_id self{1};
+constexpr incarnation_id sender{2};
+constexpr std::size_t budget_bytes = 100000;
+
+} // namespace
+
+// An intake with a budget of 100,000 bytes. `running` holds the requests that the gate has.
+TEST_GROUP(forward_intake)
+{
+    time_point now{std::chrono::hours{1}};
+    net::memory_budget budget{budget_bytes};
+    std::map<request_key, std::pair<wire::forward, gate::completion>> running;
+    std::vector<wire::forward_reply> replies;
+    std::vector<std::string> events;
+    std::unique_ptr<forward_intake> tested;
+
+    void setup() override
+    {
+        forward_intake::hooks hooks;
+        hooks.now = [this] { return now; };
+        hooks.run = [this](request_key key, wire::forward request, gate::completion done) {
+            running[key] = {std::move(request), std::move(done)};
+        };
+        hooks.run_later = hooks.run;
+        hooks.cancel = [this](request_key key) { running.erase(key); };
+        hooks.load = [this] { return running.size(); };
+        hooks.expected_refusal = [](const wire::forward& request) {
+            return request.key == "lost" ? std::optional{request::reason::not_owner} : std::nullopt;
+        };
+        hooks.send = [this](const std::string&, incarnation_id, const wire::body& content) {
+            replies.push_back(std::get<wire::forward_reply>(content));
+        };
+        hooks.log = [this](std::string_view event, const journal::fields&) {
+            events.emplace_back(event);
+        };
+        tested = std::make_unique<forward_intake>(budget, std::move(hooks));
+    }
+    void teardown() override
+    {
+        running.clear();
+        tested.reset();
+    }
+
+    wire::forward request_for(std::uint64_t number, std::size_t body, std::size_t in_parts = 0)
+    {
+        wire::forward result;
+        result.number = number;
+        result.request_id = "r-" + std::to_string(number);
+        result.deadline = milliseconds{1000};
+        result.body.assign(body, 'a');
+        result.body_bytes = in_parts;
+        return result;
+    }
+    void receive(const wire::forward& request)
+    {
+        tested->on_forward({sender, self, "n2", request}, request);
+    }
+    void receive_part(std::uint64_t number, std::uint64_t index, std::size_t size)
+    {
+        const wire::forward_part part{number, index, std::string(size, 'b')};
+        tested->on_part({sender, self, "n2", part}, part);
+    }
+    void finish(request_key key)
+    {
+        auto node = running.extract(key);
+        wire::forward_reply reply;
+        reply.number = key.second;
+        reply.outcome = wire::forward_outcome::answered;
+        node.mapped().second(std::move(reply));
+    }
+};
+
+// Guards against more memory than the budget for the requests at the gate, and against a request
+// without room that is not refused as not run at once, or that takes the room of others.
+TEST(forward_intake, requests_without_room_are_refused)
+{
+    receive(request_for(1, 40000));
+    tested->run_local({self, 1}, request_for(1, 40000), [](const wire::forward_reply&) {});
+    LONGS_EQUAL(2, running.size());
+    receive(request_for(2, 40000));
+    receive(request_for(3, 0, 40000));
+    bool refused = false;
+    tested->run_local({self, 2}, request_for(2, 40000), [&](const wire::forward_reply& reply) {
+        refused = reply.outcome == wire::forward_outcome::not_run;
+    });
+    CHECK(refused);
+    LONGS_EQUAL(2, replies.size());
+    for (const auto& reply : replies) {
+        CHECK(reply.outcome == wire::forward_outcome::not_run);
+        STRCMP_EQUAL("overloaded", reply.reason.c_str());
+    }
+    LONGS_EQUAL(3, tested->counters().refused);
+    tested->on_tick();
+    tested->on_tick();
+    LONGS_EQUAL(1, events.size());
+    finish({sender, 1});
+    tested->cancel({self, 1});
+    LONGS_EQUAL(0, budget.used());
+}
+
+// Guards against a body in parts that does not run when it is complete, runs after its
+// cancellation, or keeps its memory after the answer.
+TEST(forward_intake, body_in_parts_runs_once_complete)
+{
+    receive(request_for(1, 0, 30000));
+    receive(request_for(2, 0, 30000));
+    receive_part(1, 0, 20000);
+    receive_part(2, 0, 20000);
+    LONGS_EQUAL(0, running.size());
+    tested->cancel({sender, 2});
+    receive_part(1, 1, 10000);
+    receive_part(2, 1, 10000);
+    LONGS_EQUAL(1, running.size());
+    LONGS_EQUAL(30000, running.at({sender, 1}).first.body.size());
+    finish({sender, 1});
+    LONGS_EQUAL(1, replies.size());
+    LONGS_EQUAL(0, budget.used());
+}
+
+// Guards against a sender that waits until the deadline for the answer to a body whose part was
+// lost.
+TEST(forward_intake, body_with_a_missing_part_is_refused)
+{
+    receive(request_for(1, 0, 30000));
+    receive_part(1, 1, 10000);
+    LONGS_EQUAL(1, replies.size());
+    CHECK(replies[0].outcome == wire::forward_outcome::not_run);
+    STRCMP_EQUAL("r-1", replies[0].request_id.c_str());
+    receive_part(1, 2, 10000);
+    LONGS_EQUAL(1, replies.size());
+}
+
+// Guards against a large body that is received in full although its target is known to refuse it.
+TEST(forward_intake, body_that_the_target_would_refuse_is_refused_before_its_parts)
+{
+    auto request = request_for(1, 0, 30000);
+    request.key = "lost";
+    receive(request);
+    LONGS_EQUAL(1, replies.size());
+    CHECK(replies[0].outcome == wire::forward_outcome::not_owner);
+    LONGS_EQUAL(0, tested->incomplete());
+}
+
+// Guards against bodies that are kept after their sender has gone or their deadline has passed.
+TEST(forward_intake, abandoned_bodies_are_dropped)
+{
+    receive(request_for(1, 0, 30000));
+    tested->on_sender_lost(sender);
+    LONGS_EQUAL(0, budget.used());
+    receive(request_for(2, 0, 30000));
+    now += milliseconds{1000};
+    tested->on_tick();
+    LONGS_EQUAL(0, budget.used());
+    LONGS_EQUAL(2, tested->counters().dropped);
+}
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -138,7 +138,8 @@
                 "POST",
                 "/moulds/7",
                 {{"accept", "*/*"}, {"x", ""}},
-                std::string(300, '\0')},
+                std::string(300, '\0'),
+                0},
         forward_reply{1,
                       "r-1",
                       forward_outcome::not_owner,
@@ -164,6 +165,7 @@
         assignment::confirm_request{3, 1700},
         assignment::leadership_notice{3, 1, first, "127.0.0.1:7002", 1700},
         sample_transfer(),
+        forward_part{1, 2, std::string(300, '\1')},
     };
     std::vector<frame> result;
     for (const auto& content : contents) {
