Share the body between the entry and its own target

A request to the target on the entry's own host was copied once for the gate and once for the HTTP client, so a body of 64 MiB took three times its size.

The entry keeps the body in a shared text, which the gate and the HTTP client use as it is. The copy in the gate's budget is gone with it.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -185,10 +185,14 @@
     /// The call ends as `malformed` and its
     /// connection is closed if `accept_head` refuses or throws, skips a third response, or skips a
     /// response that ends only when the connection is closed.
-    call_id send(
-        const endpoint& address, http_request request, milliseconds timeout, callback on_result,
-        std::function<bool()> before_write = {},
-        std::function<head_verdict(const http_response&, bool is_new_connection)> accept_head = {});
+    ///
+    /// `shared_body`, if set, is the body in place of `request.body`. It must not change before the
+    /// call has ended.
+    call_id
+    send(const endpoint& address, http_request request, milliseconds timeout, callback on_result,
+         std::function<bool()> before_write = {},
+         std::function<head_verdict(const http_response&, bool is_new_connection)> accept_head = {},
+         std::shared_ptr<const std::string> shared_body = {});
     /// Ends the call and closes its connection, which cancels the request at the server. Does
     /// nothing if the call has ended, or within its `before_write`.
     void cancel(call_id call);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -50,7 +50,8 @@
 }
 
 /// The request without its body.
-std::string serialize_head(const endpoint& address, const http_request& request)
+std::string serialize_head(const endpoint& address, const http_request& request,
+                           std::size_t body_bytes)
 {
     std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
     if (!find_header(request.headers, "host")) {
@@ -61,7 +62,7 @@
             head += entry.name + ": " + entry.value + "\r\n";
         }
     }
-    return head + "content-length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+    return head + "content-length: " + std::to_string(body_bytes) + "\r\n\r\n";
 }
 
 std::string lower_case(std::string text)
@@ -103,7 +104,8 @@
         http_parser parser{};
         call* current_call = nullptr; ///< null while idle
         std::string written_head;     ///< h2o keeps a pointer to its bytes until the write ends
-        std::string written_body;     ///< h2o keeps a pointer to its bytes until the write ends
+        /// h2o keeps a pointer to its bytes until the write ends.
+        std::shared_ptr<const std::string> written_body;
         bool write_pending = false;
         bool reused = false; ///< an earlier call received its response on this connection
         time_point idle_since{};
@@ -126,7 +128,7 @@
         destination* dest = nullptr;
         connection* conn = nullptr;
         std::string request_head;
-        std::string request_body;
+        std::shared_ptr<const std::string> request_body;
         bool head_only = false;
         phase current_phase = phase::waiting;
         bool in_before_write = false;
@@ -326,8 +328,8 @@
     conn.write_pending = true;
     std::array<h2o_iovec_t, 2> buffers{
         h2o_iovec_init(conn.written_head.data(), conn.written_head.size()),
-        h2o_iovec_init(conn.written_body.data(), conn.written_body.size())};
-    const std::size_t count = conn.written_body.empty() ? 1 : buffers.size();
+        h2o_iovec_init(conn.written_body->data(), conn.written_body->size())};
+    const std::size_t count = conn.written_body->empty() ? 1 : buffers.size();
     h2o_socket_write(conn.socket, buffers.data(), count, on_written);
     h2o_socket_read_start(conn.socket, on_readable);
 }
@@ -337,7 +339,7 @@
     auto& conn = *static_cast<connection*>(socket->data);
     conn.write_pending = false;
     // A body is not kept while the server works on the request, or while the connection is idle.
-    conn.written_body = {};
+    conn.written_body.reset();
     // The connection of an active call is kept after a failed write, because the server may have
     // sent a response before it closed the connection.
     if (failure != nullptr && conn.current_call == nullptr) {
@@ -591,7 +593,8 @@
 http_client::call_id
 http_client::send(const endpoint& address, http_request request, milliseconds timeout,
                   callback on_result, std::function<bool()> before_write,
-                  std::function<head_verdict(const http_response&, bool)> accept_head)
+                  std::function<head_verdict(const http_response&, bool)> accept_head,
+                  std::shared_ptr<const std::string> shared_body)
 {
     auto& self = *state_;
     auto& dest = self.find_or_add_destination(address);
@@ -610,8 +613,9 @@
         self.fail(entry, http_failure::not_sent);
         return id;
     }
-    entry.request_head = serialize_head(address, request);
-    entry.request_body = std::move(request.body);
+    entry.request_body = shared_body ? std::move(shared_body)
+                                     : std::make_shared<const std::string>(std::move(request.body));
+    entry.request_head = serialize_head(address, request, entry.request_body->size());
     entry.timer = self.event_loop.after(timeout, [&self, id] {
         const auto found = self.calls.find(id);
         if (found != self.calls.end()) {
--- a/src/sidecar/body_assembly.h
+++ b/src/sidecar/body_assembly.h
@@ -75,7 +75,7 @@
     std::map<request_key, incomplete> bodies_;
 };
 
-/// Bytes that a request takes in memory, with its head.
+/// Bytes that a request takes in memory, with its head. A shared body counts with its owner.
 std::size_t held_bytes(const wire::forward& request);
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -195,6 +195,7 @@
         request.key = key;
         hooks_.on_keyed_request(request.service, *key);
     }
+    request.body = std::make_shared<const std::string>(std::move(exchange.request.body));
     request.exchange = std::move(exchange);
     const std::uint64_t id = request.id;
     if (request.exchange.on_cancel) {
@@ -318,10 +319,10 @@
     requests_by_number_[request.number] = id;
     picker_.on_sent(node);
     wire::forward message = message_for(request);
-    const std::string& body = request.exchange.request.body;
+    const std::string& body = *request.body;
     const auto self = hooks_.self();
     if (node == self) {
-        message.body = body;
+        message.shared_body = request.body;
         // `run_locally` may complete synchronously. The reply is deferred, since it must not modify
         // the request that is being dispatched.
         hooks_.run_locally(
@@ -352,7 +353,7 @@
     const auto found = requests_by_number_.find(number);
     const auto request =
         found == requests_by_number_.end() ? pending_.end() : pending_.find(found->second);
-    return request == pending_.end() ? nullptr : &request->second.exchange.request.body;
+    return request == pending_.end() ? nullptr : request->second.body.get();
 }
 
 void entry::stop_parts(pending_request& request)
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -101,7 +101,8 @@
 private:
     struct pending_request {
         std::uint64_t id = 0;
-        net::http_exchange exchange;
+        net::http_exchange exchange; ///< without the body
+        std::shared_ptr<const std::string> body;
         routing::route route;
         std::string service;
         bool sharded = false;
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -198,7 +198,8 @@
         [this, expected = request.request_id](const net::http_response& head,
                                               bool is_new_connection) {
             return judge_head(protocol_.names, head, expected, is_new_connection);
-        });
+        },
+        request.shared_body);
 }
 
 wire::forward_reply gate::reply_for(const active_request& entry, const net::http_response& answer)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -70,6 +71,9 @@
     /// Size of the body, if it follows in `forward_part` messages; `body` is then empty. 0: the
     /// request is complete.
     std::uint64_t body_bytes = 0;
+    /// Not sent: the body of a request that stays in this process, in place of `body`. It avoids a
+    /// copy while the entry keeps the body for a repetition.
+    std::shared_ptr<const std::string> shared_body{};
 };
 
 /// A part of the body of the `forward` with this number, after that message. The body is the sum of
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -245,3 +245,30 @@
     CHECK(watch->status().phase == assignment::target_phase::absent);
     CHECK(watch->needs_check(loop.now()));
 }
+
+// Guards against a body that does not reach the target, whether the request brings it along or the
+// entry of this process keeps it.
+TEST(gate, body_reaches_the_target)
+{
+    std::vector<std::string> bodies;
+    answer_override = [&](const net::http_exchange& exchange) {
+        bodies.push_back(exchange.request.body);
+        exchange.drop();
+    };
+    for (std::uint64_t number = 1; number <= 2; ++number) {
+        auto request = request_for(number);
+        if (number == 1) {
+            request.body.assign(100000, 'a');
+        }
+        else {
+            request.shared_body = std::make_shared<const std::string>(100000, 'a');
+        }
+        tested_gate->run({incarnation_id{9}, number}, request,
+                         [this](const wire::forward_reply& reply) { replies.push_back(reply); });
+    }
+    wait_for(2);
+    for (const auto& body : bodies) {
+        CHECK(body == std::string(100000, 'a'));
+    }
+    LONGS_EQUAL(2, bodies.size());
+}
