--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -378,6 +378,9 @@
     journal::fields line{{"bytes_sent", counters.bytes_sent},
                          {"connects", counters.connects},
                          {"writes", counters.writes}};
+    if (counters.unfinished_closed > 0) {
+        line["unfinished_closed"] = counters.unfinished_closed;
+    }
     for (std::size_t i = 0; i < counters.queued.size(); ++i) {
         const auto& count = counters.queued[i];
         if (count.frames > 0) {
