Merge bodies in parts between nodes

The intake of requests and the HTTP server share one memory budget. The limit of 1 MiB on bodies ends, since larger ones now travel in parts.

--- a/src/sidecar/client_limits.cpp
+++ b/src/sidecar/client_limits.cpp
@@ -72,7 +72,7 @@
                       std::function<std::shared_ptr<const routing::route_index>()> routes)
 {
     net::http_server_limits limits;
-    limits.max_body_bytes = max_forwarded_body_bytes;
+    limits.max_body_bytes = default_body_bytes;
     limits.ignore_abandoned_requests = true;
     limits.budget = budget;
     limits.refusal_headers = [name = protocol.names.retry_after](int status) {
@@ -101,9 +101,7 @@
     const net::http_server_limits defaults;
     server.set_request_limits(
         limits.header_bytes > 0 ? limits.header_bytes : defaults.max_header_bytes,
-        limits.body_bytes > 0 ? std::min(limits.body_bytes, max_forwarded_body_bytes)
-                              : max_forwarded_body_bytes,
-        limits.header_time);
+        limits.body_bytes > 0 ? limits.body_bytes : default_body_bytes, limits.header_time);
 }
 
 void refusal_report::log_changes(const net::http_server& server, const net::memory_budget& budget,
--- a/src/sidecar/client_limits.h
+++ b/src/sidecar/client_limits.h
@@ -17,9 +17,8 @@
 
 namespace bulrushgw::sidecar {
 
-/// Limit on bodies that the protocol between nodes can carry: a frame holds at most 1 MiB
-/// (`wire::max_frame_bytes`), and a body travels in one frame.
-constexpr std::size_t max_forwarded_body_bytes = std::size_t{1024} * 1024;
+/// Limit on bodies while no manifest specifies one.
+constexpr std::size_t default_body_bytes = std::size_t{1024} * 1024;
 
 /// The budget for what clients and peers make the process hold, from the memory of the process.
 std::shared_ptr<net::memory_budget> make_budget(std::size_t memory_mb);
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -144,7 +144,7 @@
     assignment::member member_;
     std::unique_ptr<assignment::leader> leader_;
     std::set<std::string> sharded_;
-    std::map<std::string, double> cold_rates_; ///< see `set_cold_rates`
+    std::map<std::string, double> cold_rates_;         ///< see `set_cold_rates`
     std::map<std::string, milliseconds> longest_work_; ///< by sharded service
     std::uint64_t manifest_version_ = 0;
     routing::evacuations evacuations_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -57,10 +57,9 @@
 /// Interval of the "traffic" log line.
 constexpr milliseconds traffic_interval{10000};
 constexpr double millicores_per_core = 1000;
-/// A request from another node holds its body in the queue and in the call to the target.
-constexpr std::size_t body_copies = 2;
-/// Retry-after time of a request that is refused because memory is low.
-constexpr milliseconds low_memory_retry_after{1000};
+/// Share of the process's memory that unfinished frames of peers may take: one in this many bytes.
+constexpr std::size_t memory_per_unfinished_frames = 8;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
 constexpr int status_not_found = 404;
@@ -74,11 +73,13 @@
 }
 
 net::peer_limits make_peer_limits(const platform_protocol& protocol,
-                                  std::shared_ptr<net::memory_budget> budget)
+                                  std::shared_ptr<net::memory_budget> budget,
+                                  std::size_t memory_bytes)
 {
     net::peer_limits limits;
     limits.budget = std::move(budget);
     limits.stall_timeout = peer_stall_timeout;
+    limits.max_unfinished_bytes = memory_bytes / memory_per_unfinished_frames;
     limits.compress = true;
     limits.dictionary = make_peer_dictionary(protocol.names);
     return limits;
@@ -120,9 +121,9 @@
       random_(random_seed()), self_{random_() | 1},
       journal_(settings_.host, descriptor_sink(STDOUT_FILENO)),
       watch_({settings_.bounds.drain}, settings_.service, net::to_string(settings_.target)),
-      warm_up_(loop_.now()), store_(make_store()), gate_(make_gate()),
-      coordination_(make_coordination()), entry_(make_entry()), peer_check_(make_peer_check()),
-      budget_(make_budget(settings_.memory_mb))
+      warm_up_(loop_.now()), store_(make_store()), budget_(make_budget(settings_.memory_mb)),
+      gate_(make_gate()), intake_(make_intake()), coordination_(make_coordination()),
+      entry_(make_entry()), peer_check_(make_peer_check())
 {
     journal_.set_incarnation(self_);
     return_freed_memory();
@@ -170,6 +171,30 @@
     return {loop_, settings_.target, protocol_, watch_, std::move(hooks)};
 }
 
+forward_intake process::make_intake()
+{
+    forward_intake::hooks hooks;
+    hooks.now = [this] { return loop_.now(); };
+    hooks.run = [this](request_key key, wire::forward request, gate::completion done) {
+        gate_.run(key, std::move(request), std::move(done));
+    };
+    hooks.run_later = [this](request_key key, wire::forward request, gate::completion done) {
+        gate_.run_later(key, std::move(request), std::move(done));
+    };
+    hooks.cancel = [this](request_key key) { gate_.cancel(key); };
+    hooks.expected_refusal = [this](const wire::forward& request) {
+        return gate_.refusal_for(request);
+    };
+    hooks.load = [this] { return gate_.load(); };
+    hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
+        send(address, to, content);
+    };
+    hooks.log = [this](std::string_view event, const journal::fields& details) {
+        log(event, details);
+    };
+    return {*budget_, std::move(hooks)};
+}
+
 coordination process::make_coordination()
 {
     coordination::hooks hooks;
@@ -222,12 +247,12 @@
         return send(address, to, content);
     };
     hooks.run_locally = [this](request_key key, wire::forward request, gate::completion done) {
-        gate_.run(key, std::move(request), std::move(done));
+        intake_.run_local(key, std::move(request), std::move(done));
     };
     hooks.on_keyed_request = [this](const std::string& service, std::uint32_t key) {
         coordination_.on_keyed_request(service, key);
     };
-    hooks.cancel_locally = [this](request_key key) { gate_.cancel(key); };
+    hooks.cancel_locally = [this](request_key key) { intake_.cancel(key); };
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
@@ -269,7 +294,9 @@
         [this](const std::string& address, std::optional<time_point> unsent_since) {
             entry_.on_disconnect(address, unsent_since);
         },
-        make_peer_limits(protocol_, budget_));
+        make_peer_limits(protocol_, budget_, settings_.memory_mb * bytes_per_mb));
+    transport_->set_flow_hooks([this](const std::string& address) { entry_.on_drained(address); },
+                               [this](incarnation_id peer) { intake_.on_sender_lost(peer); });
     auto limits = request_server_limits(budget_, protocol_, [this] { return routes_; });
     limits.request_timeout = default_idle_timeout;
     limits.max_connections = settings_.descriptors - reserved_descriptors;
@@ -307,14 +334,13 @@
             gauges.leads = coordination_.is_leader();
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
-            gauges.forwards_over_budget = forwards_over_budget_;
             set_evacuation_gauges(gauges);
             gauges.requests_ignored = request_server_->abandoned_requests();
-            exchange.respond({status_ok,
-                              {{"content-type", "text/plain; version=0.0.4"}},
-                              metrics_.text(entry_.counters(), gauges) +
-                                  traffic_text(transport_->counters()) +
-                                  refusal_metrics(*request_server_, *budget_)});
+            exchange.respond(
+                {status_ok,
+                 {{"content-type", "text/plain; version=0.0.4"}},
+                 metrics_.text(entry_.counters(), gauges) + traffic_text(transport_->counters()) +
+                     refusal_metrics(*request_server_, *budget_) + intake_text(intake_)});
         },
         local_server_limits());
 }
@@ -389,12 +415,12 @@
     journal::fields line{{"bytes_sent", counters.bytes_sent},
                          {"connects", counters.connects},
                          {"writes", counters.writes}};
-    if (forwards_over_budget_ > 0) {
-        line["forwards_over_budget"] = forwards_over_budget_;
-    }
     if (counters.over_budget > 0) {
         line["over_budget"] = counters.over_budget;
     }
+    if (counters.unfinished_closed > 0) {
+        line["unfinished_closed"] = counters.unfinished_closed;
+    }
     for (std::size_t i = 0; i < counters.queued.size(); ++i) {
         const auto& count = counters.queued[i];
         if (count.frames > 0) {
@@ -415,14 +441,17 @@
     if (frame.to && frame.to != self_ && !std::holds_alternative<wire::forward>(frame.content)) {
         return;
     }
-    if (const auto* request = std::get_if<wire::forward>(&frame.content)) {
+    if (const auto* part = std::get_if<wire::forward_part>(&frame.content)) {
+        intake_.on_part(frame, *part);
+    }
+    else if (const auto* request = std::get_if<wire::forward>(&frame.content)) {
         on_forward(frame, *request);
     }
     else if (const auto* reply = std::get_if<wire::forward_reply>(&frame.content)) {
         entry_.on_reply(frame.from, *reply);
     }
     else if (const auto* cancel = std::get_if<wire::cancel>(&frame.content)) {
-        gate_.cancel({frame.from, cancel->number});
+        intake_.cancel({frame.from, cancel->number});
     }
     else if (const auto* report = std::get_if<assignment::report>(&frame.content)) {
         coordination_.on_report(frame, *report);
@@ -480,19 +509,7 @@
             {frame.to, frame.from, net::to_string(settings_.addresses.announced), reply});
         return;
     }
-    const auto charge = std::make_shared<net::memory_charge>(budget_);
-    if (!charge->try_resize(body_copies * request.body.size())) {
-        ++forwards_over_budget_;
-        auto reply = refusal_of(request, request::reason::overloaded);
-        reply.retry_after = low_memory_retry_after;
-        send(frame.reply_address, frame.from, std::move(reply));
-        return;
-    }
-    // After a pause of this process, or of the connection, a request may arrive together with its
-    // cancellation.
-    gate_.run_later({frame.from, request.number}, request,
-                    [this, charge, to = frame.from, address = frame.reply_address](
-                        wire::forward_reply reply) { send(address, to, std::move(reply)); });
+    intake_.on_forward(frame, request);
 }
 
 void process::on_control(const net::http_exchange& exchange)
@@ -683,6 +700,7 @@
     check_target();
     gate_.on_tick();
     log_evacuation();
+    intake_.on_tick();
     peer_check_.on_tick();
     coordination_.set_mean_work(gate_.mean_work());
     coordination_.on_tick();
@@ -746,7 +764,7 @@
     if (elapsed >= settings_.bounds.grace / stop_accept_divisor) {
         entry_.close();
     }
-    const bool idle = entry_.pending() == 0 && gate_.active() == 0 &&
+    const bool idle = entry_.pending() == 0 && gate_.active() == 0 && intake_.incomplete() == 0 &&
                       now - last_request_ >= stop_idle_time &&
                       coordination_.member().holds_no_keys(now);
     if (elapsed >= min_stop_time && idle && !closing_since_) {
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -12,10 +12,12 @@
 
 #include "net/http.h"
 #include "net/loop.h"
+#include "net/memory_budget.h"
 #include "net/peer_transport.h"
 #include "sidecar/client_limits.h"
 #include "sidecar/coordination.h"
 #include "sidecar/entry.h"
+#include "sidecar/forward_intake.h"
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
 #include "sidecar/peer_check.h"
@@ -42,6 +44,7 @@
 private:
     store_session make_store();
     gate make_gate();
+    forward_intake make_intake();
     coordination make_coordination();
     entry make_entry();
     peer_check make_peer_check();
@@ -91,11 +94,12 @@
     target_watch watch_;
     warm_up_state warm_up_;
     store_session store_;
+    std::shared_ptr<net::memory_budget> budget_;
     gate gate_;
+    forward_intake intake_;
     coordination coordination_;
     entry entry_;
     peer_check peer_check_;
-    std::shared_ptr<net::memory_budget> budget_;
     std::unique_ptr<net::peer_transport> transport_;
     std::unique_ptr<net::http_server> request_server_;
     std::unique_ptr<net::http_server> ready_server_;
@@ -115,12 +119,11 @@
     bool check_under_way_ = false;
     time_point next_check_{}; ///< earliest time for the next health check of the target
     refusal_report refusals_;
-    std::uint64_t forwards_over_budget_ = 0; ///< requests of other nodes refused for lack of memory
-    entry_counters logged_counters_;         ///< as of the last "state" log line
-    std::uint64_t errors_ = 0;               ///< exceptions from handlers, in total
-    std::uint64_t recent_errors_ = 0;        ///< since `error_window_start_`
-    bool logged_evacuated_ = false;          ///< `gate::is_evacuated` as last logged
-    bool counts_as_cold_ = false;            ///< `warm_up_state::is_cold` as told to the gate
+    entry_counters logged_counters_;  ///< as of the last "state" log line
+    std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
+    std::uint64_t recent_errors_ = 0; ///< since `error_window_start_`
+    bool logged_evacuated_ = false;   ///< `gate::is_evacuated` as last logged
+    bool counts_as_cold_ = false;     ///< `warm_up_state::is_cold` as told to the gate
     time_point error_window_start_{};
 };
 
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -63,7 +63,6 @@
     write_metric(out, "store_calls_total", "counter", gauges.store_calls);
     write_metric(out, "log_lines_dropped_total", "counter", gauges.lines_dropped);
     write_metric(out, "unexpected_errors_total", "counter", gauges.errors);
-    write_metric(out, "forwards_over_budget_total", "counter", gauges.forwards_over_budget);
     write_metric(out, "requests_refused_evacuated_total", "counter", requests.refused_evacuated);
     write_metric(out, "requests_refused_by_region_total", "counter", requests.refused_by_region);
     write_metric(out, "target_refusals_evacuated_total", "counter",
@@ -87,11 +86,24 @@
     return out.str() + answer_time.text("bulrushgw_answer_seconds");
 }
 
+std::string intake_text(const forward_intake& intake)
+{
+    std::ostringstream out;
+    const auto& counters = intake.counters();
+    write_metric(out, "intake_refused_total", "counter", counters.refused);
+    write_metric(out, "bodies_assembled_total", "counter", counters.assembled);
+    write_metric(out, "bodies_dropped_total", "counter", counters.dropped);
+    write_metric(out, "bodies_invalid_total", "counter", counters.invalid);
+    write_metric(out, "bodies_incomplete", "gauge", intake.incomplete());
+    return out.str();
+}
+
 std::string traffic_text(const net::peer_counters& counters)
 {
     std::ostringstream out;
     write_metric(out, "peer_bytes_sent_total", "counter", counters.bytes_sent);
     write_metric(out, "peer_connections_over_budget_total", "counter", counters.over_budget);
+    write_metric(out, "peer_unfinished_closed_total", "counter", counters.unfinished_closed);
     const auto write_by_type = [&](const char* name, std::uint64_t net::frame_count::*member) {
         out << "# TYPE bulrushgw_" << name << " counter\n";
         for (std::size_t i = 0; i < counters.queued.size(); ++i) {
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -10,6 +10,7 @@
 #include "common/boot_clock.h"
 #include "net/peer_transport.h"
 #include "sidecar/entry.h"
+#include "sidecar/forward_intake.h"
 
 namespace bulrushgw::sidecar {
 
@@ -37,9 +38,8 @@
     std::uint64_t store_calls = 0;
     std::uint64_t lines_dropped = 0;
     std::uint64_t target_load = 0;
-    std::uint64_t errors = 0;               ///< unexpected exceptions from handlers
-    std::uint64_t forwards_over_budget = 0; ///< requests of other nodes refused for lack of memory
-    std::uint64_t requests_ignored = 0;     ///< whose clients had left before they were read
+    std::uint64_t errors = 0;           ///< unexpected exceptions from handlers
+    std::uint64_t requests_ignored = 0; ///< whose clients had left before they were read
     std::uint64_t evacuated_zones = 0;
     std::uint64_t keys_to_evacuate = 0;          ///< see `coordination::keys_to_evacuate`
     std::uint64_t target_refusals_evacuated = 0; ///< total since the start
@@ -62,6 +62,9 @@
                                    const sidecar_gauges& gauges) const;
 };
 
+/// The metrics of the requests for the target on this host, and of the memory that they take.
+[[nodiscard]] std::string intake_text(const forward_intake& intake);
+
 /// The metrics of the data sent to other nodes: bytes in total, frames and bytes by message type.
 [[nodiscard]] std::string traffic_text(const net::peer_counters& counters);
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -69,6 +70,20 @@
     std::string body;
     /// Another target can probably run the request if this one warms up.
     bool has_alternative = false;
+    /// Size of the body, if it follows in `forward_part` messages; `body` is then empty. 0: the
+    /// request is complete.
+    std::uint64_t body_bytes = 0;
+    /// Not sent: the body of a request that stays in this process, in place of `body`. It avoids a
+    /// copy while the entry keeps the body for a repetition.
+    std::shared_ptr<const std::string> shared_body{};
+};
+
+/// A part of the body of the `forward` with this number, after that message. The body is the sum of
+/// its parts in the order of their indexes.
+struct forward_part {
+    std::uint64_t number = 0;
+    std::uint64_t index = 0; ///< from 0, without gaps
+    std::string bytes;
 };
 
 enum class forward_outcome : std::uint8_t { answered, not_run, unknown, not_owner };
@@ -133,7 +148,7 @@
                  protocol_failure, assignment::report, assignment::report_reply,
                  assignment::leader_hint, assignment::directory_update, assignment::lead_request,
                  no_replies, probe, probe_reply, assignment::confirm_request,
-                 assignment::leadership_notice, assignment::leadership_transfer>;
+                 assignment::leadership_notice, assignment::leadership_transfer, forward_part>;
 
 /// A message with its sender and receiver. `to` is none if the sender knows only the address. If
 /// `to` is another incarnation than that of the receiver, the receiver drops the frame, but answers
