--- a/tests/sidecar/long_work_test.cpp
+++ b/tests/sidecar/long_work_test.cpp
@@ -82,6 +82,26 @@
     CHECK(cluster.violations().empty());
 }
 
+// Guards against leases for which the next leader does not allow, because the store has not
+// confirmed a record that names their length.
+TEST(long_work, leases_become_longer_once_the_store_has_confirmed_it)
+{
+    simulated_cluster cluster(4, settings_with_long_leases(milliseconds{1000}));
+    cluster.run(milliseconds{6000});
+    cluster.set_store_up(false);
+    cluster.change_timeout(milliseconds{4000});
+    cluster.run(milliseconds{4000});
+    for (std::size_t i = 0; i < cluster.hosts(); ++i) {
+        CHECK(cluster.holds_lease(i));
+        LONGS_EQUAL(1600, cluster.lease_length(i).count());
+    }
+    cluster.set_store_up(true);
+    cluster.run(milliseconds{3000});
+    for (std::size_t i = 0; i < cluster.hosts(); ++i) {
+        LONGS_EQUAL(5000, cluster.lease_length(i).count());
+    }
+}
+
 // Guards against leases that stay long after the manifest shortened the timeouts: keys of a lost
 // owner would wait for longer than its work needs.
 TEST(long_work, leases_are_short_again_after_the_timeouts_were_shortened)
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -44,6 +44,7 @@
     CHECK(values.addresses.announced == values.addresses.inner);
     // The lease is limited to the longest hold that targets accept.
     LONGS_EQUAL(900, values.times.lease.count());
+    LONGS_EQUAL(900, values.times.longest_lease.count());
 }
 
 // Guards against a start with a missing setting or a setting of a wrong type.
--- a/tests/sidecar/simulated_cluster.h
+++ b/tests/sidecar/simulated_cluster.h
@@ -82,6 +82,11 @@
     [[nodiscard]] bool is_node_alive(std::size_t host) const;
     [[nodiscard]] std::optional<std::size_t> leader() const;
     [[nodiscard]] bool holds_lease(std::size_t host) const;
+    /// Length of the last lease of the node. Precondition: the node is alive.
+    [[nodiscard]] milliseconds lease_length(std::size_t host) const
+    {
+        return hosts_[host].node->member().lease_length();
+    }
     /// True if the node has a lease and its target holds keys.
     [[nodiscard]] bool is_serving(std::size_t host) const;
     /// Share of the keys that are held by targets.
