--- a/src/net/http.h
+++ b/src/net/http.h
@@ -86,8 +86,8 @@
     /// Time for a client to send a request or to read a response before it is disconnected.
     milliseconds request_timeout{10000};
     /// Time for a client to send the head of a request after its first byte; then it gets status
-    /// 408. 0: the idle timeout. While memory is low or few connections are left, it also applies to
-    /// a body that makes no progress; otherwise the idle timeout applies to such a body.
+    /// 408. 0: the idle timeout. While memory is low or few connections are left, it also applies
+    /// to a body that makes no progress; otherwise the idle timeout applies to such a body.
     milliseconds header_timeout{0};
     /// Closes the connection of a request without calling the handler if the client has
     /// disconnected, or closed its sending side, by the time at which the request is read.
