Count holds of late grants from the arrival of the call

The protocol says that the time of a grant counts from the arrival of the call, also if the grant is carried out late.

--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -39,7 +39,7 @@
     /// Whether a target that carries out a grant late counts its hold from the arrival of the
     /// grant. The platform's pages do not say so (docs/platform.md, section 8), so a grant that is
     /// carried out just before its hold is over is taken to hold the keys for another hold.
-    bool holds_count_from_arrival = false;
+    bool holds_count_from_arrival = true;
     /// A member that was given no lease reports again after this time, because a new leader gives
     /// leases only from the second report on. So does a member that cannot apply a directory change
     /// because an earlier one was lost.
