Take a health check without a warm-up time for that of a warm target

A target that is warm leaves the header out, so no check was evidence of warmth, and all targets counted as cold for the first 3 s of traffic.

--- a/src/sidecar/process_warm_up.cpp
+++ b/src/sidecar/process_warm_up.cpp
@@ -85,8 +85,10 @@
         watch_.on_health(now, health);
     }
     warm_up_.on_target(now, watch_.status());
-    if (const auto left = protocol_.parse_warm_up(
-            net::find_header(headers, protocol_.names.warm_up).value_or(""))) {
+    // A warm target may leave the header out.
+    const auto header = net::find_header(headers, protocol_.names.warm_up);
+    const auto left = header ? protocol_.parse_warm_up(*header) : milliseconds{0};
+    if (left && !refused) {
         warm_up_.on_check_answer(now, health.target_id, *left);
     }
     on_target_changed();
