Report the dispatch benchmark's figures by availability zone

The benchmark now shows for each zone the share of clients' requests answered in time and the share of sent requests that left the zone.

--- a/bench/dispatch_main.cpp
+++ b/bench/dispatch_main.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdio>
 #include <limits>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,8 @@
     spread worth;
     spread nines;
     load_figures total; ///< summed over the seeds
+    std::map<std::size_t, std::vector<double>> in_aim_by_zone;   ///< shares, one for each seed
+    std::map<std::size_t, std::vector<double>> to_other_by_zone; ///< shares, one for each seed
 };
 
 result_row play(const load_scenario& scenario, const named_policy& policy)
@@ -107,6 +110,13 @@
             sum.refused_again += counts.refused_again;
             sum.failed += counts.failed;
         }
+        for (const auto& [zone, counts] : figures.zones) {
+            const auto share = [](std::uint64_t part, std::uint64_t whole) {
+                return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
+            };
+            row.in_aim_by_zone[zone].push_back(share(counts.answered_in_aim, counts.ended));
+            row.to_other_by_zone[zone].push_back(share(counts.sent_to_other, counts.sent));
+        }
     }
     row.worth = spread_of(worths);
     row.nines = spread_of(nines);
@@ -131,6 +141,12 @@
                         name.c_str(), share(counts.in_aim), share(counts.late),
                         share(counts.refused), share(counts.refused_again), share(counts.failed));
         }
+        for (const auto& [zone, shares] : row.in_aim_by_zone) {
+            const auto in_aim = spread_of(shares);
+            const auto to_other = spread_of(row.to_other_by_zone.at(zone));
+            std::printf("    zone %zu       in aim %.3f +- %.3f  left the zone %.3f +- %.3f\n", zone,
+                        in_aim.mean, in_aim.deviation, to_other.mean, to_other.deviation);
+        }
     }
 }
 
--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -224,13 +224,17 @@
     }
     const auto& kind = *request->kind;
     auto& counts = figures_.kinds[kind.name];
+    auto& zone = figures_.zones[entries_[request->entry].zone];
+    ++zone.ended;
     const auto left = std::chrono::duration_cast<milliseconds>(request->deadline - now_);
     if (answered) {
         const bool in_aim = now_ <= request->first_sent + kind.aim;
+        zone.answered_in_aim += in_aim ? 1 : 0;
         ++(in_aim ? counts.in_aim : counts.late);
         figures_.worth_earned += kind.worth * (in_aim ? 1 : kind.late_worth);
     }
     else if (retry_after && request->returns < kind.client_retries && left > *retry_after) {
+        --zone.ended;
         const auto wait = std::min(*retry_after, left / retry_wait_divisor);
         after(wait, [this, request] {
             send(*request->kind, random_() % entries_.size(), request->first_sent,
@@ -269,6 +273,9 @@
     entry.picker.on_sent(*picked);
     auto& target = **std::find_if(targets_.begin(), targets_.end(),
                                   [&](const auto& item) { return item->node == *picked; });
+    auto& zone = figures_.zones[entry.zone];
+    ++zone.sent;
+    zone.sent_to_other += target.zone == entry.zone ? 0 : 1;
     after(hop_delay, [this, request, &target] { admit(request, target); });
 }
 
