Choose the zone of a request by a balance of shares

A target in another zone had to be faster by half of the time left to the latency goal. Each request applied this rule by itself to figures that are up to a second old, so requests of many hosts left a full zone together, and they moved between zones that were all full.

zone_balance keeps a share of the unkeyed requests for each other zone and service, from the delays, refusals and loads that this host observed. It grows while another zone serves better by a quarter of the goal plus a cost, and returns towards what the own zone cannot serve. target_picker passes it the best cost of each zone; the costs of targets are as before.

--- a/bench/dispatch_main.cpp
+++ b/bench/dispatch_main.cpp
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cmath>
 #include <cstdio>
-#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -53,9 +52,7 @@
     by_rank.reserved_slots = reserve_no_slots;
     add("refusals-not-failures").counts_target_refusals = false;
     add("failures-never-fade").picks.failure_half_life = std::chrono::hours{1};
-    auto& any_zone = add("zones-cost-nothing").picks;
-    any_zone.min_cross_zone_cost = milliseconds{0};
-    any_zone.cross_zone_aim_divisor = std::numeric_limits<int>::max();
+    add("zones-cost-nothing").picks.zones.cost = milliseconds{0};
     add("no-time-spent").uses_time_spent = false;
     return result;
 }
@@ -84,7 +81,7 @@
     std::string policy;
     spread worth;
     spread nines;
-    load_figures total; ///< summed over the seeds
+    load_figures total;                                          ///< summed over the seeds
     std::map<std::size_t, std::vector<double>> in_aim_by_zone;   ///< shares, one for each seed
     std::map<std::size_t, std::vector<double>> to_other_by_zone; ///< shares, one for each seed
 };
@@ -144,8 +141,8 @@
         for (const auto& [zone, shares] : row.in_aim_by_zone) {
             const auto in_aim = spread_of(shares);
             const auto to_other = spread_of(row.to_other_by_zone.at(zone));
-            std::printf("    zone %zu       in aim %.3f +- %.3f  left the zone %.3f +- %.3f\n", zone,
-                        in_aim.mean, in_aim.deviation, to_other.mean, to_other.deviation);
+            std::printf("    zone %zu       in aim %.3f +- %.3f  left the zone %.3f +- %.3f\n",
+                        zone, in_aim.mean, in_aim.deviation, to_other.mean, to_other.deviation);
         }
     }
 }
--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -1,6 +1,7 @@
 #include "bench/dispatch_model.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <functional>
 #include <memory>
@@ -28,6 +29,7 @@
 /// Clients wait for at most this part of the time that they have left before they return.
 constexpr int retry_wait_divisor = 3;
 constexpr std::uint32_t availability_zones = 3;
+constexpr std::array<std::string_view, availability_zones> zone_names{"a", "b", "c"};
 
 using callback = std::function<void()>;
 using outcome_callback = std::function<void(bool answered)>;
@@ -41,6 +43,7 @@
     int returns = 0; ///< how often the client has returned after a refusal
     std::uint32_t tries = 0;
     std::vector<incarnation_id> avoid;
+    incarnation_id node; ///< to which the request was sent last
     bool ended = false;
     outcome_callback on_call_end; ///< only for calls of runs
 };
@@ -209,7 +212,12 @@
     const auto spent = policy_.uses_time_spent ? observed : milliseconds{0};
     request->aim = now_ + std::clamp(kind.aim - spent, milliseconds{0}, left);
     entries_[entry].allowances[kind.service].on_request(now_);
-    after(left, [this, request] { end(request, false, std::nullopt); });
+    after(left, [this, request] {
+        if (!request->ended) {
+            entries_[request->entry].picker.on_overdue(now_, request->node);
+        }
+        end(request, false, std::nullopt);
+    });
     dispatch(request);
 }
 
@@ -256,13 +264,14 @@
     std::vector<dispatch::pick_candidate> candidates;
     for (const auto& target : targets_) {
         if (target->service->name == request->kind->service && !is_stopped(*target)) {
-            candidates.push_back(
-                {target->node, target->service->slots, target->zone == entry.zone});
+            candidates.push_back({target->node, target->service->slots, target->zone == entry.zone,
+                                  false, zone_names.at(target->zone)});
         }
     }
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request->aim - now_));
-    const auto picked = entry.picker.pick(now_, candidates, request->avoid, aim, random_);
+    const auto picked = entry.picker.pick(now_, candidates, request->avoid, aim, random_,
+                                          {request->kind->service, request->kind->rank});
     if (!picked) {
         const auto retry_ms = static_cast<double>(default_retry_after.count());
         const auto extra = milliseconds{std::lround(uniform() * retry_ms / 2)};
@@ -270,6 +279,7 @@
         return;
     }
     ++request->tries;
+    request->node = *picked;
     entry.picker.on_sent(*picked);
     auto& target = **std::find_if(targets_.begin(), targets_.end(),
                                   [&](const auto& item) { return item->node == *picked; });
@@ -383,9 +393,10 @@
     auto& picker = entries_[request->entry].picker;
     const bool in_time = answered && now_ <= request->deadline;
     if (in_time) {
-        picker.on_answer(now_, target.node,
-                         std::chrono::duration_cast<milliseconds>(now_ - job.mapped().sent),
-                         static_cast<int>(target.queue.running() + target.queue.queued()));
+        picker.on_answer(
+            now_, target.node, std::chrono::duration_cast<milliseconds>(now_ - job.mapped().sent),
+            static_cast<int>(target.queue.running() + target.queue.queued()),
+            std::chrono::duration_cast<milliseconds>(request->aim - job.mapped().sent));
     }
     else {
         picker.on_failure(now_, target.node);
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -13,6 +13,9 @@
 constexpr double initial_answer_ms = 30;
 /// Cost added for a target that fails all requests.
 constexpr double failure_cost_ms = 400;
+/// A node that has at least this many requests at a target, and a third of its slots, knows the
+/// target's answer time well enough to leave the zone for it.
+constexpr std::uint32_t min_in_flight = 2;
 /// Costs are multiplied by a random factor of up to 1 + `jitter`, so that equal targets are picked
 /// at random.
 constexpr double jitter = 0.1;
@@ -24,6 +27,35 @@
     return std::exp2(-static_cast<double>(age.count()) / std::max(mean_answer_ms, 1.0));
 }
 
+/// Expected answer time of a target with the given load, relative to its mean answer time.
+double queueing_factor(double load, double slots)
+{
+    const double waiting_factor = std::max(0.0, load + 1 - slots) / slots;
+    // A target with few free slots answers later than an idle one.
+    const double busy_factor = load / slots / 4;
+    return 1 + waiting_factor + busy_factor;
+}
+
+/// Load for each slot; negative if no load was reported.
+double load_per_slot(int load, std::uint32_t slots)
+{
+    return load < 0 ? -1 : static_cast<double>(load) / std::max<std::uint32_t>(slots, 1);
+}
+
+/// Returns the index of the candidate's zone, which is added if it is missing.
+std::size_t zone_index(std::vector<zone_option>& zones, const pick_candidate& candidate)
+{
+    const auto found = std::find_if(zones.begin(), zones.end(), [&](const auto& item) {
+        return item.own == candidate.same_zone && item.zone == candidate.zone;
+    });
+    if (found != zones.end()) {
+        found->cold = found->cold && candidate.warming_up;
+        return static_cast<std::size_t>(found - zones.begin());
+    }
+    zones.push_back({candidate.zone, candidate.same_zone, candidate.warming_up, {}, {}});
+    return zones.size() - 1;
+}
+
 } // namespace
 
 const target_picker::target_stats* target_picker::find(incarnation_id node) const
@@ -45,6 +77,10 @@
         }
         if (stats->mean_answer_ms > 0) {
             result.mean_answer_ms += stats->mean_answer_ms;
+            result.shortest_answer_ms =
+                targets_with_answers > 0
+                    ? std::min(result.shortest_answer_ms, stats->mean_answer_ms)
+                    : stats->mean_answer_ms;
             targets_with_answers += 1;
         }
         if (stats->load_reported_at != time_point{}) {
@@ -55,21 +91,30 @@
     }
     result.mean_answer_ms =
         targets_with_answers > 0 ? result.mean_answer_ms / targets_with_answers : initial_answer_ms;
+    result.shortest_answer_ms =
+        targets_with_answers > 0 ? result.shortest_answer_ms : initial_answer_ms;
     result.other_requests_per_slot =
         targets_with_load > 0 ? result.other_requests_per_slot / targets_with_load : 0;
     return result;
 }
 
+double target_picker::failure_cost(time_point now, const target_stats& stats) const
+{
+    const double half_lives =
+        std::chrono::duration<double>(now - stats.last_failure) / settings_.failure_half_life;
+    return stats.failure_share * std::exp2(-half_lives) * failure_cost_ms;
+}
+
 // Each of many nodes sees only a small part of a target's load. If each node assumed that an
 // unknown target is idle and fast, the nodes together would send all requests to that target. The
 // load and answer time of an unknown target are therefore assumed to be the means of the service.
-double target_picker::cost(time_point now, const pick_candidate& candidate, milliseconds aim,
+double target_picker::cost(time_point now, const pick_candidate& candidate,
                            const service_averages& service) const
 {
     const double slots = std::max<std::uint32_t>(candidate.slots, 1);
     double mean = service.mean_answer_ms;
     double load = service.other_requests_per_slot * slots;
-    double effective_failure_share = 0;
+    double failure_ms = 0;
     if (const auto* stats = find(candidate.node)) {
         mean = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : mean;
         if (stats->load_reported_at != time_point{}) {
@@ -79,42 +124,82 @@
                 load_report_weight(age, service.mean_answer_ms) * (stats->other_requests - load);
         }
         load += stats->own_in_flight;
-        const double half_lives =
-            std::chrono::duration<double>(now - stats->last_failure) / settings_.failure_half_life;
-        effective_failure_share = stats->failure_share * std::exp2(-half_lives);
+        failure_ms = failure_cost(now, *stats);
     }
-    const double waiting_factor = std::max(0.0, load + 1 - slots) / slots;
-    // A target with few free slots answers later than an idle one.
-    const double busy_factor = load / slots / 4;
-    const double cross_zone_ms =
-        candidate.same_zone ? 0.0
-                            : static_cast<double>(std::max(settings_.min_cross_zone_cost,
-                                                           aim / settings_.cross_zone_aim_divisor)
-                                                      .count());
-    return mean * (1 + waiting_factor + busy_factor) + effective_failure_share * failure_cost_ms +
-           cross_zone_ms;
+    return mean * queueing_factor(load, slots) + failure_ms;
+}
+
+// Answer times count only for a target that this node itself helps to fill. Those of a full zone
+// are known to all nodes at about the same time, and are no reason for all of them to leave it at
+// once. Those that a node with few requests knows are means of few answers.
+double target_picker::cost_of_own_requests(time_point now, const pick_candidate& candidate,
+                                           const service_averages& service) const
+{
+    const std::uint32_t slots = std::max<std::uint32_t>(candidate.slots, 1);
+    const auto* stats = find(candidate.node);
+    if (stats == nullptr) {
+        return service.shortest_answer_ms;
+    }
+    double mean = service.shortest_answer_ms;
+    if (stats->own_in_flight >= std::max(min_in_flight, slots / 3)) {
+        mean = std::max(mean, std::min(stats->mean_answer_ms, service.mean_answer_ms));
+    }
+    return mean * queueing_factor(stats->own_in_flight, slots) + failure_cost(now, *stats);
 }
 
 std::optional<incarnation_id> target_picker::pick(time_point now,
                                                   std::span<const pick_candidate> candidates,
                                                   const std::vector<incarnation_id>& avoid,
-                                                  milliseconds aim, std::mt19937_64& random) const
+                                                  milliseconds aim, std::mt19937_64& random,
+                                                  const pick_traits& traits)
 {
-    std::optional<incarnation_id> best;
-    double best_cost = 0;
     std::uniform_real_distribution<double> noise(1.0, 1.0 + jitter);
     const auto service = averages_over(candidates);
+    std::vector<zone_option> zones;
+    std::vector<const pick_candidate*> best; // of each zone
+    zone_request request{aim, traits.rank, false};
     for (const auto& candidate : candidates) {
+        const std::size_t at = zone_index(zones, candidate);
+        best.resize(zones.size());
         if (std::find(avoid.begin(), avoid.end(), candidate.node) != avoid.end()) {
+            request.refused_at_own = request.refused_at_own || candidate.same_zone;
             continue;
         }
-        const double value = cost(now, candidate, aim, service) * noise(random);
-        if (!best || value < best_cost) {
-            best = candidate.node;
-            best_cost = value;
+        const double value = cost(now, candidate, service) * noise(random);
+        if (best[at] == nullptr || value < *zones[at].expected_ms) {
+            best[at] = &candidate;
+            zones[at].expected_ms = value;
         }
+        const double own_value = cost_of_own_requests(now, candidate, service);
+        zones[at].expected_from_own_ms =
+            std::min(zones[at].expected_from_own_ms.value_or(own_value), own_value);
     }
-    return best;
+    auto& balance = balance_of(traits.service);
+    balance.update(now, zones, aim);
+    const auto chosen = balance.choose(zones, request, random);
+    if (!chosen) {
+        return std::nullopt;
+    }
+    const auto& target = *best[*chosen];
+    auto& stats = stats_[target.node];
+    stats.service = traits.service;
+    stats.zone = zones[*chosen].zone;
+    stats.slots = std::max<std::uint32_t>(target.slots, 1);
+    return target.node;
+}
+
+zone_balance& target_picker::balance_of(std::string_view service)
+{
+    const auto found = balances_.find(service);
+    return found != balances_.end()
+               ? found->second
+               : balances_.emplace(service, zone_balance(settings_.zones)).first->second;
+}
+
+zone_balance* target_picker::balance_of(const target_stats& stats)
+{
+    const auto found = balances_.find(stats.service);
+    return found == balances_.end() ? nullptr : &found->second;
 }
 
 void target_picker::end_request(incarnation_id node)
@@ -134,7 +219,8 @@
     }
 }
 
-void target_picker::on_answer(time_point now, incarnation_id node, milliseconds took, int load)
+void target_picker::on_answer(time_point now, incarnation_id node, milliseconds took, int load,
+                              milliseconds aim)
 {
     end_request(node);
     auto& stats = stats_[node];
@@ -143,12 +229,19 @@
         stats.mean_answer_ms > 0 ? sample_weight * (ms - stats.mean_answer_ms) : ms;
     stats.failure_share -= sample_weight * stats.failure_share;
     record_load(now, stats, load);
+    if (auto* balance = balance_of(stats)) {
+        balance->on_answer(now, stats.zone, took, aim, load_per_slot(load, stats.slots));
+    }
 }
 
 void target_picker::on_refusal(time_point now, incarnation_id node, int load)
 {
     end_request(node);
-    record_load(now, stats_[node], load);
+    auto& stats = stats_[node];
+    record_load(now, stats, load);
+    if (auto* balance = balance_of(stats)) {
+        balance->on_refusal(now, stats.zone, load_per_slot(load, stats.slots));
+    }
 }
 
 void target_picker::on_target_refusal(time_point now, incarnation_id node, int load)
@@ -163,6 +256,20 @@
     auto& stats = stats_[node];
     stats.failure_share += sample_weight * (1 - stats.failure_share);
     stats.last_failure = now;
+    if (auto* balance = balance_of(stats)) {
+        balance->on_refusal(now, stats.zone, -1);
+    }
+}
+
+void target_picker::on_overdue(time_point now, incarnation_id node)
+{
+    const auto found = stats_.find(node);
+    if (found == stats_.end()) {
+        return;
+    }
+    if (auto* balance = balance_of(found->second)) {
+        balance->on_refusal(now, found->second.zone, -1);
+    }
 }
 
 void target_picker::on_end(incarnation_id node)
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -1,22 +1,24 @@
 #pragma once
 
 /// Chooses a target for a request to a service that is not sharded. It picks the target with the
-/// lowest cost. The cost is the expected answer time plus penalties for failures and for traffic
-/// between availability zones. The expected time depends mainly on what this node itself observed
-/// of the target, because reported loads may mislead. This handles targets of different speed, and
-/// slow or failing targets. A target in another zone is used only if it is faster by more than the
-/// penalty for that traffic.
+/// lowest cost within an availability zone, which a `zone_balance` of the service chooses. The cost
+/// is the expected answer time plus a penalty for failures. The expected time depends mainly on
+/// what this node itself observed of the target, because reported loads may mislead. This handles
+/// targets of different speed, and slow or failing targets.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/boot_clock.h"
 #include "common/ids.h"
+#include "dispatch/zone_balance.h"
 
 namespace bulrushgw::dispatch {
 
@@ -24,15 +26,19 @@
     incarnation_id node;
     std::uint32_t slots = 1;
     bool same_zone = false;
+    bool warming_up = false;
+    /// Availability zone, which differs between zones; must stay valid during the call.
+    std::string_view zone = {};
+};
+
+/// What the choice between availability zones depends on besides the latency goal.
+struct pick_traits {
+    std::string_view service; ///< zones are balanced for each service
+    std::uint32_t rank = 0;   ///< 0 is the most urgent
 };
 
 struct pick_settings {
-    /// A target in another zone must be faster by the time left until the request's latency goal
-    /// (the time after which an answer is worth less), divided by this number. An answer within the
-    /// goal is worth the same from any zone, and traffic between zones is expensive.
-    int cross_zone_aim_divisor = 2;
-    /// Lower bound of the time by which a target in another zone must be faster.
-    milliseconds min_cross_zone_cost{25};
+    zone_balance_settings zones;
     /// The failure share of a target counts half as much after each such time without a failure, so
     /// that a target that failed is tried again now and then.
     milliseconds failure_half_life{1000};
@@ -44,16 +50,19 @@
     explicit target_picker(pick_settings settings = {}) : settings_(settings) {}
 
     /// Returns the candidate with the lowest cost that is not in `avoid`, or none if all are in
-    /// `avoid`. `aim` is the time left until the request's latency goal.
+    /// `avoid`. Candidates outside the zone that `zone_balance` chooses are not considered. `aim`
+    /// is the time left until the request's latency goal. Times must not decrease.
     std::optional<incarnation_id> pick(time_point now, std::span<const pick_candidate> candidates,
                                        const std::vector<incarnation_id>& avoid, milliseconds aim,
-                                       std::mt19937_64& random) const;
+                                       std::mt19937_64& random, const pick_traits& traits = {});
     /// Notes a request sent to the node. Exactly one call of `on_answer`, `on_refusal`,
     /// `on_target_refusal`, `on_failure` or `on_end` must follow.
     void on_sent(incarnation_id node) { ++stats_[node].own_in_flight; }
     /// `load` is the number of requests running and queued at the target, as reported by the
-    /// target's node with the answer. It is -1 if no load was reported.
-    void on_answer(time_point now, incarnation_id node, milliseconds took, int load);
+    /// target's node with the answer. It is -1 if no load was reported. `aim` is the time that
+    /// was left until the latency goal when the request was sent; 0: none was left.
+    void on_answer(time_point now, incarnation_id node, milliseconds took, int load,
+                   milliseconds aim = milliseconds{0});
     /// The node refused the request, for example because its target has no room. The request did
     /// not run. `load`: as in `on_answer`.
     void on_refusal(time_point now, incarnation_id node, int load);
@@ -63,10 +72,18 @@
     void on_target_refusal(time_point now, incarnation_id node, int load);
     /// The target answered with HTTP status 500 or above, or the outcome of the request is unknown.
     void on_failure(time_point now, incarnation_id node);
+    /// The request got no answer until its deadline. This counts for the node's zone only, and does
+    /// not end the request.
+    void on_overdue(time_point now, incarnation_id node);
     /// The request ended without an observation of the target.
     void on_end(incarnation_id node);
     /// Removes the statistics of nodes that are not in `live`.
     void keep(std::span<const incarnation_id> live);
+    /// The balance between zones of each service that was picked for.
+    [[nodiscard]] const std::map<std::string, zone_balance, std::less<>>& balances() const
+    {
+        return balances_;
+    }
 
 private:
     struct target_stats {
@@ -76,24 +93,35 @@
         double mean_answer_ms = 0;       ///< 0: no answer so far
         double failure_share = 0;        ///< exponential average of failed requests
         time_point last_failure{};
+        std::string service; ///< as of the last pick
+        std::string zone;    ///< as of the last pick
+        std::uint32_t slots = 1;
     };
 
     /// Means over the targets of one service. They are used for a target of which this node has no
     /// data, or no recent load report.
     struct service_averages {
         double mean_answer_ms = 0;
+        double shortest_answer_ms = 0; ///< mean answer time of the fastest target
         double other_requests_per_slot = 0;
     };
 
     [[nodiscard]] service_averages averages_over(std::span<const pick_candidate> candidates) const;
     [[nodiscard]] const target_stats* find(incarnation_id node) const;
-    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate, milliseconds aim,
+    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate,
                               const service_averages& service) const;
+    [[nodiscard]] double cost_of_own_requests(time_point now, const pick_candidate& candidate,
+                                              const service_averages& service) const;
+    [[nodiscard]] double failure_cost(time_point now, const target_stats& stats) const;
+    zone_balance& balance_of(std::string_view service);
+    /// The balance that counts answers of the target; null if it was never picked.
+    zone_balance* balance_of(const target_stats& stats);
     void end_request(incarnation_id node);
     void record_load(time_point now, target_stats& stats, int load);
 
     pick_settings settings_;
     std::map<incarnation_id, target_stats> stats_;
+    std::map<std::string, zone_balance, std::less<>> balances_; ///< by service
 };
 
 } // namespace bulrushgw::dispatch
