Balance unkeyed requests of the sidecar between zones

The entry passes the zone of each target, the rank and the time left to the goal to the picker, and reports requests that passed their deadline without an answer. zone_traffic writes a line for each marked change of a share and the metrics by zone. The optional setting zone_traffic.cost has a default of 25 ms.

--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -71,7 +71,7 @@
 entry::entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
              std::uint64_t seed, hooks callbacks)
     : loop_(loop), settings_(std::move(settings)), protocol_(protocol), random_(seed),
-      hooks_(std::move(callbacks))
+      hooks_(std::move(callbacks)), picker_({settings_.zones})
 {
 }
 
@@ -237,7 +237,8 @@
     for (const auto& node : view.nodes) {
         if (node.target.service == request.service &&
             node.target.phase == assignment::target_phase::ready) {
-            candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone});
+            candidates.push_back(
+                {node.node, node.target.slots, node.zone == settings_.zone, false, node.zone});
         }
     }
     if (candidates.empty()) {
@@ -247,13 +248,15 @@
     const auto now = loop_.now();
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
-    const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_);
+    const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_,
+                                     {request.service, request.route.rank});
     if (!picked) {
         refuse(request, reason::overloaded, default_retry_after, "all targets refused");
         return;
     }
     const auto node = std::find_if(view.nodes.begin(), view.nodes.end(),
                                    [&](const auto& item) { return item.node == *picked; });
+    zone_traffic_.on_sent(node->zone);
     send(request, *picked, node->address);
 }
 
@@ -377,9 +380,10 @@
             picker_.on_failure(now, from);
         }
         else {
-            picker_.on_answer(now, from,
-                              std::chrono::duration_cast<milliseconds>(now - request->sent),
-                              static_cast<int>(reply.load));
+            picker_.on_answer(
+                now, from, std::chrono::duration_cast<milliseconds>(now - request->sent),
+                static_cast<int>(reply.load),
+                std::chrono::duration_cast<milliseconds>(request->aim - request->sent));
         }
         if (reply.status >= min_failure_status && try_spend_retry(*request)) {
             request->avoid.push_back(from);
@@ -528,6 +532,7 @@
 
 void entry::on_tick()
 {
+    zone_traffic_.report(loop_.now(), picker_, hooks_.log);
     std::vector<std::uint64_t> waiting;
     for (const auto& [id, request] : pending_) {
         if (request.waits_for_owner) {
@@ -552,6 +557,9 @@
     ++counters_.timed_out;
     const bool may_have_run = request.sends > 0;
     count_timeout(request);
+    if (request.in_flight) {
+        picker_.on_overdue(loop_.now(), request.node);
+    }
     cancel_sent(request);
     if (may_have_run) {
         fail(request, 504, reason::deadline_sent);
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -23,6 +23,7 @@
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
 #include "sidecar/protocol.h"
+#include "sidecar/zone_traffic.h"
 #include "wire/messages.h"
 
 namespace bulrushgw::sidecar {
@@ -31,6 +32,7 @@
     std::string zone;
     std::string service; ///< sent to targets as the calling service
     dispatch::allowance_settings retries;
+    dispatch::zone_balance_settings zones;
 };
 
 struct entry_counters {
@@ -94,6 +96,8 @@
 
     [[nodiscard]] const entry_counters& counters() const { return counters_; }
     [[nodiscard]] std::size_t pending() const { return pending_.size(); }
+    /// The metrics of the traffic to each availability zone.
+    [[nodiscard]] std::string zone_metrics() const { return zone_traffic_.metrics_text(picker_); }
 
 private:
     struct pending_request {
@@ -155,6 +159,7 @@
     hooks hooks_;
     std::shared_ptr<const routing::route_index> routes_;
     dispatch::target_picker picker_;
+    zone_traffic zone_traffic_;
     dispatch::time_spent time_spent_;
     std::map<std::string, dispatch::retry_allowance> retry_allowances_;
     std::map<std::uint64_t, pending_request> pending_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -185,6 +185,7 @@
     values.zone = settings_.zone;
     values.service = settings_.service;
     values.retries = retry_settings_of(settings_.bounds);
+    values.zones = settings_.zone_traffic;
     entry::hooks hooks;
     hooks.self = [this] { return self_; };
     hooks.member = [this]() -> const assignment::member& { return coordination_.member(); };
@@ -272,10 +273,10 @@
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
             gauges.requests_ignored = request_server_->abandoned_requests();
-            exchange.respond(
-                {status_ok,
-                 {{"content-type", "text/plain; version=0.0.4"}},
-                 metrics_.text(entry_.counters(), gauges) + traffic_text(transport_->counters())});
+            exchange.respond({status_ok,
+                              {{"content-type", "text/plain; version=0.0.4"}},
+                              metrics_.text(entry_.counters(), gauges) + entry_.zone_metrics() +
+                                  traffic_text(transport_->counters())});
         });
 }
 
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -124,6 +124,9 @@
     result.bounds.retry_ratio = fields.number("bounds.retry_ratio", 0);
     result.bounds.retry_slack = fields.number("bounds.retry_slack", 0);
     result.bounds.retry_window = fields.time_s("bounds.retry_window_s");
+    if (fields.has("zone_traffic.cost")) {
+        result.zone_traffic.cost = fields.time_ms("zone_traffic.cost");
+    }
     result.times.lease = std::min(result.times.lease, result.bounds.longest_hold);
     return result;
 }
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -9,6 +9,7 @@
 #include "assignment/types.h"
 #include "common/boot_clock.h"
 #include "common/errors.h"
+#include "dispatch/zone_balance.h"
 #include "net/http.h"
 
 namespace bulrushgw::sidecar {
@@ -46,6 +47,7 @@
     std::size_t descriptors = 0; ///< limit on open file descriptors of this process
     double processor_share = 0;  ///< CPU limit of this process, in cores
     assignment::timing times;
+    dispatch::zone_balance_settings zone_traffic;
 };
 
 /// The message names the file, the field and the expected value.
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -42,6 +42,7 @@
     LONGS_EQUAL(10000, values.bounds.retry_window.count());
     // Without `announced`, other nodes use the address at which this node listens.
     CHECK(values.addresses.announced == values.addresses.inner);
+    LONGS_EQUAL(25, values.zone_traffic.cost.count());
     // The lease is limited to the longest hold that targets accept.
     LONGS_EQUAL(900, values.times.lease.count());
 }
@@ -58,3 +59,13 @@
     CHECK(failure_of("{\"host\"", "[{\"host\"").find("one JSON object") != std::string::npos);
     CHECK_THROWS(settings_error, load_settings("/nonexistent/node.json"));
 }
+
+// Guards against a cost of traffic between zones that is ignored or read in another unit.
+TEST(sidecar_settings, cost_of_zone_traffic_is_optional)
+{
+    std::string text = complete_settings;
+    text.insert(1, R"("zone_traffic":{"cost":40},)");
+    LONGS_EQUAL(40, parse_settings("node.json", text).zone_traffic.cost.count());
+    CHECK(failure_of("{\"host\"", "{\"zone_traffic\":{\"cost\":-1},\"host\"")
+              .find("zone_traffic.cost") != std::string::npos);
+}
