--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -37,8 +37,8 @@
     /// after at least this time, if ever.
     milliseconds late_order_delay{2000};
     /// Whether a target that carries out a grant late counts its hold from the arrival of the
-    /// grant. The platform's pages do not say so (docs/platform.md, section 8), so a grant that is
-    /// carried out just before its hold is over is taken to hold the keys for another hold.
+    /// grant, as the platform's protocol says. Otherwise a grant that is carried out just before
+    /// its hold is over is taken to hold the keys for another hold.
     bool holds_count_from_arrival = true;
     /// A member that was given no lease reports again after this time, because a new leader gives
     /// leases only from the second report on. So does a member that cannot apply a directory change
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -85,7 +85,7 @@
 entry::entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
              std::uint64_t seed, hooks callbacks)
     : loop_(loop), settings_(std::move(settings)), protocol_(protocol), random_(seed),
-      hooks_(std::move(callbacks)),
+      hooks_(std::move(callbacks)), picker_({settings_.zones}),
       parts_({[this](const std::string& address, incarnation_id to, const wire::body& content) {
                   return hooks_.send(address, to, content);
               },
@@ -267,7 +267,7 @@
             node.target.phase == assignment::target_phase::ready &&
             !exclusion_of(request.route, node.zone)) {
             candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone,
-                                  node.target.warming_up});
+                                  node.target.warming_up, node.zone});
         }
     }
     if (candidates.empty()) {
@@ -281,7 +281,8 @@
     const auto now = loop_.now();
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
-    const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_);
+    const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_,
+                                     {request.service, request.route.rank});
     if (!picked && request.warm_up_refusals > 0) {
         refuse(request, reason::warming_up, request.warm_up_wait, "all targets refused");
         return;
@@ -296,6 +297,7 @@
         request.warm_up_refusals == 0 && candidates.size() > request.avoid.size() + 1;
     const auto node = std::find_if(view.nodes.begin(), view.nodes.end(),
                                    [&](const auto& item) { return item.node == *picked; });
+    zone_traffic_.on_sent(node->zone);
     send(request, *picked, node->address);
 }
 
@@ -445,9 +447,10 @@
             picker_.on_failure(now, from);
         }
         else {
-            picker_.on_answer(now, from,
-                              std::chrono::duration_cast<milliseconds>(now - request->sent),
-                              static_cast<int>(reply.load));
+            picker_.on_answer(
+                now, from, std::chrono::duration_cast<milliseconds>(now - request->sent),
+                static_cast<int>(reply.load),
+                std::chrono::duration_cast<milliseconds>(request->aim - request->sent));
         }
         if (reply.status >= min_failure_status && try_spend_retry(*request)) {
             request->avoid.push_back(from);
@@ -627,6 +630,7 @@
 
 void entry::on_tick()
 {
+    zone_traffic_.report(loop_.now(), picker_, hooks_.log);
     std::vector<std::uint64_t> waiting;
     for (const auto& [id, request] : pending_) {
         if (request.waits_for_owner) {
@@ -650,6 +654,9 @@
     auto& request = found->second;
     ++counters_.timed_out;
     count_timeout(request);
+    if (request.in_flight) {
+        picker_.on_overdue(loop_.now(), request.node);
+    }
     cancel_sent(request);
     if (request.sends > 0) {
         fail(request, 504, reason::deadline_sent);
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -237,6 +237,7 @@
     values.retries = retry_settings_of(settings_.bounds);
     values.regions = routing::zone_regions(settings_.regions);
     values.evacuation_grace = settings_.times.evacuation_grace;
+    values.zones = settings_.zone_traffic;
     entry::hooks hooks;
     hooks.self = [this] { return self_; };
     hooks.member = [this]() -> const assignment::member& { return coordination_.member(); };
@@ -336,11 +337,12 @@
             gauges.errors = errors_;
             set_evacuation_gauges(gauges);
             gauges.requests_ignored = request_server_->abandoned_requests();
-            exchange.respond(
-                {status_ok,
-                 {{"content-type", "text/plain; version=0.0.4"}},
-                 metrics_.text(entry_.counters(), gauges) + traffic_text(transport_->counters()) +
-                     refusal_metrics(*request_server_, *budget_) + intake_text(intake_)});
+            exchange.respond({status_ok,
+                              {{"content-type", "text/plain; version=0.0.4"}},
+                              metrics_.text(entry_.counters(), gauges) + entry_.zone_metrics() +
+                                  traffic_text(transport_->counters()) +
+                                  refusal_metrics(*request_server_, *budget_) +
+                                  intake_text(intake_)});
         },
         local_server_limits());
 }
