--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -26,6 +26,7 @@
 #include "sidecar/journal.h"
 #include "sidecar/part_sender.h"
 #include "sidecar/protocol.h"
+#include "sidecar/zone_traffic.h"
 #include "wire/messages.h"
 
 namespace bulrushgw::sidecar {
@@ -37,6 +38,7 @@
     routing::zone_regions regions;
     /// See `assignment::timing::evacuation_grace`.
     milliseconds evacuation_grace = assignment::timing{}.evacuation_grace;
+    dispatch::zone_balance_settings zones;
 };
 
 struct entry_counters {
@@ -107,6 +109,8 @@
 
     [[nodiscard]] const entry_counters& counters() const { return counters_; }
     [[nodiscard]] std::size_t pending() const { return pending_.size(); }
+    /// The metrics of the traffic to each availability zone.
+    [[nodiscard]] std::string zone_metrics() const { return zone_traffic_.metrics_text(picker_); }
 
 private:
     struct pending_request {
@@ -194,6 +198,7 @@
     std::shared_ptr<const routing::route_index> routes_;
     dispatch::target_picker picker_;
     part_sender parts_;
+    zone_traffic zone_traffic_;
     dispatch::time_spent time_spent_;
     std::map<std::string, dispatch::retry_allowance> retry_allowances_;
     std::map<std::uint64_t, pending_request> pending_;
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -10,6 +10,7 @@
 #include "assignment/types.h"
 #include "common/boot_clock.h"
 #include "common/errors.h"
+#include "dispatch/zone_balance.h"
 #include "net/http.h"
 
 namespace bulrushgw::sidecar {
@@ -55,6 +56,7 @@
     double processor_share = 0;  ///< CPU limit of this process, in cores
     std::size_t memory_mb = 256; ///< memory limit of this process, in MiB
     assignment::timing times;
+    dispatch::zone_balance_settings zone_traffic;
 };
 
 /// The message names the file, the field and the expected value.
