Report inherited keys as held only while their leader cannot have freed them

A process counts the keys of the process before it as held for the longest lease of any member, which may be much longer than the lease of that process. Its leader frees the keys after the real lease. The next leader knows from the age of the process that the target may hold keys that are not reported.

--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -159,6 +159,18 @@
     return item.inherited ? std::max(item.granted_until, earlier_holds_end_) : item.granted_until;
 }
 
+// The leader frees the keys of a silent member at the end of the last lease on its host. For keys
+// of an earlier process that may be long before `earlier_holds_end_`, which allows for the longest
+// lease of any member. A next leader would take the keys for held here, although others have them.
+// It learns from `report::process_age` that the target may hold keys that are not reported.
+bool member::is_reported(time_point now, const held_range& item) const
+{
+    const time_point usual_holds_end =
+        self_.started + times_.hold_margin + with_drift(times_.lease, times_.drift_permille);
+    return item.granted_until > now || (item.inherited && earlier_holds_end_ > now &&
+                                        std::max(lease_end_, usual_holds_end) > now);
+}
+
 milliseconds member::renewal_threshold() const
 {
     return has_long_lease()
@@ -410,7 +422,7 @@
     for (auto& item : held_ranges_) {
         // Until the first lease of a term, its leader takes the holdings in each report as complete
         // and may assign other keys. A range whose hold has ended was not in the latest report.
-        const bool not_reported = last_lease_term_ != term_ && may_hold_until(item) <= now;
+        const bool not_reported = last_lease_term_ != term_ && !is_reported(now, item);
         const bool has_new_fence = item.granted != item.range_fence;
         const bool due = has_new_fence || item.served_until < item.needed_until ||
                          item.served_until - now < renewal_threshold();
@@ -600,7 +612,7 @@
 {
     std::vector<holding> result;
     for (const auto& item : held_ranges_) {
-        if (may_hold_until(item) > now) {
+        if (is_reported(now, item)) {
             result.push_back(
                 {item.service, item.first, item.last, std::max(item.range_fence, item.granted)});
         }
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -193,6 +193,8 @@
     /// The target may hold the keys until this time, under a grant of this process or of an earlier
     /// one. It is certain not to hold them afterwards. The epoch: it never held them.
     [[nodiscard]] time_point may_hold_until(const held_range& item) const;
+    /// True if the keys are reported as held: if the leader cannot have assigned them to others.
+    [[nodiscard]] bool is_reported(time_point now, const held_range& item) const;
     [[nodiscard]] milliseconds lease_of(const report_reply& reply) const;
     [[nodiscard]] bool has_long_lease() const { return lease_length_ > times_.lease; }
     [[nodiscard]] milliseconds renewal_threshold() const;
--- a/tests/sidecar/long_work_test.cpp
+++ b/tests/sidecar/long_work_test.cpp
@@ -159,4 +159,9 @@
         check_no_problem(seed, run_restart_faults(seed, settings));
         check_no_problem(seed, run_transfer_faults(seed, settings));
     }
+    // 50429: a restarted node without a lease reported the keys of the process before it as held
+    // for the longest lease of any member. Its leader had given them away after the lease of that
+    // process, and the next leader believed the report.
+    settings.times.holds_count_from_arrival = true;
+    check_no_problem(50429, run_restart_faults(50429, settings));
 }
