Close clients that leave responses unread when memory is short

Responses without room in the budget were kept all the same, since a response that is ready is delivered. 200 clients that requested 700 kB each and read nothing took a sidecar with memory_mb 48 to 147 MB.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -22,8 +22,9 @@
 
 class http_connection;
 
-/// What a reservation is for. Bodies are refused before anything else.
-enum class memory_use { body, other };
+/// What a reservation is for. Bodies are refused before anything else. Only responses take the
+/// place of other responses, those that their clients do not read.
+enum class memory_use { body, response, other };
 
 /// What the connections of a server share. It outlives the server while one of its handlers runs;
 /// the hooks are not called then, because all connections are closed.
@@ -83,6 +84,10 @@
     /// True if no request is being read, runs or waits for its response to be written.
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] time_point idle_since() const { return idle_since_; }
+    /// Bytes of the responses that are being written; 0 if there are none.
+    [[nodiscard]] std::size_t unread_bytes() const;
+    /// Time since the responses that are being written were passed to the socket.
+    [[nodiscard]] milliseconds unread_age(time_point now) const;
 
 private:
     /// A request from the end of its input until its response is written.
--- a/src/net/http_connection_responses.cpp
+++ b/src/net/http_connection_responses.cpp
@@ -127,7 +127,7 @@
     const auto bytes = response_bytes(response);
     entry.response = std::move(response);
     entry.charge = memory_charge(context_->limits.budget);
-    if (!context_->reserve(entry.charge, bytes, memory_use::other, this) && writing_) {
+    if (!context_->reserve(entry.charge, bytes, memory_use::response, this) && writing_) {
         // The client does not read the responses before this one, and there is no room to keep it.
         ++context_->counters.memory_closed;
         close();
@@ -217,6 +217,20 @@
     h2o_socket_write(socket_, buffers.data(), buffers.size(), on_socket_written);
 }
 
+std::size_t http_connection::unread_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& text : output_) {
+        total += text.size();
+    }
+    return closed_ || !writing_ ? 0 : total;
+}
+
+milliseconds http_connection::unread_age(time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - writing_since_);
+}
+
 void http_connection::on_written(const char* failure)
 {
     writing_ = false;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -76,6 +76,8 @@
     [[nodiscard]] std::shared_ptr<http_connection> costliest_unfinished() const;
     [[nodiscard]] std::shared_ptr<http_connection>
     longest_idle(const http_connection* requester) const;
+    [[nodiscard]] std::shared_ptr<http_connection>
+    slowest_reader(const http_connection* requester) const;
 };
 
 void http_server::state::start(const endpoint& on_address)
@@ -179,12 +181,18 @@
         unfinished->refuse_unfinished();
         return true;
     }
-    const auto idle = use == memory_use::other ? longest_idle(requester) : nullptr;
-    if (idle == nullptr) {
+    const auto idle = use != memory_use::body ? longest_idle(requester) : nullptr;
+    if (idle != nullptr) {
+        ++context->counters.memory_closed;
+        idle->close();
+        return true;
+    }
+    const auto reader = use == memory_use::response ? slowest_reader(requester) : nullptr;
+    if (reader == nullptr) {
         return false;
     }
-    ++context->counters.memory_closed;
-    idle->close();
+    ++context->counters.slow_readers;
+    reader->close();
     return true;
 }
 
@@ -206,6 +214,25 @@
     return result;
 }
 
+// The client that leaves the most response bytes unread, weighted by the time since they were
+// written. Clients that read are served first when there is no room for all responses.
+std::shared_ptr<http_connection>
+http_server::state::slowest_reader(const http_connection* requester) const
+{
+    const auto now = context->event_loop.now();
+    std::shared_ptr<http_connection> result;
+    double highest_cost = 0;
+    for (const auto& [key, connection] : connections) {
+        const auto age_ms = static_cast<double>(connection->unread_age(now).count());
+        const double cost = static_cast<double>(connection->unread_bytes()) * age_ms;
+        if (connection.get() != requester && cost > highest_cost) {
+            highest_cost = cost;
+            result = connection;
+        }
+    }
+    return result;
+}
+
 std::shared_ptr<http_connection>
 http_server::state::longest_idle(const http_connection* requester) const
 {
