--- a/src/sidecar/body_assembly.cpp
+++ b/src/sidecar/body_assembly.cpp
@@ -37,13 +37,12 @@
         request.body_bytes > std::numeric_limits<std::size_t>::max() - head_bytes) {
         return false;
     }
-    auto memory =
-        net::memory_reservation::take(budget_, head_bytes + std::size_t{request.body_bytes});
-    if (!memory) {
+    net::memory_charge memory(budget_);
+    if (!memory.try_resize(head_bytes + std::size_t{request.body_bytes})) {
         return false;
     }
     auto& body = bodies_
-                     .emplace(key, incomplete{request, reply_address, std::move(*memory),
+                     .emplace(key, incomplete{request, reply_address, std::move(memory),
                                               now + request.aim, now + request.deadline})
                      .first->second;
     // Growing the text by doubling would take more memory than is reserved.
--- a/src/sidecar/body_assembly.h
+++ b/src/sidecar/body_assembly.h
@@ -5,13 +5,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "common/boot_clock.h"
 #include "common/ids.h"
-#include "net/memory_reservation.h"
+#include "net/memory_budget.h"
 #include "sidecar/gate.h"
 #include "wire/messages.h"
 
@@ -36,11 +37,12 @@
     struct assembled {
         wire::forward request;
         std::string reply_address;
-        net::memory_reservation memory; ///< to be kept as long as the request
+        net::memory_charge memory; ///< to be kept as long as the request
     };
 
-    /// `budget` must outlive this object and everything that `take` returned.
-    explicit body_assembly(net::memory_budget& budget) : budget_(budget) {}
+    explicit body_assembly(std::shared_ptr<net::memory_budget> budget) : budget_(std::move(budget))
+    {
+    }
 
     /// Begins to collect the body of `request`. Returns false if there is no room for it, or if the
     /// request carries a part of the body itself, which no sender does.
@@ -65,13 +67,13 @@
     struct incomplete {
         wire::forward request;
         std::string reply_address;
-        net::memory_reservation memory;
+        net::memory_charge memory;
         time_point aim;
         time_point deadline;
         std::uint64_t next_part = 0;
     };
 
-    net::memory_budget& budget_;
+    std::shared_ptr<net::memory_budget> budget_;
     std::map<request_key, incomplete> bodies_;
 };
 
--- a/src/sidecar/forward_intake.cpp
+++ b/src/sidecar/forward_intake.cpp
@@ -15,16 +15,16 @@
 constexpr milliseconds low_memory_retry_after{1000};
 
 /// Adds the memory of a request to its completion, which the gate keeps as long as the request.
-gate::completion keep_until_done(net::memory_reservation memory, gate::completion done)
+gate::completion keep_until_done(net::memory_charge memory, gate::completion done)
 {
-    return [held = std::make_shared<net::memory_reservation>(std::move(memory)),
+    return [held = std::make_shared<net::memory_charge>(std::move(memory)),
             done = std::move(done)](wire::forward_reply reply) { done(std::move(reply)); };
 }
 
 } // namespace
 
-forward_intake::forward_intake(net::memory_budget& budget, hooks callbacks)
-    : budget_(budget), hooks_(std::move(callbacks)), bodies_(budget)
+forward_intake::forward_intake(std::shared_ptr<net::memory_budget> budget, hooks callbacks)
+    : budget_(std::move(budget)), hooks_(std::move(callbacks)), bodies_(budget_)
 {
 }
 
@@ -50,13 +50,13 @@
 
 void forward_intake::run_local(request_key key, wire::forward request, gate::completion done)
 {
-    auto memory = net::memory_reservation::take(budget_, held_bytes(request));
-    if (!memory) {
+    net::memory_charge memory(budget_);
+    if (!memory.try_resize(held_bytes(request))) {
         ++counters_.refused;
         done(refusal(request.number, request.request_id, reason::overloaded));
         return;
     }
-    hooks_.run(key, std::move(request), keep_until_done(std::move(*memory), std::move(done)));
+    hooks_.run(key, std::move(request), keep_until_done(std::move(memory), std::move(done)));
 }
 
 void forward_intake::on_forward(const wire::frame& frame, const wire::forward& request)
@@ -72,14 +72,14 @@
         }
         return;
     }
-    auto memory = net::memory_reservation::take(budget_, held_bytes(request));
-    if (!memory) {
+    net::memory_charge memory(budget_);
+    if (!memory.try_resize(held_bytes(request))) {
         ++counters_.refused;
         refuse(frame.reply_address, key, request.request_id, reason::overloaded);
         return;
     }
     hooks_.run_later(key, request,
-                     keep_until_done(std::move(*memory),
+                     keep_until_done(std::move(memory),
                                      [this, to = frame.from,
                                       address = frame.reply_address](wire::forward_reply reply) {
                                          hooks_.send(address, to, std::move(reply));
@@ -140,8 +140,8 @@
     hooks_.log("bodies_lost", {{"refused", counters_.refused - logged_.refused},
                                {"dropped", counters_.dropped - logged_.dropped},
                                {"invalid", counters_.invalid - logged_.invalid},
-                               {"reserved_kb", budget_.used() / 1024},
-                               {"limit_kb", budget_.limit() / 1024}});
+                               {"reserved_kb", budget_->used() / 1024},
+                               {"limit_kb", budget_->limit() / 1024}});
     logged_ = counters_;
     next_log_ = now + log_interval;
 }
--- a/src/sidecar/forward_intake.h
+++ b/src/sidecar/forward_intake.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,8 +48,8 @@
         std::function<void(std::string_view event, const journal::fields&)> log;
     };
 
-    /// All hooks must be set; `budget` must outlive this object and the gate's requests.
-    forward_intake(net::memory_budget& budget, hooks callbacks);
+    /// All hooks must be set.
+    forward_intake(std::shared_ptr<net::memory_budget> budget, hooks callbacks);
 
     /// A request of the entry of this node. `done` is called as by `gate::run`.
     void run_local(request_key key, wire::forward request, gate::completion done);
@@ -73,7 +74,7 @@
     [[nodiscard]] wire::forward_reply refusal(std::uint64_t number, const std::string& request_id,
                                               request::reason why) const;
 
-    net::memory_budget& budget_;
+    std::shared_ptr<net::memory_budget> budget_;
     hooks hooks_;
     body_assembly bodies_;
     intake_counters counters_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -192,7 +192,7 @@
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
-    return {*budget_, std::move(hooks)};
+    return {budget_, std::move(hooks)};
 }
 
 coordination process::make_coordination()
--- a/tests/sidecar/body_assembly_test.cpp
+++ b/tests/sidecar/body_assembly_test.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/body_assembly.h"
 
+#include <memory>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -28,7 +29,7 @@
 // Bodies of 30,000 bytes in parts of 10,000, and a budget for three of them.
 TEST_GROUP(body_assembly)
 {
-    net::memory_budget budget{budget_bytes};
+    std::shared_ptr<net::memory_budget> budget = std::make_shared<net::memory_budget>(budget_bytes);
     time_point now{std::chrono::hours{1}};
     body_assembly tested{budget};
 
@@ -61,9 +62,9 @@
         STRCMP_EQUAL("n2", body->reply_address.c_str());
         LONGS_EQUAL(600, body->request.deadline.count());
         LONGS_EQUAL(0, body->request.aim.count());
-        CHECK(budget.used() > body_bytes);
+        CHECK(budget->used() > body_bytes);
     }
-    LONGS_EQUAL(0, budget.used());
+    LONGS_EQUAL(0, budget->used());
 }
 
 // Guards against a request that runs with a part of its body, after a part was lost, repeated or
@@ -84,5 +85,5 @@
     auto endless = request_for(5);
     endless.body_bytes = ~std::uint64_t{0};
     CHECK_FALSE(tested.begin(now, {sender, 5}, "n2", endless));
-    LONGS_EQUAL(0, budget.used());
+    LONGS_EQUAL(0, budget->used());
 }
--- a/tests/sidecar/forward_intake_test.cpp
+++ b/tests/sidecar/forward_intake_test.cpp
@@ -24,7 +24,7 @@
 TEST_GROUP(forward_intake)
 {
     time_point now{std::chrono::hours{1}};
-    net::memory_budget budget{budget_bytes};
+    std::shared_ptr<net::memory_budget> budget = std::make_shared<net::memory_budget>(budget_bytes);
     std::map<request_key, std::pair<wire::forward, gate::completion>> running;
     std::vector<wire::forward_reply> replies;
     std::vector<std::string> events;
@@ -111,7 +111,7 @@
     LONGS_EQUAL(1, events.size());
     finish({sender, 1});
     tested->cancel({self, 1});
-    LONGS_EQUAL(0, budget.used());
+    LONGS_EQUAL(0, budget->used());
 }
 
 // Guards against a body in parts that does not run when it is complete, runs after its
@@ -130,7 +130,7 @@
     LONGS_EQUAL(30000, running.at({sender, 1}).first.body.size());
     finish({sender, 1});
     LONGS_EQUAL(1, replies.size());
-    LONGS_EQUAL(0, budget.used());
+    LONGS_EQUAL(0, budget->used());
 }
 
 // Guards against a sender that waits until the deadline for the answer to a body whose part was
@@ -164,13 +164,13 @@
     tested->on_sender_lost(incarnation_id{3});
     LONGS_EQUAL(1, tested->incomplete());
     tested->on_sender_lost(sender);
-    LONGS_EQUAL(0, budget.used());
+    LONGS_EQUAL(0, budget->used());
     receive(request_for(2, 0, 30000));
     now += milliseconds{999};
     tested->on_tick();
     LONGS_EQUAL(1, tested->incomplete());
     now += milliseconds{1};
     tested->on_tick();
-    LONGS_EQUAL(0, budget.used());
+    LONGS_EQUAL(0, budget->used());
     LONGS_EQUAL(2, tested->counters().dropped);
 }
