Keep the weights of destinations during an evacuation

A destination whose targets are all in evacuated zones gave its share to the other destinations, which may have no room for it, and operators rely on the weights. What it cannot serve is refused as not run now. Regions still exclude destinations without a target in them. A new test fails on the code before.

--- a/src/sidecar/entry_targets.cpp
+++ b/src/sidecar/entry_targets.cpp
@@ -63,11 +63,13 @@
 {
     std::uniform_real_distribution<double> random_share(0, 1);
     const double point = random_share(random_);
-    if (!is_restricted(route)) {
+    if (route.regions.empty()) {
         return routing::choose_destination(route, point);
     }
+    // The weights hold during an evacuation: what a destination cannot serve is refused, because
+    // the others may have no room for it.
     return routing::choose_destination(route, point, [&](const routing::destination& item) {
-        return !unservable_reason(route, item.service);
+        return unservable_reason(route, item.service) != reason::no_target_in_region;
     });
 }
 
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -427,6 +427,21 @@
     LONGS_EQUAL(4, last_receiver().value);
 }
 
+// Guards against an evacuation that moves the share of one destination to another.
+TEST(entry, weights_of_destinations_hold_during_an_evacuation)
+{
+    add_node(incarnation_id{4}, "far", "y");
+    evacuations.on_feed(loop.now(), loop.now(), {5, {{"y", 5, true}}, true});
+    auto rule = route_to("pool", false);
+    rule.destinations = {{"pool", 1}, {"far", 9}};
+    set_manifest({rule});
+    for (int i = 0; i < 20; ++i) {
+        call("/pool-write/a", milliseconds{2000}, "r-" + std::to_string(i));
+    }
+    CHECK(tested_entry->counters().refused_evacuated > 0);
+    LONGS_EQUAL(20, tested_entry->counters().refused_evacuated + forwards());
+}
+
 // Guards against counters that call a request refused although its client was told that the outcome
 // is unknown, or that leave such a request out.
 TEST(entry, counters_tell_unknown_outcomes_from_refusals)
