--- a/tests/process/warm_up_test.sh
+++ b/tests/process/warm_up_test.sh
@@ -61,11 +61,12 @@
     grep -qx 'bulrushgw_target_cold 0' <<<"$metrics"
 }
 
+# The window of a new process begins filled, so the bursts must last longer than the window of 1.1 s.
 await ready 2 || fail "the node is not ready"
-for round in 1 2 3; do send_burst "cold-$round"; done
+for round in 1 2 3; do send_burst "cold-$round"; sleep 0.5; done
 kill -KILL "${pids[1]}"
 start_sidecar 1
-for round in 4 5 6; do send_burst "cold-$round"; done
+for round in 4 5 6; do send_burst "cold-$round"; sleep 0.5; done
 for host in 1 2; do await is_warm "$host" || fail "the target of host $host stays limited"; done
 for host in 1 2; do
     await grep -q '"event":"target_warm"' "$work/$host.log" || fail "no log line tells that the target is warm"
