--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -15,6 +15,8 @@
 constexpr double min_descriptors = 600;
 /// Twice what the process needs itself, so that clients have room.
 constexpr double min_memory_mb = 32;
+/// Leases alone take about 20 kbit/s.
+constexpr double min_link_mbps = 0.1;
 /// See `assignment::timing::evacuation_grace`.
 constexpr int evacuation_grace_divisor = 2;
 /// A target tolerates at least the rate that the manifest names.
@@ -154,6 +156,9 @@
     if (fields.has("memory_mb")) {
         result.memory_mb = static_cast<std::size_t>(fields.number("memory_mb", min_memory_mb));
     }
+    if (fields.has("link_mbps")) {
+        result.link_mbps = fields.number("link_mbps", min_link_mbps);
+    }
     result.bounds.drain = fields.time_ms("bounds.drain_ms");
     result.bounds.grace = fields.time_s("bounds.grace_s");
     result.bounds.longest_hold = fields.time_ms("bounds.longest_hold_ms");
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -55,6 +55,7 @@
     std::size_t descriptors = 0; ///< limit on open file descriptors of this process
     double processor_share = 0;  ///< CPU limit of this process, in cores
     std::size_t memory_mb = 256; ///< memory limit of this process, in MiB
+    double link_mbps = 100;      ///< speed of the host's link in each direction, in Mbit/s
     assignment::timing times;
     dispatch::zone_balance_settings zone_traffic;
 };
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -160,7 +160,7 @@
         "no_replies",        "probe",
         "probe_reply",       "confirm_request",
         "leadership_notice", "leadership_transfer",
-        "forward_part"};
+        "forward_part",      "forward_credit"};
     return names.at(index);
 }
 
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -49,8 +49,9 @@
                  m.idempotent, m.worth, m.deadline, m.aim, m.method, m.path, m.headers, m.body,
                  m.has_alternative, m.body_bytes)
 BULRUSHGW_FIELDS(forward_part, m.number, m.index, m.bytes)
+BULRUSHGW_FIELDS(forward_credit, m.number, m.bytes)
 BULRUSHGW_FIELDS(forward_reply, m.number, m.request_id, m.outcome, m.reason, m.version, m.load,
-                 m.work_percent, m.retry_after, m.status, m.headers, m.body)
+                 m.work_percent, m.intake_wait, m.retry_after, m.status, m.headers, m.body)
 BULRUSHGW_FIELDS(cancel, m.number)
 BULRUSHGW_FIELDS(no_replies, m.requests)
 BULRUSHGW_FIELDS(probe, m.number)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -35,7 +35,7 @@
     using frame_error::frame_error;
 };
 
-inline constexpr std::uint8_t protocol_version = 6;
+inline constexpr std::uint8_t protocol_version = 7;
 /// Size of the length prefix of each frame.
 inline constexpr std::size_t length_bytes = 4;
 /// Upper bound on the bytes of a frame after its length prefix.
@@ -86,6 +86,12 @@
     std::string bytes;
 };
 
+/// Allows the sender of the `forward` with this number to send its body, up to `bytes` in total.
+struct forward_credit {
+    std::uint64_t number = 0;
+    std::uint64_t bytes = 0;
+};
+
 enum class forward_outcome : std::uint8_t { answered, not_run, unknown, not_owner };
 
 /// Reply to a `forward` with the same number.
@@ -103,6 +109,8 @@
     std::string body;
     /// Current duration of work on the target's machine in percent of the usual one.
     std::uint32_t work_percent = 100;
+    /// Time after which the replying host would accept a body of 64 KiB that is announced now.
+    milliseconds intake_wait{0};
 };
 
 /// Cancels the `forward` with this number: the client disconnected or its deadline passed.
@@ -143,12 +151,12 @@
     std::string reason;
 };
 
-using body =
-    std::variant<ownership::message, forward, forward_reply, cancel, rules_pull, rules_text,
-                 protocol_failure, assignment::report, assignment::report_reply,
-                 assignment::leader_hint, assignment::directory_update, assignment::lead_request,
-                 no_replies, probe, probe_reply, assignment::confirm_request,
-                 assignment::leadership_notice, assignment::leadership_transfer, forward_part>;
+using body = std::variant<ownership::message, forward, forward_reply, cancel, rules_pull,
+                          rules_text, protocol_failure, assignment::report,
+                          assignment::report_reply, assignment::leader_hint,
+                          assignment::directory_update, assignment::lead_request, no_replies, probe,
+                          probe_reply, assignment::confirm_request, assignment::leadership_notice,
+                          assignment::leadership_transfer, forward_part, forward_credit>;
 
 /// A message with its sender and receiver. `to` is none if the sender knows only the address. If
 /// `to` is another incarnation than that of the receiver, the receiver drops the frame, but answers
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -48,6 +48,17 @@
     LONGS_EQUAL(900, values.times.lease.count());
     LONGS_EQUAL(900, values.times.longest_lease.count());
     LONGS_EQUAL(256, values.memory_mb);
+    DOUBLES_EQUAL(100, values.link_mbps, 0);
+}
+
+// Guards against a link speed that is ignored or nonsensical.
+TEST(sidecar_settings, link_speed_is_optional)
+{
+    std::string text = complete_settings;
+    text.insert(1, R"("link_mbps":10.5,)");
+    DOUBLES_EQUAL(10.5, parse_settings("node.json", text).link_mbps, 0);
+    STRCMP_CONTAINS("field \"link_mbps\": expected a number of at least 0.1",
+                    failure_of("{\"host\"", "{\"link_mbps\":0,\"host\"").c_str());
 }
 
 // Guards against a memory limit that is ignored or nonsensical.
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -189,6 +189,7 @@
         assignment::leadership_notice{3, 1, first, "127.0.0.1:7002", 1700},
         sample_transfer(),
         forward_part{1, 2, std::string(300, '\1')},
+        forward_credit{1, 65536},
     };
     std::vector<frame> result;
     for (const auto& content : contents) {
