Extend a planned stop when the stop signal is repeated

Change: the times of a planned stop are a module of their own, planned_stop, and a repeated signal starts the grace time anew. A stop_repeated line tells of it.

--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -28,17 +28,6 @@
 constexpr milliseconds idle_margin{1000};
 /// Descriptors reserved for files, peers, the target and the store; clients get the others.
 constexpr std::size_t reserved_descriptors = 500;
-/// Minimum time from the stop signal to the exit. Clients continue to send new requests until two
-/// of their readiness checks have failed.
-constexpr milliseconds min_stop_time{2500};
-/// A stopping node that received no request for this time has no clients left.
-constexpr milliseconds stop_idle_time{300};
-/// Time reserved for the exit itself before the platform kills the process.
-constexpr milliseconds stop_margin{500};
-/// A stopping node accepts new requests for the grace time divided by this. Clients that have no
-/// other node send requests until the exit, but accepted requests must be answered before the
-/// platform kills the process.
-constexpr int stop_accept_divisor = 2;
 /// Time for a last message to be sent before its connection is reset.
 constexpr milliseconds reset_delay{30};
 /// Time for the last answers to be sent before the exit.
@@ -553,7 +542,7 @@
 void process::on_ready(const net::http_exchange& exchange)
 {
     // The manifest may have come from a peer before the orders of evacuation are known.
-    const bool ready = routes_ && !stopping_since_ && coordination_.member().view().term != 0 &&
+    const bool ready = routes_ && !stop_.is_stopping() && coordination_.member().view().term != 0 &&
                        coordination_.evacuations().version() != 0 &&
                        exchange.request.path == protocol_.ready_path;
     exchange.respond(json_response(ready ? status_ok : status_unavailable, "{}"));
@@ -714,21 +703,22 @@
         log("superseded", {{"term", coordination_.member().term()}});
         loop_.stop();
     }
-    if (stopping_since_) {
+    if (stop_.is_stopping()) {
         finish_when_idle();
     }
 }
 
-// Begins a planned stop.
+// Begins a planned stop, or extends it if the platform repeats its signal.
 void process::on_signal()
 {
-    if (stopping_since_) {
-        return;
+    const bool is_repeated = stop_.is_stopping();
+    stop_.on_signal(loop_.now(), settings_.bounds.grace);
+    gate_.stop_at(stop_.exit_limit());
+    log(is_repeated ? "stop_repeated" : "stopping",
+        {{"pending", entry_.pending()}, {"running", gate_.active()}});
+    if (!is_repeated) {
+        coordination_.leave();
     }
-    stopping_since_ = loop_.now();
-    log("stopping", {{"pending", entry_.pending()}, {"running", gate_.active()}});
-    gate_.stop_at(*stopping_since_ + settings_.bounds.grace - stop_margin);
-    coordination_.leave();
 }
 
 // Reloads the settings. Only the bounds take effect, except `sidecar_bounds::longest_hold`, because
@@ -757,25 +747,20 @@
     loop_.run_until([] { return false; }, final_write_time);
 }
 
-// Ends a planned stop once the node is idle, or at the latest `stop_margin` before the platform
-// kills the process.
+// Ends a planned stop once the node is idle, or at the latest shortly before the platform kills the
+// process.
 void process::finish_when_idle()
 {
     const auto now = loop_.now();
-    const auto elapsed = now - *stopping_since_;
-    if (elapsed >= settings_.bounds.grace / stop_accept_divisor) {
-        entry_.close();
-    }
-    const bool idle = entry_.pending() == 0 && gate_.active() == 0 && intake_.incomplete() == 0 &&
-                      now - last_request_ >= stop_idle_time &&
-                      coordination_.member().holds_no_keys(now);
-    if (elapsed >= min_stop_time && idle && !closing_since_) {
+    const stop_progress progress{entry_.pending() == 0 && gate_.active() == 0 &&
+                                     intake_.incomplete() == 0 &&
+                                     coordination_.member().holds_no_keys(now),
+                                 last_request_};
+    if (stop_.is_closed(now, progress)) {
         // Requests that arrive from now on are refused instead of being aborted by the exit.
-        closing_since_ = now;
         entry_.close();
     }
-    const bool closed = closing_since_ && idle && now - *closing_since_ >= stop_idle_time;
-    if (closed || elapsed >= settings_.bounds.grace - stop_margin) {
+    if (stop_.is_over(now, progress)) {
         log("stopped", {{"pending", entry_.pending()}, {"running", gate_.active()}});
         loop_.stop();
     }
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -21,6 +21,7 @@
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
 #include "sidecar/peer_check.h"
+#include "sidecar/planned_stop.h"
 #include "sidecar/protocol.h"
 #include "sidecar/settings.h"
 #include "sidecar/sidecar_metrics.h"
@@ -110,9 +111,7 @@
     std::uint64_t notified_changes_ = 0; ///< `target_watch::changes` at the last notification
     bool notified_accepts_ = false;      ///< `target_watch::accepts` at the last notification
     bool notified_warming_up_ = false;   ///< `warm_up_state::is_warming_up` at that time
-    std::optional<time_point> stopping_since_;
-    /// Time at which this stopping node was found idle and began to refuse new requests.
-    std::optional<time_point> closing_since_;
+    planned_stop stop_;
     time_point last_request_{};
     time_point next_pull_{}; ///< earliest time for the next `wire::rules_pull`
     bool first_check_sent_ = false;
