Let the target's host credit request bodies to their senders

A sender put two parts of 64 KiB, or a whole frame of up to 64 KiB, on its connection at once. Many senders to one host on a slow link delayed leases, calls and replies by seconds, and bodies were dropped midway.

Bodies above 8 KiB now follow their forward only after a forward_credit of the target's host, which decides with dispatch::intake_schedule. The memory of a body is reserved with its first credit. Credits that may be lost with a connection, or whose sender makes no progress, are sent again; those of cancelled, late, wrong and abandoned bodies return to the window. The sender limits all its parts together to the rate of its own link. A request counts as not run until its last part was handed to the transport, as before.

Each reply to another host tells the time after which a body of 64 KiB would be credited (intake_wait). link_mbps sets the windows. New metrics count credited, arrived and returned bytes, and waiting, late and crowded bodies; two log lines mark a backlog above 500 ms.

--- a/src/sidecar/body_assembly.cpp
+++ b/src/sidecar/body_assembly.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <limits>
 
 namespace bulrushgw::sidecar {
 
@@ -34,19 +33,34 @@
 {
     const auto head_bytes = held_bytes(request);
     if (!request.body.empty() || bodies_.contains(key) ||
-        request.body_bytes > std::numeric_limits<std::size_t>::max() - head_bytes) {
+        request.body_bytes > budget_->limit() - std::min(head_bytes, budget_->limit())) {
         return false;
     }
     net::memory_charge memory(budget_);
-    if (!memory.try_resize(head_bytes + std::size_t{request.body_bytes})) {
+    if (!memory.try_resize(head_bytes)) {
         return false;
     }
-    auto& body = bodies_
-                     .emplace(key, incomplete{request, reply_address, std::move(memory),
-                                              now + request.aim, now + request.deadline})
-                     .first->second;
-    // Growing the text by doubling would take more memory than is reserved.
-    body.request.body.reserve(request.body_bytes);
+    bodies_.emplace(key, incomplete{request, reply_address, std::move(memory), now + request.aim,
+                                    now + request.deadline});
+    return true;
+}
+
+bool body_assembly::credit(request_key key, std::uint64_t bytes)
+{
+    const auto found = bodies_.find(key);
+    if (found == bodies_.end()) {
+        return false;
+    }
+    auto& body = found->second;
+    if (body.credited_bytes == 0) {
+        const auto size = static_cast<std::size_t>(body.request.body_bytes);
+        if (!body.memory.try_resize(body.memory.bytes() + size)) {
+            return false;
+        }
+        // Growing the text by doubling would take more memory than is reserved.
+        body.request.body.reserve(size);
+    }
+    body.credited_bytes = std::min(std::max(bytes, body.credited_bytes), body.request.body_bytes);
     return true;
 }
 
@@ -58,7 +72,8 @@
     }
     auto& body = found->second;
     const auto missing = body.request.body_bytes - body.request.body.size();
-    if (part.index != body.next_part || part.bytes.empty() || part.bytes.size() > missing) {
+    const auto expected = body.credited_bytes - body.request.body.size();
+    if (part.index != body.next_part || part.bytes.empty() || part.bytes.size() > expected) {
         bodies_.erase(found);
         return part_verdict::invalid;
     }
@@ -67,10 +82,25 @@
     return part.bytes.size() == missing ? part_verdict::complete : part_verdict::more_expected;
 }
 
-std::string body_assembly::request_id(request_key key) const
+body_assembly::origin body_assembly::origin_of(request_key key) const
 {
     const auto found = bodies_.find(key);
-    return found == bodies_.end() ? std::string{} : found->second.request.request_id;
+    if (found == bodies_.end()) {
+        return {};
+    }
+    const auto& body = found->second;
+    return {body.reply_address, body.request.request_id, body.credited_bytes};
+}
+
+std::vector<request_key> body_assembly::credited_from(const std::string& reply_address) const
+{
+    std::vector<request_key> result;
+    for (const auto& [key, body] : bodies_) {
+        if (body.credited_bytes > 0 && body.reply_address == reply_address) {
+            result.push_back(key);
+        }
+    }
+    return result;
 }
 
 std::optional<body_assembly::assembled> body_assembly::take(time_point now, request_key key)
@@ -94,14 +124,28 @@
     return bodies_.erase(key) > 0;
 }
 
-std::size_t body_assembly::drop_sender(incarnation_id sender)
+template <typename Predicate>
+std::vector<request_key> body_assembly::drop_if(Predicate predicate)
+{
+    std::vector<request_key> result;
+    std::erase_if(bodies_, [&](const auto& body) {
+        const bool drops = predicate(body);
+        if (drops) {
+            result.push_back(body.first);
+        }
+        return drops;
+    });
+    return result;
+}
+
+std::vector<request_key> body_assembly::drop_sender(incarnation_id sender)
 {
-    return std::erase_if(bodies_, [&](const auto& body) { return body.first.first == sender; });
+    return drop_if([&](const auto& body) { return body.first.first == sender; });
 }
 
-std::size_t body_assembly::expire(time_point now)
+std::vector<request_key> body_assembly::expire(time_point now)
 {
-    return std::erase_if(bodies_, [&](const auto& body) { return body.second.deadline <= now; });
+    return drop_if([&](const auto& body) { return body.second.deadline <= now; });
 }
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/body_assembly.h
+++ b/src/sidecar/body_assembly.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "common/boot_clock.h"
 #include "common/ids.h"
@@ -26,11 +27,11 @@
 };
 
 /// Collects the bodies of forwards whose parts follow them, by sender and number, within a memory
-/// budget. The memory of a body is reserved when its first frame arrives, so that a body for which
-/// there is no room is refused at once. A body is dropped, and its memory released, when the sender
-/// disconnects or cancels, when the deadline passes, or when a part is missing: it never runs in
-/// part. Addresses many large uploads at once to the target of a host with little memory, and
-/// senders that disappear midway. Not thread-safe.
+/// budget. The memory of a body is reserved with its first credit, so that bodies which wait for
+/// the link take no room from others. Parts beyond the credit are refused. A body is dropped, and
+/// its memory released, when the sender disconnects or cancels, when the deadline passes, or when a
+/// part is missing: it never runs in part. Addresses many large uploads at once to the target of a
+/// host with little memory, and senders that disappear midway. Not thread-safe.
 class body_assembly {
 public:
     /// A request whose body is complete, with times that count from now.
@@ -44,22 +45,35 @@
     {
     }
 
-    /// Begins to collect the body of `request`. Returns false if there is no room for it, or if the
-    /// request carries a part of the body itself, which no sender does.
+    /// Who sends a body.
+    struct origin {
+        std::string reply_address;
+        std::string request_id;
+        std::uint64_t credited_bytes = 0; ///< see `credit`
+    };
+
+    /// Begins to collect the body of `request`. Returns false if there is no room for the request,
+    /// if the body can never have room, or if the request carries a part of the body itself, which
+    /// no sender does.
     bool begin(time_point now, request_key key, const std::string& reply_address,
                const wire::forward& request);
+    /// Accepts the first `bytes` of a body. The first call reserves the memory of the whole body.
+    /// Returns false if there is no room for it, or if the body is unknown.
+    bool credit(request_key key, std::uint64_t bytes);
     /// Adds the next part of a body.
     part_verdict add(request_key key, const wire::forward_part& part);
-    /// Id of the request whose body is being collected, or empty text.
-    [[nodiscard]] std::string request_id(request_key key) const;
+    /// The origin of a body that is being collected, or empty texts.
+    [[nodiscard]] origin origin_of(request_key key) const;
+    /// The bodies with a credit whose sender has the address.
+    [[nodiscard]] std::vector<request_key> credited_from(const std::string& reply_address) const;
     /// Removes a complete request, after `add` returned `complete`.
     std::optional<assembled> take(time_point now, request_key key);
     /// Drops the body, if it is being collected. Returns whether it was.
     bool cancel(request_key key);
-    /// Drops all bodies of a sender. Returns their number.
-    std::size_t drop_sender(incarnation_id sender);
-    /// Drops the bodies whose deadline has passed. Returns their number.
-    std::size_t expire(time_point now);
+    /// Drops and returns all bodies of a sender.
+    std::vector<request_key> drop_sender(incarnation_id sender);
+    /// Drops and returns the bodies whose deadline has passed.
+    std::vector<request_key> expire(time_point now);
 
     [[nodiscard]] std::size_t size() const { return bodies_.size(); }
 
@@ -71,8 +85,12 @@
         time_point aim;
         time_point deadline;
         std::uint64_t next_part = 0;
+        std::uint64_t credited_bytes = 0;
     };
 
+    template <typename Predicate>
+    std::vector<request_key> drop_if(Predicate predicate);
+
     std::shared_ptr<net::memory_budget> budget_;
     std::map<request_key, incomplete> bodies_;
 };
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -85,14 +85,24 @@
 entry::entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
              std::uint64_t seed, hooks callbacks)
     : loop_(loop), settings_(std::move(settings)), protocol_(protocol), random_(seed),
-      hooks_(std::move(callbacks)), picker_({settings_.zones}),
-      parts_({[this](const std::string& address, incarnation_id to, const wire::body& content) {
-                  return hooks_.send(address, to, content);
-              },
-              [this](std::uint64_t number) { return body_of(number); }})
+      hooks_(std::move(callbacks)), picker_({settings_.zones}), parts_(make_part_sender())
 {
 }
 
+part_sender entry::make_part_sender()
+{
+    part_sender::hooks hooks;
+    hooks.now = [this] { return loop_.now(); };
+    hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
+        return hooks_.send(address, to, content);
+    };
+    hooks.body_of = [this](std::uint64_t number) { return body_of(number); };
+    hooks.call_on_rate_after = [this](milliseconds time) {
+        loop_.after(time, [this] { parts_.on_rate(); });
+    };
+    return {settings_.link_mbps, std::move(hooks)};
+}
+
 void entry::set_retry_limits(const dispatch::allowance_settings& retries)
 {
     settings_.retries = retries;
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -39,6 +39,7 @@
     /// See `assignment::timing::evacuation_grace`.
     milliseconds evacuation_grace = assignment::timing{}.evacuation_grace;
     dispatch::zone_balance_settings zones;
+    double link_mbps = 100; ///< speed of this host's link in each direction, in Mbit/s
 };
 
 struct entry_counters {
@@ -93,6 +94,11 @@
     void on_request(net::http_exchange exchange);
     /// A reply that matches no request in flight is counted and dropped.
     void on_reply(incarnation_id from, const wire::forward_reply& reply);
+    /// The target's host takes more of a body. Ignored if it is for no request in flight.
+    void on_credit(incarnation_id from, const wire::forward_credit& credit)
+    {
+        parts_.on_credit(from, credit.number, credit.bytes);
+    }
     /// The connection to `address` broke. If `unsent_since` has a value, the frames of that time
     /// and later were not sent. Without a value, all frames were sent.
     void on_disconnect(const std::string& address, std::optional<time_point> unsent_since);
@@ -175,6 +181,7 @@
     /// Sends no more parts of the body. A request with unsent parts has not run.
     void stop_parts(pending_request& request);
     [[nodiscard]] const std::string* body_of(std::uint64_t number) const;
+    [[nodiscard]] part_sender make_part_sender();
     void count_timeout(const pending_request& request);
     /// Takes one retry from the service's allowance, if the request may be retried.
     bool try_spend_retry(pending_request& request);
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -98,6 +98,11 @@
                                  std::function<void(const net::http_result&)> done);
 
     [[nodiscard]] std::chrono::microseconds mean_work() const { return queue_.mean_work(); }
+    /// Expected time that the target takes to run the request.
+    [[nodiscard]] milliseconds expected_work(const wire::forward& request) const
+    {
+        return queue_.expected(request.route);
+    }
     [[nodiscard]] std::size_t running() const { return queue_.running(); }
     [[nodiscard]] std::size_t queued() const { return queue_.queued(); }
     [[nodiscard]] std::size_t load() const { return queue_.running() + queue_.queued(); }
--- a/src/sidecar/part_sender.cpp
+++ b/src/sidecar/part_sender.cpp
@@ -8,8 +8,20 @@
 void part_sender::begin(std::uint64_t number, const std::string& address, incarnation_id to)
 {
     bodies_.insert_or_assign(number, unsent_body{address, to});
-    connections_[address].turns.push_back(number);
-    send_parts(address);
+}
+
+void part_sender::on_credit(incarnation_id from, std::uint64_t number, std::uint64_t bytes)
+{
+    const auto found = bodies_.find(number);
+    if (found == bodies_.end() || found->second.to != from ||
+        bytes <= found->second.credited_bytes) {
+        return;
+    }
+    found->second.credited_bytes = bytes;
+    if (!std::exchange(found->second.has_turn, true)) {
+        turns_.push_back(number);
+    }
+    send_parts();
 }
 
 bool part_sender::stop(std::uint64_t number)
@@ -18,67 +30,95 @@
     if (found == bodies_.end()) {
         return false;
     }
-    const auto conn = connections_.find(found->second.address);
+    if (found->second.has_turn) {
+        std::erase(turns_, number);
+    }
     bodies_.erase(found);
-    if (conn != connections_.end()) {
-        std::erase(conn->second.turns, number);
-        // The count of queued parts is forgotten with the last body: at most one more set of parts
-        // is queued if another body follows at once.
-        if (conn->second.turns.empty()) {
-            connections_.erase(conn);
-        }
+    // The counts of queued parts are forgotten with the last body: at most one more set of parts is
+    // queued on a connection if another body follows at once.
+    if (bodies_.empty()) {
+        queued_parts_.clear();
     }
     return true;
 }
 
 void part_sender::on_drained(const std::string& address)
 {
-    const auto found = connections_.find(address);
-    if (found != connections_.end()) {
-        found->second.queued_parts = 0;
-        send_parts(address);
+    if (queued_parts_.erase(address) > 0 || !turns_.empty()) {
+        send_parts();
     }
 }
 
-void part_sender::send_parts(const std::string& address)
+void part_sender::on_rate()
+{
+    is_call_pending_ = false;
+    send_parts();
+}
+
+void part_sender::send_parts()
 {
-    auto& conn = connections_.at(address);
-    while (!conn.turns.empty() && conn.queued_parts < max_queued_parts) {
-        const auto number = conn.turns.front();
-        if (!send_part(conn, number)) {
+    // Each body whose connection is full is passed over once.
+    for (auto left = turns_.size(); left > 0 && !turns_.empty();) {
+        const auto number = turns_.front();
+        auto& unsent = bodies_.at(number);
+        const auto result = send_part(number, unsent);
+        if (result == part_result::link_full) {
             return;
         }
-        conn.turns.pop_front();
-        if (bodies_.contains(number)) {
-            conn.turns.push_back(number);
+        turns_.pop_front();
+        if (result == part_result::connection_full) {
+            turns_.push_back(number);
+            --left;
+            continue;
+        }
+        const std::string* body = hooks_.body_of(number);
+        if (body == nullptr || unsent.sent_bytes >= body->size()) {
+            bodies_.erase(number);
+        }
+        else if (unsent.sent_bytes < unsent.credited_bytes) {
+            turns_.push_back(number);
         }
+        else {
+            unsent.has_turn = false;
+        }
+        left = turns_.size();
     }
-    if (conn.turns.empty()) {
-        connections_.erase(address);
+    if (bodies_.empty()) {
+        queued_parts_.clear();
     }
 }
 
-bool part_sender::send_part(connection& conn, std::uint64_t number)
+part_sender::part_result part_sender::send_part(std::uint64_t number, unsent_body& unsent)
 {
-    auto& unsent = bodies_.at(number);
     const std::string* body = hooks_.body_of(number);
     if (body == nullptr) {
-        bodies_.erase(number);
-        return true;
+        return part_result::sent;
+    }
+    auto& queued = queued_parts_[unsent.address];
+    if (queued >= max_queued_parts) {
+        return part_result::connection_full;
     }
-    const auto offset = unsent.next_part * body_part_bytes;
-    const wire::forward_part part{number, unsent.next_part, body->substr(offset, body_part_bytes)};
+    const auto end = std::min<std::uint64_t>(unsent.credited_bytes, body->size());
+    const auto size =
+        std::min({std::uint64_t{body_part_bytes}, pacer_.window_bytes(), end - unsent.sent_bytes});
+    const auto now = hooks_.now();
+    if (const auto wait = pacer_.wait(now, size); wait.count() > 0) {
+        if (!std::exchange(is_call_pending_, true)) {
+            hooks_.call_on_rate_after(wait);
+        }
+        return part_result::link_full;
+    }
+    const wire::forward_part part{number, unsent.next_part, body->substr(unsent.sent_bytes, size)};
     // After a refused part, either the connection has broken, which ends the request, or its queue
     // is full of other frames, and the end of a write follows.
     if (!hooks_.send(unsent.address, unsent.to, part)) {
-        return false;
+        return part_result::connection_full;
     }
-    ++conn.queued_parts;
+    pacer_.try_take(now, size);
+    ++queued;
     ++unsent.next_part;
-    if (offset + part.bytes.size() >= body->size()) {
-        bodies_.erase(number);
-    }
-    return true;
+    unsent.sent_bytes += size;
+    return part_result::sent;
 }
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -186,13 +186,19 @@
         return gate_.refusal_for(request);
     };
     hooks.load = [this] { return gate_.load(); };
+    hooks.expected_work = [this](const wire::forward& request) {
+        return gate_.expected_work(request);
+    };
     hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
-        send(address, to, content);
+        return send(address, to, content);
+    };
+    hooks.call_on_rate_after = [this](milliseconds time) {
+        loop_.after(time, [this] { intake_.on_rate(); });
     };
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
-    return {budget_, std::move(hooks)};
+    return {budget_, settings_.link_mbps, std::move(hooks)};
 }
 
 coordination process::make_coordination()
@@ -238,6 +244,7 @@
     values.regions = routing::zone_regions(settings_.regions);
     values.evacuation_grace = settings_.times.evacuation_grace;
     values.zones = settings_.zone_traffic;
+    values.link_mbps = settings_.link_mbps;
     entry::hooks hooks;
     hooks.self = [this] { return self_; };
     hooks.member = [this]() -> const assignment::member& { return coordination_.member(); };
@@ -286,6 +293,7 @@
     log("connection_reset", {{"address", address}, {"cause", cause}});
     transport_->reset(address);
     entry_.on_connection_reset(address);
+    intake_.on_connection_lost(address);
 }
 
 void process::listen()
@@ -294,6 +302,7 @@
         loop_, settings_.addresses.inner, [this](const wire::frame& frame) { on_frame(frame); },
         [this](const std::string& address, std::optional<time_point> unsent_since) {
             entry_.on_disconnect(address, unsent_since);
+            intake_.on_connection_lost(address);
         },
         make_peer_limits(protocol_, budget_, settings_.memory_mb * bytes_per_mb));
     transport_->set_flow_hooks([this](const std::string& address) { entry_.on_drained(address); },
@@ -449,6 +458,9 @@
     else if (const auto* request = std::get_if<wire::forward>(&frame.content)) {
         on_forward(frame, *request);
     }
+    else if (const auto* credit = std::get_if<wire::forward_credit>(&frame.content)) {
+        entry_.on_credit(frame.from, *credit);
+    }
     else if (const auto* reply = std::get_if<wire::forward_reply>(&frame.content)) {
         entry_.on_reply(frame.from, *reply);
     }
@@ -505,6 +517,7 @@
         // The request is addressed to an earlier incarnation of this host. The current incarnation
         // has not run it.
         auto reply = refusal_of(request, request::reason::no_target);
+        reply.intake_wait = intake_.schedule().wait(loop_.now());
         // The sender expects the reply from the incarnation to which it sent the request.
         transport_->send(
             frame.reply_address,
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -95,6 +95,14 @@
     write_metric(out, "bodies_dropped_total", "counter", counters.dropped);
     write_metric(out, "bodies_invalid_total", "counter", counters.invalid);
     write_metric(out, "bodies_incomplete", "gauge", intake.incomplete());
+    const auto& schedule = intake.schedule();
+    write_metric(out, "bodies_late_total", "counter", counters.late);
+    write_metric(out, "bodies_crowded_total", "counter", counters.crowded);
+    write_metric(out, "bodies_waiting", "gauge", schedule.waiting());
+    write_metric(out, "body_bytes_credited_total", "counter", schedule.counters().bytes_credited);
+    write_metric(out, "body_bytes_arrived_total", "counter", schedule.counters().bytes_arrived);
+    write_metric(out, "body_credit_returned_bytes_total", "counter",
+                 schedule.counters().bytes_returned);
     return out.str();
 }
 
--- a/tests/sidecar/body_assembly_test.cpp
+++ b/tests/sidecar/body_assembly_test.cpp
@@ -35,7 +35,8 @@
 
     bool begin(std::uint64_t number)
     {
-        return tested.begin(now, {sender, number}, "n2", request_for(number));
+        return tested.begin(now, {sender, number}, "n2", request_for(number)) &&
+               tested.credit({sender, number}, body_bytes);
     }
     part_verdict add(std::uint64_t number, std::uint64_t index, std::size_t size = 10000)
     {
@@ -87,3 +88,26 @@
     CHECK_FALSE(tested.begin(now, {sender, 5}, "n2", endless));
     LONGS_EQUAL(0, budget->used());
 }
+
+// Guards against bodies that take memory while they wait for the link, or beyond the budget, and
+// against parts that no credit allows.
+TEST(body_assembly, memory_and_parts_follow_the_credit)
+{
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        CHECK(tested.begin(now, {sender, number}, "n2", request_for(number)));
+    }
+    CHECK(budget->used() < body_bytes);
+    CHECK(tested.credit({sender, 1}, 10000));
+    CHECK(tested.credit({sender, 2}, 20000));
+    CHECK(tested.credit({sender, 3}, 30000));
+    CHECK_FALSE(tested.credit({sender, 4}, 10000));
+    CHECK(add(1, 0) == part_verdict::more_expected);
+    CHECK(add(1, 1) == part_verdict::invalid);
+    CHECK(add(4, 0) == part_verdict::invalid);
+    CHECK(tested.credit({sender, 2}, 10000)); // lower than before, so without effect
+    CHECK(add(2, 0) == part_verdict::more_expected);
+    CHECK(add(2, 1) == part_verdict::more_expected);
+    LONGS_EQUAL(2, tested.credited_from("n2").size());
+    LONGS_EQUAL(2, tested.drop_sender(sender).size());
+    LONGS_EQUAL(0, budget->used());
+}
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -96,6 +96,7 @@
         settings.zone = "z";
         settings.retries.slack = 1000;
         settings.retries.ratio = 1;
+        settings.link_mbps = 1000;
         settings.regions = routing::zone_regions({{"z", "east"}, {"y", "west"}});
         tested_entry = std::make_unique<entry>(loop, settings, protocol, 7, std::move(hooks));
         std::vector<routing::route> routes;
@@ -203,6 +204,10 @@
         }
         return result;
     }
+    void credit(incarnation_id from, const wire::forward& to, std::uint64_t bytes)
+    {
+        tested_entry->on_credit(from, {to.number, bytes});
+    }
     void reply(incarnation_id from, const wire::forward& to, int status)
     {
         wire::forward_reply answer;
@@ -282,11 +287,17 @@
     LONGS_EQUAL(body.size(), first.body_bytes);
     LONGS_EQUAL(0, first.body.size());
     tested_entry->on_drained("n2");
-    CHECK(parts_of(first).size() < body.size());
+    LONGS_EQUAL(0, parts_of(first).size());
+    credit(other, first, body.size());
+    LONGS_EQUAL(0, parts_of(first).size());
+    credit(peer, first, body.size());
+    tested_entry->on_drained("n2");
+    CHECK(parts_of(first).size() > 0 && parts_of(first).size() < body.size());
     tested_entry->on_disconnect("n2", std::nullopt);
     CHECK_FALSE(caller->answer.has_value());
     tested_entry->on_tick();
     LONGS_EQUAL(2, forwards());
+    credit(peer, last_forward(), body.size());
     for (std::size_t i = 0; i < body.size() / body_part_bytes; ++i) {
         tested_entry->on_drained("n2");
     }
@@ -308,6 +319,27 @@
     CHECK(std::holds_alternative<wire::cancel>(sent.back().second));
 }
 
+// Guards against uploads of common sizes that fill the link of a target's host without its credit,
+// and against small requests that wait for a credit.
+TEST(entry, bodies_above_8_kib_wait_for_a_credit)
+{
+    const auto small = call("/keyed-write/a", milliseconds{2000}, "r-1", std::string(8192, 'b'));
+    LONGS_EQUAL(8192, last_forward().body.size());
+    LONGS_EQUAL(0, last_forward().body_bytes);
+    reply(peer, last_forward(), 200);
+    const auto large = call("/keyed-write/a", milliseconds{2000}, "r-2", std::string(8193, 'b'));
+    LONGS_EQUAL(8193, last_forward().body_bytes);
+    LONGS_EQUAL(0, parts_of(last_forward()).size());
+    // The connection breaks before the credit: the request has not run.
+    tested_entry->on_disconnect("n2", std::nullopt);
+    CHECK_FALSE(large->answer.has_value());
+    tested_entry->on_tick();
+    credit(peer, last_forward(), 8193);
+    LONGS_EQUAL(8193, parts_of(last_forward()).size());
+    reply(peer, last_forward(), 200);
+    LONGS_EQUAL(200, large->answer->status);
+}
+
 // Guards against a caller that gets the answer to another request or from another node.
 TEST(entry, reply_that_matches_no_request_is_dropped)
 {
--- a/tests/sidecar/forward_intake_test.cpp
+++ b/tests/sidecar/forward_intake_test.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/forward_intake.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,13 +21,17 @@
 
 } // namespace
 
-// An intake with a budget of 100,000 bytes. `running` holds the requests that the gate has.
+// An intake with a budget of 100,000 bytes and a link of 10 Mbit/s. `running` holds the requests
+// that the gate has.
 TEST_GROUP(forward_intake)
 {
     time_point now{std::chrono::hours{1}};
     std::shared_ptr<net::memory_budget> budget = std::make_shared<net::memory_budget>(budget_bytes);
     std::map<request_key, std::pair<wire::forward, gate::completion>> running;
     std::vector<wire::forward_reply> replies;
+    std::vector<wire::forward_credit> credits;
+    std::vector<milliseconds> waits; ///< after which `on_rate` is to be called
+    bool takes_frames = true;
     std::vector<std::string> events;
     std::unique_ptr<forward_intake> tested;
 
@@ -43,13 +48,23 @@
         hooks.expected_refusal = [](const wire::forward& request) {
             return request.key == "lost" ? std::optional{request::reason::not_owner} : std::nullopt;
         };
+        hooks.expected_work = [](const wire::forward&) { return milliseconds{50}; };
+        hooks.call_on_rate_after = [this](milliseconds time) { waits.push_back(time); };
         hooks.send = [this](const std::string&, incarnation_id, const wire::body& content) {
-            replies.push_back(std::get<wire::forward_reply>(content));
+            if (const auto* credit = std::get_if<wire::forward_credit>(&content)) {
+                if (takes_frames) {
+                    credits.push_back(*credit);
+                }
+            }
+            else {
+                replies.push_back(std::get<wire::forward_reply>(content));
+            }
+            return takes_frames;
         };
         hooks.log = [this](std::string_view event, const journal::fields&) {
             events.emplace_back(event);
         };
-        tested = std::make_unique<forward_intake>(budget, std::move(hooks));
+        tested = std::make_unique<forward_intake>(budget, 10, std::move(hooks));
     }
     void teardown() override
     {
@@ -67,9 +82,9 @@
         result.body_bytes = in_parts;
         return result;
     }
-    void receive(const wire::forward& request)
+    void receive(const wire::forward& request, incarnation_id from = sender)
     {
-        tested->on_forward({sender, self, "n2", request}, request);
+        tested->on_forward({from, self, "n2", request}, request);
     }
     void receive_part(std::uint64_t number, std::uint64_t index, std::size_t size)
     {
@@ -174,3 +189,118 @@
     LONGS_EQUAL(0, budget->used());
     LONGS_EQUAL(2, tested->counters().dropped);
 }
+
+// Guards against bodies of many hosts on the link at the same time, against credits that never
+// follow although the link is free, and against hosts that are not told how long a body waits.
+TEST(forward_intake, bodies_are_credited_within_the_window)
+{
+    receive(request_for(1, 0, 45000));
+    receive(request_for(2, 0, 45000));
+    LONGS_EQUAL(1, credits.size());
+    LONGS_EQUAL(45000, credits[0].bytes);
+    LONGS_EQUAL(0, waits.size());
+    auto lost = request_for(3, 0, 10000);
+    lost.key = "lost";
+    receive(lost);
+    CHECK(replies.at(0).intake_wait > milliseconds{60});
+    now += milliseconds{10};
+    receive_part(1, 0, 45000);
+    LONGS_EQUAL(1, credits.size());
+    LONGS_EQUAL(1, waits.size());
+    now += waits[0];
+    tested->on_rate();
+    LONGS_EQUAL(2, credits.size());
+    LONGS_EQUAL(2, credits[1].number);
+    receive_part(2, 0, 45000);
+    finish({sender, 1});
+    finish({sender, 2});
+    now += milliseconds{100};
+    receive(lost);
+    LONGS_EQUAL(0, replies.back().intake_wait.count());
+    LONGS_EQUAL(0, budget->used());
+    LONGS_EQUAL(90000, tested->schedule().counters().bytes_arrived);
+}
+
+// Guards against credit that stays in the window after its body was cancelled, its sender has gone,
+// or its part was wrong.
+TEST(forward_intake, unused_credit_goes_to_the_next_body)
+{
+    const incarnation_id other_sender{3};
+    receive(request_for(1, 0, 60000));
+    receive(request_for(2, 0, 60000));
+    receive(request_for(3, 0, 60000), other_sender);
+    receive(request_for(4, 0, 60000), other_sender);
+    now += milliseconds{100};
+    tested->cancel({sender, 1});
+    LONGS_EQUAL(2, credits.size());
+    LONGS_EQUAL(2, credits[1].number);
+    now += milliseconds{100};
+    tested->on_sender_lost(sender);
+    LONGS_EQUAL(3, credits.size());
+    LONGS_EQUAL(3, credits[2].number);
+    now += milliseconds{100};
+    const wire::forward_part wrong{3, 1, "b"};
+    tested->on_part({other_sender, self, "n3", wrong}, wrong);
+    LONGS_EQUAL(4, credits.size());
+    LONGS_EQUAL(180000, tested->schedule().counters().bytes_returned);
+}
+
+// Guards against a request that waits until its deadline because its credit was lost with a
+// connection, or was never accepted by the transport, and against memory for parts without credit.
+TEST(forward_intake, lost_credit_is_repeated)
+{
+    takes_frames = false;
+    receive(request_for(1, 0, 28000));
+    LONGS_EQUAL(0, credits.size());
+    takes_frames = true;
+    tested->on_tick();
+    LONGS_EQUAL(1, credits.size());
+    tested->on_tick();
+    LONGS_EQUAL(1, credits.size());
+    tested->on_connection_lost("n3");
+    tested->on_connection_lost("n2");
+    tested->on_tick();
+    LONGS_EQUAL(2, credits.size());
+    LONGS_EQUAL(28000, credits[1].bytes);
+    now += milliseconds{500};
+    tested->on_tick(); // without progress, also if no connection broke
+    LONGS_EQUAL(3, credits.size());
+    receive(request_for(2, 0, 28000));
+    receive_part(2, 0, 28000);
+    LONGS_EQUAL(0, running.count({sender, 1}));
+    LONGS_EQUAL(1, running.count({sender, 2}));
+    receive(request_for(3, 0, 28000));
+    receive(request_for(4, 0, 28000));
+    LONGS_EQUAL(3, credits.back().number);
+    receive_part(4, 0, 28000);
+    LONGS_EQUAL(0, running.count({sender, 4}));
+    LONGS_EQUAL(1, tested->counters().invalid);
+}
+
+// Guards against uploads that wait although they cannot arrive in time, at their announcement or
+// later, and against a log line for each of them.
+TEST(forward_intake, late_bodies_are_refused_and_the_backlog_is_logged)
+{
+    for (std::uint64_t number = 1; number <= 30; ++number) {
+        receive(request_for(number, 0, 60000));
+    }
+    CHECK(replies.size() >= 14);
+    for (const auto& reply : replies) {
+        STRCMP_EQUAL("overloaded", reply.reason.c_str());
+        CHECK(reply.retry_after >= milliseconds{500});
+    }
+    LONGS_EQUAL(1, credits.size());
+    tested->on_tick();
+    tested->on_tick();
+    const auto lines = [&](const std::string& event) {
+        return std::count(events.begin(), events.end(), event);
+    };
+    LONGS_EQUAL(1, lines("body_backlog_began"));
+    LONGS_EQUAL(1, lines("bodies_lost"));
+    now += milliseconds{950};
+    const auto refused_before = replies.size();
+    tested->on_tick();
+    CHECK(replies.size() > refused_before);
+    LONGS_EQUAL(1, lines("body_backlog_ended"));
+    CHECK(tested->counters().late >= replies.size());
+}
