--- a/src/sidecar/body_assembly.cpp
+++ b/src/sidecar/body_assembly.cpp
@@ -92,6 +92,13 @@
     return {body.reply_address, body.request.request_id, body.credited_bytes};
 }
 
+const wire::forward* body_assembly::uncredited_request(request_key key) const
+{
+    const auto found = bodies_.find(key);
+    const bool waits = found != bodies_.end() && found->second.credited_bytes == 0;
+    return waits ? &found->second.request : nullptr;
+}
+
 std::vector<request_key> body_assembly::credited_from(const std::string& reply_address) const
 {
     std::vector<request_key> result;
--- a/src/sidecar/body_assembly.h
+++ b/src/sidecar/body_assembly.h
@@ -64,6 +64,8 @@
     part_verdict add(request_key key, const wire::forward_part& part);
     /// The origin of a body that is being collected, or empty texts.
     [[nodiscard]] origin origin_of(request_key key) const;
+    /// The request of a body that has no credit yet; null otherwise. Valid until the next change.
+    [[nodiscard]] const wire::forward* uncredited_request(request_key key) const;
     /// The bodies with a credit whose sender has the address.
     [[nodiscard]] std::vector<request_key> credited_from(const std::string& reply_address) const;
     /// Removes a complete request, after `add` returned `complete`.
--- a/src/sidecar/forward_intake.cpp
+++ b/src/sidecar/forward_intake.cpp
@@ -150,7 +150,12 @@
 {
     std::set<request_key> credited;
     while (const auto credit = schedule_.next_credit(hooks_.now())) {
-        if (bodies_.credit(credit->key, credit->bytes)) {
+        // The target may have left, or the key moved, while the body waited.
+        const auto* first = bodies_.uncredited_request(credit->key);
+        if (const auto why = first != nullptr ? hooks_.expected_refusal(*first) : std::nullopt) {
+            refuse_body(credit->key, *why, milliseconds{0});
+        }
+        else if (bodies_.credit(credit->key, credit->bytes)) {
             credited.insert(credit->key);
         }
         else {
--- a/tests/process/crowd_hosts.sh
+++ b/tests/process/crowd_hosts.sh
@@ -8,6 +8,8 @@
 test_name="$(basename "$0" .sh)"
 work="$(mktemp -d)"
 memory_mb=48
+# Speed of the link of all hosts in the settings; empty: not set.
+link_mbps=""
 # 300 connections of clients; the others are for peers, the target, the store and files.
 descriptors=800
 declare -A pids
@@ -38,7 +40,7 @@
     for host in $(seq "$host_count"); do
         targets+="${targets:+,}$(port "$host" 5)/$(port "$host" 3)/$service"
         cat >"$work/$host.json" <<JSON
-{"host":"h$host","zone":"z$host","service":"$service","target":"$(port "$host" 5)","store":"$(port 0 0)","descriptors":$descriptors,"processor_share":1,"memory_mb":$memory_mb,
+{"host":"h$host","zone":"z$host","service":"$service","target":"$(port "$host" 5)","store":"$(port 0 0)","descriptors":$descriptors,"processor_share":1,"memory_mb":$memory_mb,${link_mbps:+"\"link_mbps\":$link_mbps,"}
 "addresses":{"requests":"$(port "$host" 1)","ready":"$(port "$host" 2)","control":"$(port "$host" 3)","inner":"$(port "$host" 4)","metrics":"$(port "$host" 6)"},
 "bounds":{"drain_ms":2000,"grace_s":6,"longest_hold_ms":10000,"retry_ratio":0.2,"retry_slack":50,"retry_window_s":10}}
 JSON
--- a/tests/sidecar/forward_intake_test.cpp
+++ b/tests/sidecar/forward_intake_test.cpp
@@ -31,6 +31,7 @@
     std::vector<wire::forward_reply> replies;
     std::vector<wire::forward_credit> credits;
     std::vector<milliseconds> waits; ///< after which `on_rate` is to be called
+    std::string lost_key = "lost";   ///< that moved to another target
     bool takes_frames = true;
     std::vector<std::string> events;
     std::unique_ptr<forward_intake> tested;
@@ -45,8 +46,9 @@
         hooks.run_later = hooks.run;
         hooks.cancel = [this](request_key key) { running.erase(key); };
         hooks.load = [this] { return running.size(); };
-        hooks.expected_refusal = [](const wire::forward& request) {
-            return request.key == "lost" ? std::optional{request::reason::not_owner} : std::nullopt;
+        hooks.expected_refusal = [this](const wire::forward& request) {
+            return request.key == lost_key ? std::optional{request::reason::not_owner}
+                                           : std::nullopt;
         };
         hooks.expected_work = [](const wire::forward&) { return milliseconds{50}; };
         hooks.call_on_rate_after = [this](milliseconds time) { waits.push_back(time); };
@@ -245,6 +247,22 @@
     LONGS_EQUAL(180000, tested->schedule().counters().bytes_returned);
 }
 
+// Guards against bodies that cross the link although their key has moved while they waited.
+TEST(forward_intake, body_whose_key_moved_gets_no_credit)
+{
+    receive(request_for(1, 0, 60000));
+    auto keyed = request_for(2, 0, 60000);
+    keyed.key = "moving";
+    receive(keyed);
+    lost_key = "moving";
+    now += milliseconds{100};
+    tested->cancel({sender, 1});
+    LONGS_EQUAL(1, credits.size());
+    LONGS_EQUAL(1, replies.size());
+    CHECK(replies[0].outcome == wire::forward_outcome::not_owner);
+    LONGS_EQUAL(0, tested->incomplete());
+}
+
 // Guards against a request that waits until its deadline because its credit was lost with a
 // connection, or was never accepted by the transport, and against memory for parts without credit.
 TEST(forward_intake, lost_credit_is_repeated)
