Test that many bodies of one sender refuse none of another

Without the bound of max_lead_bytes in intake_schedule::bytes_before, a body behind many earlier deadlines of one sender was refused although it is served next. No test covered it; this one fails without the bound.

--- a/tests/dispatch/intake_schedule_test.cpp
+++ b/tests/dispatch/intake_schedule_test.cpp
@@ -236,14 +236,15 @@
     LONGS_EQUAL(0, link.schedule.wait(link.now).count());
 }
 
-// Guards against a sender with many early deadlines that keeps another one waiting.
+// Guards against a sender with many early deadlines that keeps another one waiting, or causes the
+// refusal of its body.
 TEST(intake_schedule, sender_of_many_bodies_does_not_starve_another)
 {
     link_model link(10);
-    for (std::uint64_t number = 1; number <= 50; ++number) {
+    for (std::uint64_t number = 1; number <= 100; ++number) {
         link.announce(1, number, upload_bytes, milliseconds{5000});
     }
-    CHECK(link.announce(2, 1, upload_bytes, milliseconds{6000}));
+    CHECK(link.announce(2, 1, upload_bytes, milliseconds{5010}));
     link.run(milliseconds{500});
     CHECK((link.completed.contains({incarnation_id{2}, 1})));
     CHECK(link.completed.size() >= 6);
