Count frames that wait to be sent to other hosts in the memory budget

Up to 4 MiB for each peer waited outside the budget: with slow links to many peers, a host with 160 MB could be killed for its memory.

The queue of each connection now holds a charge. Without room, requests, parts of bodies and texts of rules are refused by send, as with a full queue; replies may exceed the limit by a sixteenth; all other frames are queued in any case. part_sender offers a refused part again after 50 ms, because no end of a write may follow. A metric and a log line (once in 2 s) count them.

--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -14,8 +14,9 @@
 public:
     explicit memory_budget(std::size_t limit) : limit_(limit) {}
 
-    /// Reserves `bytes`, or returns false and reserves nothing if they would exceed the limit.
-    bool try_reserve(std::size_t bytes);
+    /// Reserves `bytes`, or returns false and reserves nothing if they would exceed the limit by
+    /// more than `overdraft`. While the limit is exceeded, reservations without an overdraft fail.
+    bool try_reserve(std::size_t bytes, std::size_t overdraft = 0);
     /// Precondition: at least `bytes` are reserved.
     void release(std::size_t bytes);
     [[nodiscard]] std::size_t used() const { return used_; }
@@ -50,8 +51,8 @@
     }
 
     /// Changes the reservation to `bytes`. Returns false and changes nothing if the budget has no
-    /// room. A reduction always succeeds.
-    bool try_resize(std::size_t bytes);
+    /// room, see `memory_budget::try_reserve`. A reduction always succeeds.
+    bool try_resize(std::size_t bytes, std::size_t overdraft = 0);
     void reset() { try_resize(0); }
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -1,6 +1,7 @@
 #include "net/peer_transport.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -19,6 +20,25 @@
 /// keep memory allocated for each peer.
 constexpr std::size_t max_kept_buffer_bytes = std::size_t{64} * 1024;
 
+/// Replies may exceed the memory budget by its limit divided by this.
+constexpr std::size_t reply_overdraft_divisor = 16;
+
+/// Bytes by which the frame may exceed the memory budget. A lost request, part or text is sent
+/// again or refused as not run; a lost reply leaves an outcome unknown; without the other frames,
+/// hosts lose their leases.
+std::size_t overdraft_of(const wire::body& content, const memory_budget* budget)
+{
+    const bool may_be_lost = std::holds_alternative<wire::forward>(content) ||
+                             std::holds_alternative<wire::forward_part>(content) ||
+                             std::holds_alternative<wire::rules_text>(content);
+    if (may_be_lost || budget == nullptr) {
+        return 0;
+    }
+    return std::holds_alternative<wire::forward_reply>(content)
+               ? budget->limit() / reply_overdraft_divisor
+               : std::numeric_limits<std::size_t>::max();
+}
+
 void clear_buffer(std::string& buffer)
 {
     if (buffer.capacity() > max_kept_buffer_bytes) {
@@ -53,6 +73,7 @@
         h2o_socket_t* socket = nullptr;
         std::string queued_bytes; ///< frames that wait for the current write to end
         std::uint64_t queued_frames = 0;
+        memory_charge charge;     ///< of `queued_bytes` and `write_buffer`
         std::string write_buffer; ///< h2o keeps a pointer to its bytes until the write ends
         std::optional<detail::stream_compressor> compressor;
         std::uint64_t write_buffer_frames = 0;
@@ -92,7 +113,7 @@
     void report_lost_peer(incarnation_id peer);
     void report_drained(const outgoing_connection& conn);
     outgoing_connection* find_or_connect(const std::string& address);
-    bool queue_frame(outgoing_connection& conn, const std::string& bytes);
+    bool queue_frame(outgoing_connection& conn, const std::string& bytes, std::size_t overdraft);
     void defer_flush(outgoing_connection& conn);
     void flush(outgoing_connection& conn);
     void disconnect(outgoing_connection& conn);
@@ -148,6 +169,7 @@
     auto& conn =
         *connections.emplace(address, std::make_unique<outgoing_connection>()).first->second;
     conn.transport = this;
+    conn.charge = memory_charge(limits.budget);
     conn.connect_started = event_loop.now() - connect_start_margin;
     conn.address = address;
     ++counters.connects;
@@ -162,12 +184,17 @@
     return &conn;
 }
 
-bool peer_transport::state::queue_frame(outgoing_connection& conn, const std::string& bytes)
+bool peer_transport::state::queue_frame(outgoing_connection& conn, const std::string& bytes,
+                                        std::size_t overdraft)
 {
     if (conn.queued_bytes.size() + conn.write_buffer.size() + bytes.size() >
         limits.max_queued_bytes) {
         return false;
     }
+    if (!conn.charge.try_resize(conn.charge.bytes() + bytes.size(), overdraft)) {
+        ++counters.frames_over_budget;
+        return false;
+    }
     conn.queued_bytes += bytes;
     ++conn.queued_frames;
     conn.last_used = event_loop.now();
@@ -247,6 +274,7 @@
     counters.frames_lost += std::exchange(conn.write_buffer_frames, 0);
     conn.queued_bytes = {};
     conn.write_buffer = {};
+    conn.charge.reset();
     conn.current_phase = phase::broken;
     conn.timer = event_loop.after(limits.reconnect_delay,
                                   [this, address = conn.address] { connections.erase(address); });
@@ -299,6 +327,7 @@
     self.counters.bytes_sent += conn.write_buffer.size();
     self.counters.frames_sent += std::exchange(conn.write_buffer_frames, 0);
     clear_buffer(conn.write_buffer);
+    conn.charge.try_resize(conn.queued_bytes.size());
     self.flush(conn);
     self.report_drained(conn);
 }
@@ -356,7 +385,8 @@
         ++self.counters.frames_refused;
         return false;
     }
-    if (conn == nullptr || !self.queue_frame(*conn, bytes)) {
+    const auto overdraft = overdraft_of(frame.content, self.limits.budget.get());
+    if (conn == nullptr || !self.queue_frame(*conn, bytes, overdraft)) {
         ++self.counters.frames_refused;
         return false;
     }
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -32,8 +32,11 @@
     /// has room for eight frames of the highest size.
     std::size_t max_unfinished_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t max_connections = 2000; ///< in each direction
-    /// Counts the partial frames of incoming connections. A connection whose frames do not fit is
-    /// closed. Null: unlimited.
+    /// Counts the partial frames of incoming connections, and the frames that wait to be sent. An
+    /// incoming connection whose frames do not fit is closed. `send` refuses a request, a part of a
+    /// body or a text of rules that does not fit. Replies may exceed the limit by a sixteenth of
+    /// it, since their requests have run; all other frames, such as those of leases, are small and
+    /// are sent in any case. Null: unlimited.
     std::shared_ptr<memory_budget> budget;
     /// Compresses all connections. All nodes of a deployment must use the same value.
     bool compress = false;
@@ -70,10 +73,12 @@
     std::uint64_t frames_broken = 0;
     /// Incoming connections closed because of `max_unfinished_bytes`.
     std::uint64_t unfinished_closed = 0;
-    std::uint64_t frames_lost = 0;         ///< queued or being written when a connection broke
-    std::uint64_t frames_filtered = 0;     ///< dropped by the filter of `set_filter`
-    std::uint64_t writes = 0;              ///< socket writes; one may take several system calls
-    std::uint64_t connects = 0;            ///< attempts to open an outgoing connection
+    std::uint64_t frames_over_budget =
+        0;                             ///< refused because of the budget; in `frames_refused` too
+    std::uint64_t frames_lost = 0;     ///< queued or being written when a connection broke
+    std::uint64_t frames_filtered = 0; ///< dropped by the filter of `set_filter`
+    std::uint64_t writes = 0;          ///< socket writes; one may take several system calls
+    std::uint64_t connects = 0;        ///< attempts to open an outgoing connection
     std::uint64_t connections_refused = 0; ///< incoming connections above the limit
     std::uint64_t over_budget = 0;         ///< incoming connections closed because of the budget
     std::uint64_t idle_closed = 0;         ///< outgoing connections closed by `idle_timeout`
@@ -111,9 +116,9 @@
     peer_transport(peer_transport&&) = delete;
     peer_transport& operator=(peer_transport&&) = delete;
 
-    /// Queues a frame. Returns false if the frame will not be sent because the queue is full, there
-    /// is no connection, the frame is above the limits, or `address` is not "IP:port". The frames
-    /// of one loop iteration are sent in one write.
+    /// Queues a frame. Returns false if the frame will not be sent because the queue or the memory
+    /// budget is full, there is no connection, the frame is above the limits, or `address` is not
+    /// "IP:port". The frames of one loop iteration are sent in one write.
     bool send(const std::string& address, const wire::frame& frame);
     /// Closes the outgoing connection to `address`, if it is established. Callers use it when
     /// frames no longer reach the peer, although TCP reports no failure. The disconnect hook is not
--- a/src/sidecar/part_sender.cpp
+++ b/src/sidecar/part_sender.cpp
@@ -5,6 +5,13 @@
 
 namespace bulrushgw::sidecar {
 
+namespace {
+
+/// A part that the transport refused is offered again after this time.
+constexpr milliseconds refused_part_delay{50};
+
+} // namespace
+
 void part_sender::begin(std::uint64_t number, const std::string& address, incarnation_id to)
 {
     bodies_.insert_or_assign(number, unsent_body{address, to});
@@ -88,6 +95,13 @@
     }
 }
 
+void part_sender::call_on_rate_after(milliseconds time)
+{
+    if (!std::exchange(is_call_pending_, true)) {
+        hooks_.call_on_rate_after(time);
+    }
+}
+
 part_sender::part_result part_sender::send_part(std::uint64_t number, unsent_body& unsent)
 {
     const std::string* body = hooks_.body_of(number);
@@ -103,15 +117,14 @@
         std::min({std::uint64_t{body_part_bytes}, pacer_.window_bytes(), end - unsent.sent_bytes});
     const auto now = hooks_.now();
     if (const auto wait = pacer_.wait(now, size); wait.count() > 0) {
-        if (!std::exchange(is_call_pending_, true)) {
-            hooks_.call_on_rate_after(wait);
-        }
+        call_on_rate_after(wait);
         return part_result::link_full;
     }
     const wire::forward_part part{number, unsent.next_part, body->substr(unsent.sent_bytes, size)};
-    // After a refused part, either the connection has broken, which ends the request, or its queue
-    // is full of other frames, and the end of a write follows.
+    // After a refused part, the connection has broken, which ends the request, or there is no room
+    // for the part: in the queue of the connection or in memory.
     if (!hooks_.send(unsent.address, unsent.to, part)) {
+        call_on_rate_after(refused_part_delay);
         return part_result::connection_full;
     }
     pacer_.try_take(now, size);
--- a/src/sidecar/part_sender.h
+++ b/src/sidecar/part_sender.h
@@ -83,6 +83,7 @@
 
     void send_parts();
     part_result send_part(std::uint64_t number, unsent_body& unsent);
+    void call_on_rate_after(milliseconds time);
 
     dispatch::link_pacer pacer_;
     hooks hooks_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -413,6 +413,11 @@
                   {"refused", total.refused - logged_counters_.refused},
                   {"unknown", total.unknown - logged_counters_.unknown}});
     logged_counters_ = total;
+    const auto over_budget = transport_->counters().frames_over_budget;
+    if (const auto before = std::exchange(logged_over_budget_, over_budget); over_budget > before) {
+        log("frames_over_budget",
+            {{"frames", over_budget - before}, {"used_kb", budget_->used() / 1024}});
+    }
     refusals_.log_changes(
         *request_server_, *budget_,
         [this](std::string_view event, const journal::fields& details) { log(event, details); });
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -119,11 +119,12 @@
     bool check_under_way_ = false;
     time_point next_check_{}; ///< earliest time for the next health check of the target
     refusal_report refusals_;
-    entry_counters logged_counters_;  ///< as of the last "state" log line
-    std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
-    std::uint64_t recent_errors_ = 0; ///< since `error_window_start_`
-    bool logged_evacuated_ = false;   ///< `gate::is_evacuated` as last logged
-    bool counts_as_cold_ = false;     ///< `warm_up_state::is_cold` as told to the gate
+    entry_counters logged_counters_;       ///< as of the last "state" log line
+    std::uint64_t logged_over_budget_ = 0; ///< `peer_counters::frames_over_budget` at that time
+    std::uint64_t errors_ = 0;             ///< exceptions from handlers, in total
+    std::uint64_t recent_errors_ = 0;      ///< since `error_window_start_`
+    bool logged_evacuated_ = false;        ///< `gate::is_evacuated` as last logged
+    bool counts_as_cold_ = false;          ///< `warm_up_state::is_cold` as told to the gate
     time_point error_window_start_{};
 };
 
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -111,6 +111,7 @@
     std::ostringstream out;
     write_metric(out, "peer_bytes_sent_total", "counter", counters.bytes_sent);
     write_metric(out, "peer_connections_over_budget_total", "counter", counters.over_budget);
+    write_metric(out, "peer_frames_over_budget_total", "counter", counters.frames_over_budget);
     write_metric(out, "peer_unfinished_closed_total", "counter", counters.unfinished_closed);
     const auto write_by_type = [&](const char* name, std::uint64_t net::frame_count::*member) {
         out << "# TYPE bulrushgw_" << name << " counter\n";
--- a/tests/net/peer_transport_test.cpp
+++ b/tests/net/peer_transport_test.cpp
@@ -301,6 +301,39 @@
     CHECK(wait_until([&] { return limits.budget->used() == 0; }));
 }
 
+// Guards against frames for many slow peers that take more memory than the host has, against
+// replies that are dropped as early as requests, and against a full budget that costs the lease.
+TEST(peer_transport, queued_frames_count_in_the_budget)
+{
+    peer_limits limits;
+    limits.budget = std::make_shared<memory_budget>(160'000);
+    a.transport.reset();
+    a.open(loop, any_port, limits);
+    const auto part = wire::forward_part{1, 0, std::string(64 * 1024, 'p')};
+    wire::forward_reply reply;
+    reply.body.assign(8000, 'r');
+    CHECK(a.send(b.at(), part));
+    CHECK(a.send(b.at(), part));
+    CHECK_FALSE(a.send(b.at(), part));
+    CHECK(limits.budget->used() > 2 * part.bytes.size());
+    limits.budget->try_reserve(limits.budget->limit() - limits.budget->used());
+    CHECK_FALSE(a.send(b.at(), wire::forward{}));
+    CHECK(a.send(b.at(), reply));
+    CHECK_FALSE(a.send(b.at(), reply)); // more than a sixteenth above the limit
+    CHECK(a.send(b.at(), assignment::report{}));
+    CHECK(a.send(b.at(), wire::cancel{1}));
+    LONGS_EQUAL(3, a.transport->counters().frames_over_budget);
+    const auto held_by_test = limits.budget->limit() - 2 * part.bytes.size();
+    CHECK(wait_until([&] { return b.frames.size() == 5; }));
+    CHECK(wait_until([&] { return limits.budget->used() < held_by_test; }));
+    const auto rest = limits.budget->used();
+    // A broken connection keeps nothing.
+    CHECK(a.send(b.at(), wire::cancel{2}));
+    CHECK(limits.budget->used() > rest);
+    a.transport->reset(b.at());
+    LONGS_EQUAL(rest, limits.budget->used());
+}
+
 // Guards against a sender of much data that is not told when the connection takes more, against a
 // frame that is lost or changed because it was written in several pieces, and against a write so
 // large that it counts as stalled on a slow link.
--- a/tests/sidecar/part_sender_test.cpp
+++ b/tests/sidecar/part_sender_test.cpp
@@ -113,6 +113,18 @@
     CHECK(received(1) == bodies[1]);
 }
 
+// Guards against a body that is not completed after the memory budget had no room for a part,
+// although no write of the connection follows.
+TEST(part_sender, refused_part_is_offered_again_without_a_write)
+{
+    takes_frames = false;
+    begin(1);
+    LONGS_EQUAL(1, waits.size());
+    takes_frames = true;
+    tested.on_rate();
+    LONGS_EQUAL(max_queued_parts, sent.size());
+}
+
 // Guards against parts that the receiver has not credited, which fill its link, and against a
 // credit that is lost, from another host, or repeated.
 TEST(part_sender, parts_follow_the_credit)
