Let the target picker learn from unanswered requests

A target that accepts requests and does not answer them, for example behind a saturated link, kept its earlier good mean answer time: a request without an answer changed nothing but the figures of its zone.

A request that ends without an answer is now an observation of its target, and a failure if its deadline was reached and it had at least the usual answer time. Two requests that no later answer has overtaken and that wait for four times the usual time are evidence before their deadlines. The expected answer time is never below what they show. Late answers of an avoided target do not raise its mean.

--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -20,6 +20,10 @@
 /// at random.
 constexpr double jitter = 0.1;
 
+/// A target whose unanswered requests show more than this multiple of its usual answer time is
+/// avoided.
+constexpr double avoid_factor = 2;
+
 /// A cold target works about twice as slowly as a warm one.
 constexpr double cold_slowdown = 2;
 /// Cost added for a cold target that accepts no request now: it is picked only if all do not.
@@ -140,6 +144,7 @@
         load += stats->own_in_flight;
         slowdown = stats->slowdown(now);
         failure_ms = failure_cost(now, *stats);
+        mean = std::max(mean, shown_ms(now, *stats, mean * slowdown) / slowdown);
     }
     return mean * slowdown * queueing_factor(load, slots) + failure_ms;
 }
@@ -159,6 +164,8 @@
     if (stats->own_in_flight >= std::max(min_in_flight, slots / 3)) {
         mean = std::max(mean, std::min(stats->mean_answer_ms, service.mean_answer_ms));
     }
+    const double usual = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : service.mean_answer_ms;
+    mean = std::max(mean, shown_ms(now, *stats, usual * stats->slowdown(now)));
     return mean * queueing_factor(stats->own_in_flight, slots) + failure_cost(now, *stats);
 }
 
@@ -177,6 +184,7 @@
     const auto service = averages_over(candidates);
     std::vector<zone_option> zones;
     std::vector<const pick_candidate*> best; // of each zone
+    auto& balance = balance_of(traits.service);
     zone_request request{aim, traits.rank, false};
     for (const auto& candidate : candidates) {
         const std::size_t at = zone_index(zones, candidate);
@@ -189,9 +197,10 @@
         if (candidate.warming_up) {
             value = trial_cost(now, candidate, value, random);
         }
-        if (value <= 0) {
-            // A trial of a cold target is not left to the choice between zones.
-            return note_pick(now, candidate, traits);
+        const bool probe = is_probe_due(now, candidate, service, balance, random);
+        if (value <= 0 || (probe && avoid.empty())) {
+            // A trial of a cold target and a probe are not left to the choice between zones.
+            return note_pick(now, candidate, traits, random);
         }
         if (best[at] == nullptr || value < *zones[at].expected_ms) {
             best[at] = &candidate;
@@ -201,20 +210,42 @@
         zones[at].expected_from_own_ms =
             std::min(zones[at].expected_from_own_ms.value_or(own_value), own_value);
     }
-    auto& balance = balance_of(traits.service);
     balance.update(now, zones, aim);
     const auto chosen = balance.choose(zones, request, random);
     if (!chosen) {
         return std::nullopt;
     }
-    return note_pick(now, *best[*chosen], traits);
+    return note_pick(now, *best[*chosen], traits, random);
+}
+
+bool target_picker::is_probe_due(time_point now, const pick_candidate& candidate,
+                                 const service_averages& service, const zone_balance& balance,
+                                 std::mt19937_64& random)
+{
+    const auto found = stats_.find(candidate.node);
+    if (found == stats_.end() || !settings_.unanswered.probes) {
+        return false;
+    }
+    auto& stats = found->second;
+    const double usual =
+        (stats.mean_answer_ms > 0 ? stats.mean_answer_ms : service.mean_answer_ms) *
+        stats.slowdown(now);
+    const bool avoided = shown_ms(now, stats, usual) > avoid_factor * usual;
+    const bool is_due = stats.probes.update(now, avoided, random);
+    return is_due && (candidate.same_zone || balance.share_of(candidate.zone) > 0);
+}
+
+double target_picker::shown_ms(time_point now, const target_stats& stats, double usual_ms) const
+{
+    return stats.unanswered.shown_ms(now, usual_ms, settings_.unanswered);
 }
 
 incarnation_id target_picker::note_pick(time_point now, const pick_candidate& target,
-                                        const pick_traits& traits)
+                                        const pick_traits& traits, std::mt19937_64& random)
 {
     trials_.on_pick(now, target.node);
     auto& stats = stats_[target.node];
+    stats.probes.on_pick(now, random);
     stats.service = traits.service;
     stats.zone = target.zone;
     stats.slots = std::max<std::uint32_t>(target.slots, 1);
@@ -249,12 +280,23 @@
     stats_[node].scale.set(now, percent);
 }
 
-void target_picker::end_request(incarnation_id node)
+void target_picker::on_sent(const sent_request& request)
+{
+    auto& stats = stats_[request.node];
+    ++stats.own_in_flight;
+    if (request.sent != time_point{}) {
+        stats.unanswered.on_sent(request.sent);
+    }
+}
+
+target_picker::target_stats& target_picker::end_request(const sent_request& request)
 {
-    auto& stats = stats_[node];
+    auto& stats = stats_[request.node];
     if (stats.own_in_flight > 0) {
         --stats.own_in_flight;
     }
+    stats.unanswered.on_end(request.sent);
+    return stats;
 }
 
 void target_picker::record_load(time_point now, target_stats& stats, int load)
@@ -266,70 +308,109 @@
     }
 }
 
-void target_picker::on_answer(time_point now, incarnation_id node, milliseconds took, int load,
-                              milliseconds aim)
+void target_picker::on_answer(time_point now, const sent_request& request, milliseconds took,
+                              int load, milliseconds aim)
 {
-    end_request(node);
-    auto& stats = stats_[node];
+    auto& stats = end_request(request);
+    const double slowdown = stats.slowdown(now);
     // The mean is that of a warm target at the usual speed.
-    const double ms = static_cast<double>(took.count()) / stats.slowdown(now);
-    stats.mean_answer_ms +=
-        stats.mean_answer_ms > 0 ? sample_weight * (ms - stats.mean_answer_ms) : ms;
-    stats.failure_share -= sample_weight * stats.failure_share;
+    const double ms = static_cast<double>(took.count()) / slowdown;
+    const bool still_silent = stats.unanswered.missed() > 0 &&
+                              unanswered_requests::is_late(ms, stats.mean_answer_ms) &&
+                              stats.unanswered.on_missed(now, request.sent, stats.mean_answer_ms);
+    // Late answers of a target that is avoided would keep its mean high after it recovers, when it
+    // gets few requests.
+    if (!still_silent) {
+        stats.unanswered.on_answer(request.sent);
+        stats.mean_answer_ms +=
+            stats.mean_answer_ms > 0 ? sample_weight * (ms - stats.mean_answer_ms) : ms;
+        stats.failure_share -= sample_weight * stats.failure_share;
+    }
     record_load(now, stats, load);
     if (auto* balance = balance_of(stats)) {
         balance->on_answer(now, stats.zone, took, aim, load_per_slot(load, stats.slots));
     }
 }
 
-void target_picker::on_refusal(time_point now, incarnation_id node, int load)
+void target_picker::on_refusal(time_point now, const sent_request& request, int load)
 {
-    end_request(node);
-    auto& stats = stats_[node];
+    auto& stats = end_request(request);
     record_load(now, stats, load);
     if (auto* balance = balance_of(stats)) {
         balance->on_refusal(now, stats.zone, load_per_slot(load, stats.slots));
     }
 }
 
-void target_picker::on_warm_up_refusal(time_point now, incarnation_id node, int load,
+void target_picker::on_warm_up_refusal(time_point now, const sent_request& request, int load,
                                        milliseconds retry_after)
 {
-    on_refusal(now, node, load);
-    stats_[node].refused_until = now + std::min(retry_after, max_refused_time);
+    on_refusal(now, request, load);
+    stats_[request.node].refused_until = now + std::min(retry_after, max_refused_time);
 }
 
-void target_picker::on_target_refusal(time_point now, incarnation_id node, int load)
+void target_picker::on_target_refusal(time_point now, const sent_request& request, int load)
 {
-    on_failure(now, node);
-    record_load(now, stats_[node], load);
+    on_failure(now, request);
+    record_load(now, stats_[request.node], load);
 }
 
-void target_picker::on_failure(time_point now, incarnation_id node)
+void target_picker::add_failure(time_point now, target_stats& stats)
 {
-    end_request(node);
-    auto& stats = stats_[node];
     stats.failure_share += sample_weight * (1 - stats.failure_share);
     stats.last_failure = now;
+}
+
+void target_picker::on_failure(time_point now, const sent_request& request)
+{
+    auto& stats = end_request(request);
+    add_failure(now, stats);
     if (auto* balance = balance_of(stats)) {
         balance->on_refusal(now, stats.zone, -1);
     }
 }
 
-void target_picker::on_overdue(time_point now, incarnation_id node)
+void target_picker::observe_missed(time_point now, target_stats& stats, time_point sent)
 {
-    const auto found = stats_.find(node);
+    const double usual = stats.mean_answer_ms * stats.slowdown(now);
+    const double waited = std::chrono::duration<double, std::milli>(now - sent).count();
+    if (!stats.unanswered.on_missed(now, sent, usual) && waited > usual && usual > 0) {
+        stats.mean_answer_ms +=
+            sample_weight * (waited / stats.slowdown(now) - stats.mean_answer_ms);
+    }
+}
+
+void target_picker::on_overdue(time_point now, const sent_request& request)
+{
+    const auto found = stats_.find(request.node);
     if (found == stats_.end()) {
         return;
     }
-    if (auto* balance = balance_of(found->second)) {
-        balance->on_refusal(now, found->second.zone, -1);
+    auto& stats = found->second;
+    if (settings_.unanswered.counts_ended && stats.unanswered.waits(request.sent)) {
+        const std::chrono::duration<double, std::milli> waited = now - request.sent;
+        // A request with less time than the target usually needs was sent too late.
+        if (waited.count() >= stats.mean_answer_ms * stats.slowdown(now)) {
+            add_failure(now, stats);
+        }
+        observe_missed(now, stats, request.sent);
+    }
+    if (auto* balance = balance_of(stats)) {
+        balance->on_refusal(now, stats.zone, -1);
+    }
+}
+
+void target_picker::on_cancelled(time_point now, const sent_request& request)
+{
+    auto& stats = stats_[request.node];
+    if (settings_.unanswered.counts_ended && stats.unanswered.waits(request.sent)) {
+        observe_missed(now, stats, request.sent);
     }
+    end_request(request);
 }
 
-void target_picker::on_end(incarnation_id node)
+void target_picker::on_end(const sent_request& request)
 {
-    end_request(node);
+    end_request(request);
 }
 
 void target_picker::keep(std::span<const incarnation_id> live)
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -6,7 +6,9 @@
 /// what this node itself observed of the target, because reported loads may mislead. This handles
 /// targets of different speed, and slow or failing targets. A target that warms up is expected to
 /// be slower, gets nothing until the time at which it told to accept a request, and gets a request
-/// now and then although others are faster, see `cold_target_trials`.
+/// now and then although others are faster, see `cold_target_trials`. A target that does not answer
+/// is expected to take at least as long as its unanswered requests show, see `unanswered_requests`,
+/// and gets a probe now and then, see `probe_schedule`.
 
 #include <cstdint>
 #include <functional>
@@ -21,6 +23,8 @@
 #include "common/boot_clock.h"
 #include "common/ids.h"
 #include "dispatch/cold_target_trials.h"
+#include "dispatch/probe_schedule.h"
+#include "dispatch/unanswered_requests.h"
 #include "dispatch/work_scale.h"
 #include "dispatch/zone_balance.h"
 
@@ -41,11 +45,20 @@
     std::uint32_t rank = 0;   ///< 0 is the most urgent
 };
 
+/// A request in flight, as named by the node to which it was sent and the time of sending. Without
+/// that time, which is the epoch, it counts in flight and is not observed while it has no answer.
+struct sent_request {
+    sent_request(incarnation_id to, time_point at = {}) : node(to), sent(at) {}
+    incarnation_id node;
+    time_point sent;
+};
+
 struct pick_settings {
     zone_balance_settings zones;
     /// The failure share of a target counts half as much after each such time without a failure, so
     /// that a target that failed is tried again now and then.
     milliseconds failure_half_life{1000};
+    unanswered_settings unanswered{};
 };
 
 /// Not thread-safe.
@@ -61,32 +74,37 @@
                                        std::mt19937_64& random, const pick_traits& traits = {});
     /// The node reported that work on the machine of its target takes `percent` of the usual time.
     void on_work_percent(time_point now, incarnation_id node, std::uint32_t percent);
-    /// Notes a request sent to the node. Exactly one call of `on_answer`, `on_refusal`,
-    /// `on_warm_up_refusal`, `on_target_refusal`, `on_failure` or `on_end` must follow.
-    void on_sent(incarnation_id node) { ++stats_[node].own_in_flight; }
+    /// Notes a request. Exactly one call of `on_answer`, `on_refusal`, `on_warm_up_refusal`,
+    /// `on_target_refusal`, `on_failure`, `on_cancelled` or `on_end` with the same time of sending
+    /// must follow. The times of sending must not decrease.
+    void on_sent(const sent_request& request);
     /// `load` is the number of requests running and queued at the target, as reported by the
     /// target's node with the answer. It is -1 if no load was reported. `aim` is the time that
     /// was left until the latency goal when the request was sent; 0: none was left.
-    void on_answer(time_point now, incarnation_id node, milliseconds took, int load,
+    void on_answer(time_point now, const sent_request& request, milliseconds took, int load,
                    milliseconds aim = milliseconds{0});
     /// The node refused the request, for example because its target has no room. The request did
     /// not run. `load`: as in `on_answer`.
-    void on_refusal(time_point now, incarnation_id node, int load);
+    void on_refusal(time_point now, const sent_request& request, int load);
     /// The node refused the request because its target warms up. It accepts none before
     /// `retry_after` has passed. `load`: as in `on_answer`.
-    void on_warm_up_refusal(time_point now, incarnation_id node, int load,
+    void on_warm_up_refusal(time_point now, const sent_request& request, int load,
                             milliseconds retry_after);
     /// The target itself refused the request, although its node expected it to have room. It counts
     /// as a failure, since the target will probably refuse the next request too. `load`: as in
     /// `on_answer`.
-    void on_target_refusal(time_point now, incarnation_id node, int load);
+    void on_target_refusal(time_point now, const sent_request& request, int load);
     /// The target answered with HTTP status 500 or above, or the outcome of the request is unknown.
-    void on_failure(time_point now, incarnation_id node);
-    /// The request got no answer until its deadline. This counts for the node's zone only, and does
-    /// not end the request.
-    void on_overdue(time_point now, incarnation_id node);
+    void on_failure(time_point now, const sent_request& request);
+    /// The request got no answer until its deadline. The answer would have taken at least this
+    /// long. It counts as a failure if the request had at least the usual answer time, and for the
+    /// node's zone. Does not end the request.
+    void on_overdue(time_point now, const sent_request& request);
+    /// The request was cancelled without an answer, which would have taken at least this long. Has
+    /// no effect but the end of the request after `on_overdue`.
+    void on_cancelled(time_point now, const sent_request& request);
     /// The request ended without an observation of the target.
-    void on_end(incarnation_id node);
+    void on_end(const sent_request& request);
     /// Removes the statistics of nodes that are not in `live`.
     void keep(std::span<const incarnation_id> live);
     /// The balance between zones of each service that was picked for.
@@ -109,6 +127,8 @@
         bool warming_up = false;    ///< as of the last pick
         time_point refused_until{}; ///< it warms up and accepts nothing before
         work_scale scale;
+        unanswered_requests unanswered;
+        probe_schedule probes;
 
         /// Duration of work as a multiple of that on a warm target at the usual speed.
         [[nodiscard]] double slowdown(time_point now) const;
@@ -130,14 +150,23 @@
                                     double normal_cost, std::mt19937_64& random);
     /// Records that the target was picked.
     incarnation_id note_pick(time_point now, const pick_candidate& target,
-                             const pick_traits& traits);
+                             const pick_traits& traits, std::mt19937_64& random);
+    /// True if the target is avoided because it does not answer and should get the request.
+    [[nodiscard]] bool is_probe_due(time_point now, const pick_candidate& candidate,
+                                    const service_averages& service, const zone_balance& balance,
+                                    std::mt19937_64& random);
+    /// Lower bound of the target's answer time by its unanswered requests, in ms.
+    [[nodiscard]] double shown_ms(time_point now, const target_stats& stats, double usual_ms) const;
+    /// Counts the time that a request waited without an answer.
+    void observe_missed(time_point now, target_stats& stats, time_point sent);
+    static void add_failure(time_point now, target_stats& stats);
     [[nodiscard]] double cost_of_own_requests(time_point now, const pick_candidate& candidate,
                                               const service_averages& service) const;
     [[nodiscard]] double failure_cost(time_point now, const target_stats& stats) const;
     zone_balance& balance_of(std::string_view service);
     /// The balance that counts answers of the target; null if it was never picked.
     zone_balance* balance_of(const target_stats& stats);
-    void end_request(incarnation_id node);
+    target_stats& end_request(const sent_request& request);
     void record_load(time_point now, target_stats& stats, int load);
 
     pick_settings settings_;
--- /dev/null
+++ b/src/dispatch/unanswered_requests.cpp
@@ -0,0 +1,108 @@
+#include "dispatch/unanswered_requests.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrushgw::dispatch {
+
+namespace {
+
+/// A request that waits for this multiple of the usual time is late. Half of the usual spread of
+/// long runs, which take seven times as long, is below; two such runs in a row are rare.
+constexpr double late_factor = 4;
+/// A request that ended after this multiple of the usual time counts as missed. At its end it is
+/// known that no answer came, so that it needs less evidence than one that still waits.
+constexpr double missed_factor = 2;
+/// Shorter waits are never late: a host with a tenth of a core pauses for this long.
+constexpr double min_late_ms = 100;
+/// This many requests without an answer show that the target does not answer. One may be a long
+/// run.
+constexpr int evidence = 2;
+/// Part of its wait that a single missed request shows.
+constexpr double weight_of_one = 0.3;
+/// What missed requests show counts half as much after each such time, so that a target that gets
+/// no probes is used again.
+constexpr std::chrono::duration<double> missed_half_life{4};
+
+double ms_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+} // namespace
+
+void unanswered_requests::on_sent(time_point sent)
+{
+    waiting_.push_back(sent);
+}
+
+void unanswered_requests::on_end(time_point sent)
+{
+    const auto found = std::lower_bound(waiting_.begin(), waiting_.end(), sent);
+    if (found != waiting_.end() && *found == sent) {
+        waiting_.erase(found);
+    }
+}
+
+void unanswered_requests::on_answer(time_point sent)
+{
+    on_end(sent);
+    newest_answered_ = std::max(newest_answered_, sent);
+    if (missed_ > 0 && sent > newest_missed_) {
+        missed_ = 0;
+        missed_ms_ = 0;
+    }
+}
+
+bool unanswered_requests::on_missed(time_point now, time_point sent, double usual_ms)
+{
+    on_end(sent);
+    const double waited = ms_between(sent, now);
+    if (sent <= newest_answered_ || waited < std::max(min_late_ms, missed_factor * usual_ms)) {
+        return false;
+    }
+    ++missed_;
+    missed_ms_ = std::max(missed_ms_, waited);
+    newest_missed_ = std::max(newest_missed_, sent);
+    last_missed_at_ = now;
+    return true;
+}
+
+bool unanswered_requests::waits(time_point sent) const
+{
+    return std::binary_search(waiting_.begin(), waiting_.end(), sent);
+}
+
+double unanswered_requests::shown_ms(time_point now, double usual_ms,
+                                     const unanswered_settings& settings) const
+{
+    if (waiting_.empty() && missed_ == 0) {
+        return 0;
+    }
+    int late = missed_;
+    double longest_ms =
+        missed_ms_ *
+        std::exp2(-std::chrono::duration<double>(now - last_missed_at_) / missed_half_life);
+    if (settings.counts_waiting) {
+        auto item = std::upper_bound(waiting_.begin(), waiting_.end(), newest_answered_);
+        for (; item != waiting_.end() && late < evidence + missed_; ++item) {
+            const double waited = ms_between(*item, now);
+            if (!is_late(waited, usual_ms)) {
+                break;
+            }
+            ++late;
+            longest_ms = std::max(longest_ms, waited);
+        }
+    }
+    if (late >= evidence) {
+        return longest_ms;
+    }
+    return missed_ > 0 ? usual_ms + weight_of_one * std::max(0.0, longest_ms - usual_ms) : 0;
+}
+
+bool unanswered_requests::is_late(double took_ms, double usual_ms)
+{
+    return took_ms >= std::max(min_late_ms, late_factor * usual_ms);
+}
+
+} // namespace bulrushgw::dispatch
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -346,7 +346,7 @@
     ++request.tries;
     ++request.sends;
     requests_by_number_[request.number] = id;
-    picker_.on_sent(node);
+    picker_.on_sent({node, request.sent});
     wire::forward message = message_for(request);
     const std::string& body = *request.body;
     const auto self = hooks_.self();
@@ -440,15 +440,16 @@
     request->in_flight = false;
     parts_.stop(request->number);
     const auto now = loop_.now();
+    const dispatch::sent_request sent{from, request->sent};
     picker_.on_work_percent(now, from, reply.work_percent);
     switch (reply.outcome) {
     case wire::forward_outcome::answered:
         if (reply.status >= min_failure_status) {
-            picker_.on_failure(now, from);
+            picker_.on_failure(now, sent);
         }
         else {
             picker_.on_answer(
-                now, from, std::chrono::duration_cast<milliseconds>(now - request->sent),
+                now, sent, std::chrono::duration_cast<milliseconds>(now - request->sent),
                 static_cast<int>(reply.load),
                 std::chrono::duration_cast<milliseconds>(request->aim - request->sent));
         }
@@ -462,19 +463,19 @@
     case wire::forward_outcome::not_run:
     case wire::forward_outcome::not_owner:
         if (request::reason_of(reply.reason, reason::target_refused) == reason::target_refused) {
-            picker_.on_target_refusal(now, from, static_cast<int>(reply.load));
+            picker_.on_target_refusal(now, sent, static_cast<int>(reply.load));
         }
         else if (request::reason_of(reply.reason, reason::none) == reason::warming_up) {
-            picker_.on_warm_up_refusal(now, from, static_cast<int>(reply.load), reply.retry_after);
+            picker_.on_warm_up_refusal(now, sent, static_cast<int>(reply.load), reply.retry_after);
         }
         else {
-            picker_.on_refusal(now, from, static_cast<int>(reply.load));
+            picker_.on_refusal(now, sent, static_cast<int>(reply.load));
         }
         --request->sends;
         on_not_run(*request, reply);
         return;
     case wire::forward_outcome::unknown:
-        picker_.on_failure(now, from);
+        picker_.on_failure(now, sent);
         on_unknown_outcome(*request, request::reason_of(reply.reason, reason::connection_lost));
         return;
     }
@@ -608,7 +609,7 @@
         log("repeat", request, {{"cause", "the connection lost data"}, {"sends", request.sends}});
         request.in_flight = false;
         requests_by_number_.erase(request.number);
-        picker_.on_end(request.node);
+        picker_.on_end({request.node, request.sent});
         dispatch(request);
     }
 }
@@ -655,7 +656,7 @@
     ++counters_.timed_out;
     count_timeout(request);
     if (request.in_flight) {
-        picker_.on_overdue(loop_.now(), request.node);
+        picker_.on_overdue(loop_.now(), {request.node, request.sent});
     }
     cancel_sent(request);
     if (request.sends > 0) {
@@ -674,7 +675,7 @@
     request.in_flight = false;
     stop_parts(request);
     requests_by_number_.erase(request.number);
-    picker_.on_end(request.node);
+    picker_.on_cancelled(loop_.now(), {request.node, request.sent});
     const auto self = hooks_.self();
     if (request.node == self) {
         hooks_.cancel_locally({self, request.number});
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -234,3 +234,94 @@
     LONGS_EQUAL(0, picks(1300, 50)[2]);
     CHECK(picks(1500, 50)[2] > 10);
 }
+
+namespace {
+
+/// Plays a host that sends a request each 20 ms to four targets, of which one is silent at times.
+class silent_target_play {
+public:
+    /// Returns the number of requests sent to the silent target in a period. It answers after 80 ms
+    /// if `silent_ms` has no value, and otherwise after `silent_ms`, or never at 1,000 or above.
+    int run(long from, long until, std::optional<long> silent_ms)
+    {
+        int sent = 0;
+        for (long now = from; now < until; now += 20) {
+            end_requests(now);
+            const auto node = picker_.pick(at(now), candidates_, {}, aim, random_);
+            CHECK(node.has_value());
+            const bool silent = silent_ms && (all_silent || node->value == 1);
+            sent += node->value == 1 ? 1 : 0;
+            picker_.on_sent({*node, at(now)});
+            requests_.emplace(now + std::min(silent ? *silent_ms : 80, deadline),
+                              std::pair{*node, now});
+        }
+        return sent;
+    }
+    bool all_silent = false;
+
+private:
+    void end_requests(long now)
+    {
+        while (!requests_.empty() && requests_.begin()->first <= now) {
+            const auto [end, request] = *requests_.begin();
+            requests_.erase(requests_.begin());
+            const sent_request sent{request.first, at(request.second)};
+            if (end - request.second < deadline) {
+                picker_.on_answer(at(end), sent, milliseconds{end - request.second}, 1);
+                continue;
+            }
+            picker_.on_overdue(at(end), sent);
+            picker_.on_cancelled(at(end), sent);
+        }
+    }
+
+    static constexpr long deadline = 1000;
+    target_picker picker_;
+    std::mt19937_64 random_{5};
+    std::vector<pick_candidate> candidates_{{incarnation_id{1}, 9, true},
+                                            {incarnation_id{2}, 9, true},
+                                            {incarnation_id{3}, 9, true},
+                                            {incarnation_id{4}, 9, true}};
+    /// End of each request in ms, with its node and time of sending.
+    std::multimap<long, std::pair<incarnation_id, long>> requests_;
+};
+
+} // namespace
+
+// Guards against sending requests to a target that answers none until their deadlines, against many
+// probes, and against a target that stays unused after it recovered.
+TEST(target_picker, silent_target_is_avoided_probed_and_used_again)
+{
+    silent_target_play play;
+    CHECK(play.run(10000, 14000, {}) >= 30);
+    // Before the first deadline.
+    CHECK(play.run(14000, 15000, 5000) <= 10);
+    CHECK(play.run(15000, 24000, 5000) <= 9);
+    play.run(24000, 30000, {});
+    CHECK(play.run(30000, 34000, {}) >= 30);
+}
+
+// Guards against answers that a silent target gives late and that keep its mean high after it
+// recovered.
+TEST(target_picker, target_that_answered_late_is_used_again)
+{
+    silent_target_play play;
+    play.run(10000, 14000, {});
+    play.run(14000, 17000, 5000);
+    play.run(17000, 20000, 900);
+    play.run(20000, 26000, {});
+    CHECK(play.run(26000, 30000, {}) >= 30);
+}
+
+// Guards against a selection without candidates, and against spread that is lost, while no target
+// answers because this host is disconnected.
+TEST(target_picker, while_no_target_answers_all_are_still_used)
+{
+    silent_target_play play;
+    play.run(10000, 14000, {});
+    play.all_silent = true;
+    const int sent = play.run(14000, 24000, 5000);
+    CHECK(sent >= 50 && sent <= 200);
+    play.run(24000, 30000, {});
+    CHECK(play.run(30000, 34000, {}) >= 30);
+}
