Return recovered targets to use sooner

Once a probe was answered, the failures that the missed requests had counted kept the target out of use for about 5 s: their share halves in 1 s. An answer of a request that was sent after the missed ones now restores the share from before them. The longest probe interval follows the host's rate of requests: 4 to 32 times the former time between two requests, within 0.5 to 4 s.

--- a/src/dispatch/probe_schedule.cpp
+++ b/src/dispatch/probe_schedule.cpp
@@ -12,14 +12,21 @@
 /// which a recovered target should be in use again by most hosts.
 constexpr ms_double min_interval{500};
 constexpr ms_double max_interval{4000};
-/// The first mean interval as a multiple of the time between requests before.
-constexpr double interval_in_gaps = 3;
+/// The first and the longest mean interval as multiples of the time between requests before. In a
+/// short silence the target gets a quarter of its usual requests, in a long one few.
+constexpr double first_interval_in_gaps = 4;
+constexpr double longest_interval_in_gaps = 32;
 /// Bounds of the random length of an interval as a multiple of its mean.
 constexpr double min_length = 0.6;
 constexpr double max_length = 1.4;
 /// Weight of one observation in the mean time between requests.
 constexpr double gap_weight = 0.1;
 
+ms_double interval_of(double multiple, double gap_ms)
+{
+    return std::clamp(ms_double{multiple * gap_ms}, min_interval, max_interval);
+}
+
 } // namespace
 
 bool probe_schedule::update(time_point now, bool avoided, std::mt19937_64& random)
@@ -29,8 +36,7 @@
         return false;
     }
     if (!is_avoided()) {
-        interval_ =
-            std::clamp(ms_double{interval_in_gaps * mean_gap_ms_}, min_interval, max_interval);
+        interval_ = interval_of(first_interval_in_gaps, mean_gap_ms_);
         schedule(now, random);
     }
     return now >= next_probe_;
@@ -39,7 +45,7 @@
 void probe_schedule::on_pick(time_point now, std::mt19937_64& random)
 {
     if (is_avoided()) {
-        interval_ = std::min(interval_ * 2, max_interval);
+        interval_ = std::min(interval_ * 2, interval_of(longest_interval_in_gaps, mean_gap_ms_));
         schedule(now, random);
     }
     else if (last_pick_ != time_point{}) {
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -321,7 +321,9 @@
     // Late answers of a target that is avoided would keep its mean high after it recovers, when it
     // gets few requests.
     if (!still_silent) {
-        stats.unanswered.on_answer(request.sent);
+        if (stats.unanswered.on_answer(request.sent)) {
+            stats.failure_share = std::min(stats.failure_share, stats.failure_share_before);
+        }
         stats.mean_answer_ms +=
             stats.mean_answer_ms > 0 ? sample_weight * (ms - stats.mean_answer_ms) : ms;
         stats.failure_share -= sample_weight * stats.failure_share;
@@ -387,6 +389,9 @@
     }
     auto& stats = found->second;
     if (settings_.unanswered.counts_ended && stats.unanswered.waits(request.sent)) {
+        if (stats.unanswered.missed() == 0) {
+            stats.failure_share_before = stats.failure_share;
+        }
         const std::chrono::duration<double, std::milli> waited = now - request.sent;
         // A request with less time than the target usually needs was sent too late.
         if (waited.count() >= stats.mean_answer_ms * stats.slowdown(now)) {
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -121,6 +121,9 @@
         double mean_answer_ms = 0;       ///< 0: no answer so far
         double failure_share = 0;        ///< exponential average of failed requests
         time_point last_failure{};
+        /// Failure share before requests were missed. Once a request sent later is answered, the
+        /// missed ones count no more.
+        double failure_share_before = 0;
         std::string service; ///< as of the last pick
         std::string zone;    ///< as of the last pick
         std::uint32_t slots = 1;
--- a/src/dispatch/unanswered_requests.cpp
+++ b/src/dispatch/unanswered_requests.cpp
@@ -44,14 +44,16 @@
     }
 }
 
-void unanswered_requests::on_answer(time_point sent)
+bool unanswered_requests::on_answer(time_point sent)
 {
     on_end(sent);
     newest_answered_ = std::max(newest_answered_, sent);
-    if (missed_ > 0 && sent > newest_missed_) {
-        missed_ = 0;
-        missed_ms_ = 0;
+    if (missed_ == 0 || sent <= newest_missed_) {
+        return false;
     }
+    missed_ = 0;
+    missed_ms_ = 0;
+    return true;
 }
 
 bool unanswered_requests::on_missed(time_point now, time_point sent, double usual_ms)
--- a/src/dispatch/unanswered_requests.h
+++ b/src/dispatch/unanswered_requests.h
@@ -31,9 +31,9 @@
     /// The request ended with a reply that is not an answer of the target, or without an
     /// observation. Has no effect if no request of this time waits.
     void on_end(time_point sent);
-    /// The target answered the request that was sent at `sent`. Answered requests show that the
-    /// target has recovered if they were sent after the last one that got no answer.
-    void on_answer(time_point sent);
+    /// The target answered the request that was sent at `sent`. Returns true if this shows that the
+    /// target has recovered: requests were missed, and the answered one was sent after them.
+    bool on_answer(time_point sent);
     /// The request ended at `now` without an answer in a useful time; the usual answer time is
     /// `usual_ms`. Returns true if it counts in `shown_ms`. Otherwise it is an observation like
     /// that of a slow answer.
