Add silent targets and slow periods to the load model

New scenarios: one target at a time that does not answer for 5 s, with 83 hosts and with 8, a quarter of the targets that does not, and a fifth of the targets that is three times slower for 400 ms. Each mechanism of the picker has a switch.

--- a/bench/dispatch_main.cpp
+++ b/bench/dispatch_main.cpp
@@ -17,6 +17,7 @@
 DEFINE_int32(seeds, 20, "number of seeds that each scenario is played with, 1 to 1000");
 DEFINE_uint64(first_seed, 1, "first seed");
 DEFINE_string(scenario, "", "scenario to play; empty plays all");
+DEFINE_string(policy, "", "policy to play; empty plays all");
 
 namespace {
 
@@ -53,6 +54,10 @@
     add("refusals-not-failures").counts_target_refusals = false;
     add("failures-never-fade").picks.failure_half_life = std::chrono::hours{1};
     add("zones-cost-nothing").picks.zones.cost = milliseconds{0};
+    add("missed-not-counted").picks.unanswered.counts_ended = false;
+    add("waiting-not-counted").picks.unanswered.counts_waiting = false;
+    add("no-probes").picks.unanswered.probes = false;
+    add("unanswered-ignored").picks.unanswered = {false, false, false};
     add("no-time-spent").uses_time_spent = false;
     return result;
 }
@@ -107,6 +112,9 @@
             sum.refused_again += counts.refused_again;
             sum.failed += counts.failed;
         }
+        row.total.silence.share_during += figures.silence.share_during;
+        row.total.silence.share_after += figures.silence.share_after;
+        row.total.silence.windows += figures.silence.windows;
         for (const auto& [zone, counts] : figures.zones) {
             const auto share = [](std::uint64_t part, std::uint64_t whole) {
                 return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
@@ -138,6 +146,11 @@
                         name.c_str(), share(counts.in_aim), share(counts.late),
                         share(counts.refused), share(counts.refused_again), share(counts.failed));
         }
+        if (const auto& silence = row.total.silence; silence.windows > 0) {
+            std::printf("    silent targets: share while silent %.3f  in the 3 s after %.3f\n",
+                        silence.share_during / silence.windows,
+                        silence.share_after / silence.windows);
+        }
         for (const auto& [zone, shares] : row.in_aim_by_zone) {
             const auto in_aim = spread_of(shares);
             const auto to_other = spread_of(row.to_other_by_zone.at(zone));
@@ -183,11 +196,15 @@
             continue;
         }
         for (const auto& policy : policies()) {
+            if (!FLAGS_policy.empty() && FLAGS_policy != policy.name) {
+                continue;
+            }
             rows.push_back(play(scenario, policy));
         }
     }
     if (rows.empty()) {
-        std::fprintf(stderr, "dispatch: there is no scenario %s\n", FLAGS_scenario.c_str());
+        std::fprintf(stderr, "dispatch: there is no scenario %s or no policy %s\n",
+                     FLAGS_scenario.c_str(), FLAGS_policy.c_str());
         return 2;
     }
     if (FLAGS_json) {
--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -12,6 +12,7 @@
 #include <tuple>
 #include <vector>
 
+#include "bench/dispatch_silences.h"
 #include "dispatch/retry_allowance.h"
 #include "dispatch/slot_queue.h"
 #include "dispatch/target_picker.h"
@@ -43,7 +44,9 @@
     int returns = 0; ///< how often the client has returned after a refusal
     std::uint32_t tries = 0;
     std::vector<incarnation_id> avoid;
-    incarnation_id node; ///< to which the request was sent last
+    incarnation_id node;    ///< to which the request was sent last
+    time_point sent;        ///< of the last attempt
+    bool in_flight = false; ///< sent, no reply yet
     bool ended = false;
     outcome_callback on_call_end; ///< only for calls of runs
 };
@@ -92,6 +95,8 @@
     [[nodiscard]] const load_kind& kind_of(const std::string& name) const;
     [[nodiscard]] double strength(target_fault kind, const model_target& target) const;
     [[nodiscard]] bool is_stopped(const model_target& target) const;
+    /// Time until the link of the target's host transfers again.
+    [[nodiscard]] boot_clock::duration silence_left(const model_target& target) const;
 
     // Clients.
     void schedule_arrival(const load_kind& kind);
@@ -111,6 +116,7 @@
     void call(model_target& target, dispatch::ticket id, const nested_call& wanted, int done,
               milliseconds rest);
     void finish(model_target& target, dispatch::ticket id, bool answered);
+    void on_reply(const request_ptr& request, const model_target& target, bool answered, int load);
     void tick();
 
     const load_scenario& scenario_;
@@ -124,10 +130,11 @@
     std::vector<entry_node> entries_;
     std::vector<std::unique_ptr<model_target>> targets_;
     load_figures figures_;
+    silence_counts silences_;
 };
 
 model::model(const load_scenario& scenario, const decision_policy& policy, std::uint64_t seed)
-    : scenario_(scenario), policy_(policy), random_(seed)
+    : scenario_(scenario), policy_(policy), random_(seed), silences_(scenario)
 {
     for (const auto& service : scenario.services) {
         for (std::size_t i = 0; i < service.speeds.size(); ++i) {
@@ -137,13 +144,16 @@
             target->zone = targets_.size() % availability_zones;
             target->node = incarnation_id{targets_.size() + 1};
             target->queue = dispatch::slot_queue(service.slots, policy.queue);
-            entry_node entry;
-            entry.zone = target->zone;
-            entry.picker = dispatch::target_picker(policy.picks);
-            entries_.push_back(std::move(entry));
             targets_.push_back(std::move(target));
         }
     }
+    const std::size_t entries = scenario.entries > 0 ? scenario.entries : targets_.size();
+    for (std::size_t i = 0; i < entries; ++i) {
+        entry_node entry;
+        entry.zone = i % availability_zones;
+        entry.picker = dispatch::target_picker(policy.picks);
+        entries_.push_back(std::move(entry));
+    }
 }
 
 void model::after(boot_clock::duration delay, callback action)
@@ -183,6 +193,18 @@
     return strength(target_fault::stop, target) > 0;
 }
 
+boot_clock::duration model::silence_left(const model_target& target) const
+{
+    for (const auto& fault : scenario_.faults) {
+        if (fault.kind == target_fault::silence && fault.service == target.service->name &&
+            fault.target == target.index && now_ >= begin_ + fault.from &&
+            now_ < begin_ + fault.to) {
+            return begin_ + fault.to - now_;
+        }
+    }
+    return {};
+}
+
 void model::schedule_arrival(const load_kind& kind)
 {
     constexpr double ms_per_s = 1000;
@@ -213,8 +235,10 @@
     request->aim = now_ + std::clamp(kind.aim - spent, milliseconds{0}, left);
     entries_[entry].allowances[kind.service].on_request(now_);
     after(left, [this, request] {
-        if (!request->ended) {
-            entries_[request->entry].picker.on_overdue(now_, request->node);
+        if (std::exchange(request->in_flight, false)) {
+            auto& picker = entries_[request->entry].picker;
+            picker.on_overdue(now_, {request->node, request->sent});
+            picker.on_cancelled(now_, {request->node, request->sent});
         }
         end(request, false, std::nullopt);
     });
@@ -280,27 +304,30 @@
     }
     ++request->tries;
     request->node = *picked;
-    entry.picker.on_sent(*picked);
+    request->sent = now_;
+    request->in_flight = true;
+    entry.picker.on_sent({*picked, now_});
     auto& target = **std::find_if(targets_.begin(), targets_.end(),
                                   [&](const auto& item) { return item->node == *picked; });
+    silences_.on_sent(now_ - begin_, target.service->name, target.index);
     auto& zone = figures_.zones[entry.zone];
     ++zone.sent;
     zone.sent_to_other += target.zone == entry.zone ? 0 : 1;
-    after(hop_delay, [this, request, &target] { admit(request, target); });
+    after(hop_delay + silence_left(target), [this, request, &target] { admit(request, target); });
 }
 
 void model::on_refusal(const request_ptr& request, model_target& target, bool reached_target,
                        milliseconds retry_after)
 {
+    if (!std::exchange(request->in_flight, false)) {
+        return;
+    }
     auto& entry = entries_[request->entry];
     const bool counts = reached_target && policy_.counts_target_refusals;
     const auto report =
         counts ? &dispatch::target_picker::on_target_refusal : &dispatch::target_picker::on_refusal;
-    (entry.picker.*report)(now_, target.node,
+    (entry.picker.*report)(now_, {target.node, request->sent},
                            static_cast<int>(target.queue.running() + target.queue.queued()));
-    if (request->ended) {
-        return;
-    }
     request->avoid.push_back(target.node);
     const bool may_repeat =
         !reached_target || entry.allowances[request->kind->service].try_spend(now_);
@@ -313,6 +340,9 @@
 
 void model::admit(const request_ptr& request, model_target& target)
 {
+    if (!request->in_flight) {
+        return;
+    }
     const dispatch::ticket id = next_ticket_++;
     target.jobs[id] = {request, now_, {}};
     apply(target, target.queue.offer(now_, {id, request->kind->name, request->kind->rank,
@@ -323,7 +353,7 @@
 {
     for (const auto& refused : decisions.refuse) {
         const auto job = target.jobs.extract(refused.id);
-        after(hop_delay,
+        after(hop_delay + silence_left(target),
               [this, request = job.mapped().request, &target, wait = refused.retry_after] {
                   on_refusal(request, target, false, wait);
               });
@@ -390,21 +420,39 @@
 {
     const auto job = target.jobs.extract(id);
     const auto& request = job.mapped().request;
-    auto& picker = entries_[request->entry].picker;
     const bool in_time = answered && now_ <= request->deadline;
-    if (in_time) {
-        picker.on_answer(
-            now_, target.node, std::chrono::duration_cast<milliseconds>(now_ - job.mapped().sent),
-            static_cast<int>(target.queue.running() + target.queue.queued()),
-            std::chrono::duration_cast<milliseconds>(request->aim - job.mapped().sent));
+    const int load = static_cast<int>(target.queue.running() + target.queue.queued());
+    const auto delay = silence_left(target);
+    if (delay > boot_clock::duration{}) {
+        after(delay, [this, request, &target, in_time, load] {
+            on_reply(request, target, in_time, load);
+        });
     }
     else {
-        picker.on_failure(now_, target.node);
+        on_reply(request, target, in_time, load);
     }
-    end(request, in_time, std::nullopt);
     apply(target, target.queue.finish(now_, id, in_time));
 }
 
+void model::on_reply(const request_ptr& request, const model_target& target, bool answered,
+                     int load)
+{
+    if (!std::exchange(request->in_flight, false)) {
+        return;
+    }
+    auto& picker = entries_[request->entry].picker;
+    const dispatch::sent_request sent{target.node, request->sent};
+    if (answered) {
+        picker.on_answer(now_, sent, std::chrono::duration_cast<milliseconds>(now_ - request->sent),
+                         load,
+                         std::chrono::duration_cast<milliseconds>(request->aim - request->sent));
+    }
+    else {
+        picker.on_failure(now_, sent);
+    }
+    end(request, answered, std::nullopt);
+}
+
 void model::tick()
 {
     for (const auto& target : targets_) {
@@ -436,33 +484,12 @@
         now_ = next.at;
         next.action();
     }
+    figures_.silence = silences_.figures();
     return std::move(figures_);
 }
 
 } // namespace
 
-double load_figures::worth_share() const
-{
-    return worth_owed > 0 ? worth_earned / worth_owed : 0;
-}
-
-double load_figures::served_share() const
-{
-    std::uint64_t asked = 0;
-    std::uint64_t served = 0;
-    for (const auto& [name, counts] : kinds) {
-        asked += counts.asked;
-        served += counts.in_aim + counts.late;
-    }
-    return asked > 0 ? static_cast<double>(served) / static_cast<double>(asked) : 0;
-}
-
-double load_figures::nines() const
-{
-    constexpr double best = 1e-6;
-    return -std::log10(std::max(best, 1 - served_share()));
-}
-
 load_figures play_load(const load_scenario& scenario, const decision_policy& policy,
                        std::uint64_t seed)
 {
--- a/bench/dispatch_scenario.cpp
+++ b/bench/dispatch_scenario.cpp
@@ -127,11 +127,88 @@
     return result;
 }
 
+/// Short calls from many hosts, each of which has few requests in flight to a target.
+load_scenario short_calls()
+{
+    load_scenario result;
+    result.services = {{"prices", std::vector<double>(16, 1.0), 9}};
+    result.kinds = {{"quote",
+                     "prices",
+                     1,
+                     1,
+                     0.3,
+                     830,
+                     milliseconds{75},
+                     0.5,
+                     milliseconds{300},
+                     milliseconds{1000},
+                     1,
+                     {}}};
+    result.entries = 83;
+    return result;
+}
+
+/// Two targets in turn do not answer for 5 s.
+load_scenario silent_target()
+{
+    load_scenario result = short_calls();
+    result.name = "silent-target";
+    result.faults = {
+        {target_fault::silence, "prices", 3, milliseconds{8000}, milliseconds{13000}, 1},
+        {target_fault::silence, "prices", 7, milliseconds{17000}, milliseconds{22000}, 1}};
+    return result;
+}
+
+/// The same from few hosts, which have many requests in flight to a target, so that requests that
+/// still wait show its silence before their deadlines.
+load_scenario silent_target_few_hosts()
+{
+    load_scenario result = silent_target();
+    result.name = "silent-few-hosts";
+    result.entries = 8;
+    return result;
+}
+
+/// A quarter of the targets does not answer for 5 s, and the others cannot serve the demand alone.
+load_scenario silent_quarter()
+{
+    load_scenario result = short_calls();
+    result.name = "silent-quarter";
+    result.services[0].slots = 5;
+    for (const std::size_t target : {2U, 5U, 7U, 12U}) {
+        result.faults.push_back(
+            {target_fault::silence, "prices", target, milliseconds{8000}, milliseconds{13000}, 1});
+    }
+    return result;
+}
+
+/// A fifth of the targets runs three times as long for 400 ms, then another fifth.
+load_scenario slow_periods()
+{
+    load_scenario result = short_calls();
+    result.name = "slow-periods";
+    result.entries = 16;
+    constexpr milliseconds period{400};
+    constexpr std::size_t slow_targets = 3;
+    const std::size_t targets = result.services[0].speeds.size();
+    std::size_t target = 0;
+    for (milliseconds from{4000}; from < result.length; from += period) {
+        for (std::size_t i = 0; i < slow_targets; ++i) {
+            // A step without a common divisor with the number of targets reaches all of them.
+            target = (target + 7) % targets;
+            result.faults.push_back({target_fault::slow, "prices", target, from, from + period, 3});
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 std::vector<load_scenario> load_scenarios()
 {
-    return {reports_and_calls(), slow_target(), shedding_target(), stops_in_turn()};
+    return {reports_and_calls(), slow_target(),   shedding_target(),
+            stops_in_turn(),     silent_target(), silent_target_few_hosts(),
+            silent_quarter(),    slow_periods()};
 }
 
 } // namespace bulrushgw::bench
--- a/bench/dispatch_scenario.h
+++ b/bench/dispatch_scenario.h
@@ -43,6 +43,9 @@
     slow, ///< runs take `strength` times as long
     shed, ///< the target rejects this share of its requests itself
     stop, ///< the target takes no requests
+    /// The link of the target's host transfers nothing. What was sent meanwhile arrives at the end,
+    /// unless the request was cancelled.
+    silence,
 };
 
 struct fault_window {
@@ -59,6 +62,7 @@
     std::vector<load_service> services;
     std::vector<load_kind> kinds;
     std::vector<fault_window> faults;
+    std::size_t entries = 0; ///< hosts that receive requests of clients; 0: one for each target
     milliseconds length{30000};
 };
 
