Count the transfer of bodies in the choice of a target

Uploads waited for the links of some hosts while those of others had room: neither slots nor mean answer times show a link.

pick_traits has the size of the body. What a body takes longer does not count as answer time of the target for other requests, and is allowed for before a request counts as late. zone_balance sees these requests like others: their whole delay, refusals and missed deadlines.

--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -126,12 +126,12 @@
 // unknown target is idle and fast, the nodes together would send all requests to that target. The
 // load and answer time of an unknown target are therefore assumed to be the means of the service.
 double target_picker::cost(time_point now, const pick_candidate& candidate,
-                           const service_averages& service) const
+                           const service_averages& service, std::size_t body_bytes) const
 {
     const double slots = std::max<std::uint32_t>(candidate.slots, 1);
     double mean = service.mean_answer_ms;
     double load = service.other_requests_per_slot * slots;
-    double failure_ms = 0;
+    double added_ms = 0;
     double slowdown = candidate.warming_up ? cold_slowdown : 1;
     if (const auto* stats = find(candidate.node)) {
         mean = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : mean;
@@ -143,17 +143,18 @@
         }
         load += stats->own_in_flight;
         slowdown = stats->slowdown(now);
-        failure_ms = failure_cost(now, *stats);
+        added_ms = failure_cost(now, *stats) + body_ms(now, *stats, body_bytes);
         mean = std::max(mean, shown_ms(now, *stats, mean * slowdown) / slowdown);
     }
-    return mean * slowdown * queueing_factor(load, slots) + failure_ms;
+    return mean * slowdown * queueing_factor(load, slots) + added_ms;
 }
 
 // Answer times count only for a target that this node itself helps to fill. Those of a full zone
 // are known to all nodes at about the same time, and are no reason for all of them to leave it at
 // once. Those that a node with few requests knows are means of few answers.
 double target_picker::cost_of_own_requests(time_point now, const pick_candidate& candidate,
-                                           const service_averages& service) const
+                                           const service_averages& service,
+                                           std::size_t body_bytes) const
 {
     const std::uint32_t slots = std::max<std::uint32_t>(candidate.slots, 1);
     const auto* stats = find(candidate.node);
@@ -166,7 +167,9 @@
     }
     const double usual = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : service.mean_answer_ms;
     mean = std::max(mean, shown_ms(now, *stats, usual * stats->slowdown(now)));
-    return mean * queueing_factor(stats->own_in_flight, slots) + failure_cost(now, *stats);
+    const double body_ms = settings_.counts_bodies ? stats->bodies.own_wait_ms(body_bytes) : 0;
+    return mean * queueing_factor(stats->own_in_flight, slots) + failure_cost(now, *stats) +
+           body_ms;
 }
 
 std::optional<incarnation_id> target_picker::pick(time_point now,
@@ -193,7 +196,7 @@
             request.refused_at_own = request.refused_at_own || candidate.same_zone;
             continue;
         }
-        double value = cost(now, candidate, service) * noise(random);
+        double value = cost(now, candidate, service, traits.body_bytes) * noise(random);
         if (candidate.warming_up) {
             value = trial_cost(now, candidate, value, random);
         }
@@ -206,7 +209,7 @@
             best[at] = &candidate;
             zones[at].expected_ms = value;
         }
-        const double own_value = cost_of_own_requests(now, candidate, service);
+        const double own_value = cost_of_own_requests(now, candidate, service, traits.body_bytes);
         zones[at].expected_from_own_ms =
             std::min(zones[at].expected_from_own_ms.value_or(own_value), own_value);
     }
@@ -285,8 +288,21 @@
     auto& stats = stats_[request.node];
     ++stats.own_in_flight;
     if (request.sent != time_point{}) {
-        stats.unanswered.on_sent(request.sent);
+        stats.unanswered.on_sent(request.sent, body_ms(request.sent, stats, request.body_bytes));
     }
+    stats.bodies.on_sent(request.body_bytes);
+}
+
+void target_picker::on_intake_wait(time_point now, incarnation_id node, milliseconds wait)
+{
+    stats_[node].bodies.on_intake_wait(now, wait);
+}
+
+double target_picker::body_ms(time_point now, const target_stats& stats, std::size_t bytes) const
+{
+    return settings_.counts_bodies
+               ? stats.bodies.wait_ms(now, bytes) + stats.bodies.transfer_ms(bytes)
+               : 0;
 }
 
 target_picker::target_stats& target_picker::end_request(const sent_request& request)
@@ -296,6 +312,7 @@
         --stats.own_in_flight;
     }
     stats.unanswered.on_end(request.sent);
+    stats.bodies.on_end(request.body_bytes);
     return stats;
 }
 
@@ -308,24 +325,41 @@
     }
 }
 
+// What a request with a body takes longer than the mean is attributed to its body, as far as a
+// transfer can take that long. Requests without a body show whether the target itself is slower.
+void target_picker::record_answer_time(target_stats& stats, double ms, double extra_ms,
+                                       std::size_t body_bytes)
+{
+    if (stats.mean_answer_ms <= 0) {
+        stats.mean_answer_ms = std::max(ms - extra_ms, 1.0);
+        return;
+    }
+    double excess = ms - stats.mean_answer_ms;
+    if (extra_ms > 0 && excess > 0) {
+        const double wait = extra_ms - stats.bodies.transfer_ms(body_bytes);
+        excess = stats.bodies.on_answer(body_bytes, excess - wait);
+    }
+    stats.mean_answer_ms += sample_weight * excess;
+}
+
 void target_picker::on_answer(time_point now, const sent_request& request, milliseconds took,
                               int load, milliseconds aim)
 {
-    auto& stats = end_request(request);
-    const double slowdown = stats.slowdown(now);
+    auto& stats = stats_[request.node];
+    const double extra_ms = stats.unanswered.extra_ms(request.sent).value_or(0);
     // The mean is that of a warm target at the usual speed.
-    const double ms = static_cast<double>(took.count()) / slowdown;
+    const double ms = static_cast<double>(took.count()) / stats.slowdown(now);
     const bool still_silent = stats.unanswered.missed() > 0 &&
-                              unanswered_requests::is_late(ms, stats.mean_answer_ms) &&
+                              unanswered_requests::is_late(ms - extra_ms, stats.mean_answer_ms) &&
                               stats.unanswered.on_missed(now, request.sent, stats.mean_answer_ms);
+    end_request(request);
     // Late answers of a target that is avoided would keep its mean high after it recovers, when it
     // gets few requests.
     if (!still_silent) {
         if (stats.unanswered.on_answer(request.sent)) {
             stats.failure_share = std::min(stats.failure_share, stats.failure_share_before);
         }
-        stats.mean_answer_ms +=
-            stats.mean_answer_ms > 0 ? sample_weight * (ms - stats.mean_answer_ms) : ms;
+        record_answer_time(stats, ms, extra_ms, request.body_bytes);
         stats.failure_share -= sample_weight * stats.failure_share;
     }
     record_load(now, stats, load);
@@ -374,7 +408,8 @@
 void target_picker::observe_missed(time_point now, target_stats& stats, time_point sent)
 {
     const double usual = stats.mean_answer_ms * stats.slowdown(now);
-    const double waited = std::chrono::duration<double, std::milli>(now - sent).count();
+    const double waited = std::chrono::duration<double, std::milli>(now - sent).count() -
+                          stats.unanswered.extra_ms(sent).value_or(0);
     if (!stats.unanswered.on_missed(now, sent, usual) && waited > usual && usual > 0) {
         stats.mean_answer_ms +=
             sample_weight * (waited / stats.slowdown(now) - stats.mean_answer_ms);
@@ -388,13 +423,14 @@
         return;
     }
     auto& stats = found->second;
-    if (settings_.unanswered.counts_ended && stats.unanswered.waits(request.sent)) {
+    const auto extra_ms = stats.unanswered.extra_ms(request.sent);
+    if (settings_.unanswered.counts_ended && extra_ms) {
         if (stats.unanswered.missed() == 0) {
             stats.failure_share_before = stats.failure_share;
         }
         const std::chrono::duration<double, std::milli> waited = now - request.sent;
         // A request with less time than the target usually needs was sent too late.
-        if (waited.count() >= stats.mean_answer_ms * stats.slowdown(now)) {
+        if (waited.count() >= *extra_ms + stats.mean_answer_ms * stats.slowdown(now)) {
             add_failure(now, stats);
         }
         observe_missed(now, stats, request.sent);
@@ -407,7 +443,7 @@
 void target_picker::on_cancelled(time_point now, const sent_request& request)
 {
     auto& stats = stats_[request.node];
-    if (settings_.unanswered.counts_ended && stats.unanswered.waits(request.sent)) {
+    if (settings_.unanswered.counts_ended && stats.unanswered.extra_ms(request.sent)) {
         observe_missed(now, stats, request.sent);
     }
     end_request(request);
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -8,7 +8,8 @@
 /// be slower, gets nothing until the time at which it told to accept a request, and gets a request
 /// now and then although others are faster, see `cold_target_trials`. A target that does not answer
 /// is expected to take at least as long as its unanswered requests show, see `unanswered_requests`,
-/// and gets a probe now and then, see `probe_schedule`.
+/// and gets a probe now and then, see `probe_schedule`. The body of a request adds the time until
+/// it has arrived, see `body_transfer`.
 
 #include <cstdint>
 #include <functional>
@@ -22,6 +23,7 @@
 
 #include "common/boot_clock.h"
 #include "common/ids.h"
+#include "dispatch/body_transfer.h"
 #include "dispatch/cold_target_trials.h"
 #include "dispatch/probe_schedule.h"
 #include "dispatch/unanswered_requests.h"
@@ -43,14 +45,19 @@
 struct pick_traits {
     std::string_view service; ///< zones are balanced for each service
     std::uint32_t rank = 0;   ///< 0 is the most urgent
+    std::size_t body_bytes = 0;
 };
 
 /// A request in flight, as named by the node to which it was sent and the time of sending. Without
 /// that time, which is the epoch, it counts in flight and is not observed while it has no answer.
 struct sent_request {
-    sent_request(incarnation_id to, time_point at = {}) : node(to), sent(at) {}
+    sent_request(incarnation_id to, time_point at = {}, std::size_t body = 0)
+        : node(to), sent(at), body_bytes(body)
+    {
+    }
     incarnation_id node;
     time_point sent;
+    std::size_t body_bytes;
 };
 
 struct pick_settings {
@@ -59,6 +66,7 @@
     /// that a target that failed is tried again now and then.
     milliseconds failure_half_life{1000};
     unanswered_settings unanswered{};
+    bool counts_bodies = true; ///< transfer times of bodies; a switch for experiments
 };
 
 /// Not thread-safe.
@@ -74,9 +82,11 @@
                                        std::mt19937_64& random, const pick_traits& traits = {});
     /// The node reported that work on the machine of its target takes `percent` of the usual time.
     void on_work_percent(time_point now, incarnation_id node, std::uint32_t percent);
+    /// The node reported that it would let a body of 64 KiB be sent after `wait`.
+    void on_intake_wait(time_point now, incarnation_id node, milliseconds wait);
     /// Notes a request. Exactly one call of `on_answer`, `on_refusal`, `on_warm_up_refusal`,
     /// `on_target_refusal`, `on_failure`, `on_cancelled` or `on_end` with the same time of sending
-    /// must follow. The times of sending must not decrease.
+    /// and size of the body must follow. The times of sending must not decrease.
     void on_sent(const sent_request& request);
     /// `load` is the number of requests running and queued at the target, as reported by the
     /// target's node with the answer. It is -1 if no load was reported. `aim` is the time that
@@ -132,6 +142,7 @@
         work_scale scale;
         unanswered_requests unanswered;
         probe_schedule probes;
+        body_transfer bodies;
 
         /// Duration of work as a multiple of that on a warm target at the usual speed.
         [[nodiscard]] double slowdown(time_point now) const;
@@ -148,7 +159,13 @@
     [[nodiscard]] service_averages averages_over(std::span<const pick_candidate> candidates) const;
     [[nodiscard]] const target_stats* find(incarnation_id node) const;
     [[nodiscard]] double cost(time_point now, const pick_candidate& candidate,
-                              const service_averages& service) const;
+                              const service_averages& service, std::size_t body_bytes) const;
+    /// Expected time until the body has arrived, in ms.
+    [[nodiscard]] double body_ms(time_point now, const target_stats& stats,
+                                 std::size_t bytes) const;
+    /// Updates the means of the target after an answer that took `ms` at the usual speed.
+    void record_answer_time(target_stats& stats, double ms, double extra_ms,
+                            std::size_t body_bytes);
     [[nodiscard]] double trial_cost(time_point now, const pick_candidate& candidate,
                                     double normal_cost, std::mt19937_64& random);
     /// Records that the target was picked.
@@ -164,7 +181,8 @@
     void observe_missed(time_point now, target_stats& stats, time_point sent);
     static void add_failure(time_point now, target_stats& stats);
     [[nodiscard]] double cost_of_own_requests(time_point now, const pick_candidate& candidate,
-                                              const service_averages& service) const;
+                                              const service_averages& service,
+                                              std::size_t body_bytes) const;
     [[nodiscard]] double failure_cost(time_point now, const target_stats& stats) const;
     zone_balance& balance_of(std::string_view service);
     /// The balance that counts answers of the target; null if it was never picked.
--- a/src/dispatch/unanswered_requests.cpp
+++ b/src/dispatch/unanswered_requests.cpp
@@ -31,15 +31,22 @@
 
 } // namespace
 
-void unanswered_requests::on_sent(time_point sent)
+void unanswered_requests::on_sent(time_point sent, double extra_ms)
 {
-    waiting_.push_back(sent);
+    waiting_.push_back({sent, extra_ms});
+}
+
+unanswered_requests::iterator unanswered_requests::find(time_point sent) const
+{
+    const auto found =
+        std::lower_bound(waiting_.begin(), waiting_.end(), sent,
+                         [](const auto& item, time_point at) { return item.sent < at; });
+    return found != waiting_.end() && found->sent == sent ? found : waiting_.end();
 }
 
 void unanswered_requests::on_end(time_point sent)
 {
-    const auto found = std::lower_bound(waiting_.begin(), waiting_.end(), sent);
-    if (found != waiting_.end() && *found == sent) {
+    if (const auto found = find(sent); found != waiting_.end()) {
         waiting_.erase(found);
     }
 }
@@ -58,8 +65,8 @@
 
 bool unanswered_requests::on_missed(time_point now, time_point sent, double usual_ms)
 {
+    const double waited = ms_between(sent, now) - extra_ms(sent).value_or(0);
     on_end(sent);
-    const double waited = ms_between(sent, now);
     if (sent <= newest_answered_ || waited < std::max(min_late_ms, missed_factor * usual_ms)) {
         return false;
     }
@@ -70,9 +77,10 @@
     return true;
 }
 
-bool unanswered_requests::waits(time_point sent) const
+std::optional<double> unanswered_requests::extra_ms(time_point sent) const
 {
-    return std::binary_search(waiting_.begin(), waiting_.end(), sent);
+    const auto found = find(sent);
+    return found != waiting_.end() ? std::optional(found->extra_ms) : std::nullopt;
 }
 
 double unanswered_requests::shown_ms(time_point now, double usual_ms,
@@ -86,14 +94,18 @@
         missed_ms_ *
         std::exp2(-std::chrono::duration<double>(now - last_missed_at_) / missed_half_life);
     if (settings.counts_waiting) {
-        auto item = std::upper_bound(waiting_.begin(), waiting_.end(), newest_answered_);
+        auto item =
+            std::upper_bound(waiting_.begin(), waiting_.end(), newest_answered_,
+                             [](time_point at, const auto& than) { return at < than.sent; });
         for (; item != waiting_.end() && late < evidence + missed_; ++item) {
-            const double waited = ms_between(*item, now);
+            const double waited = ms_between(item->sent, now);
             if (!is_late(waited, usual_ms)) {
                 break;
             }
-            ++late;
-            longest_ms = std::max(longest_ms, waited);
+            if (is_late(waited - item->extra_ms, usual_ms)) {
+                ++late;
+                longest_ms = std::max(longest_ms, waited - item->extra_ms);
+            }
         }
     }
     if (late >= evidence) {
--- a/src/dispatch/unanswered_requests.h
+++ b/src/dispatch/unanswered_requests.h
@@ -10,6 +10,7 @@
 /// clock, no I/O.
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "common/boot_clock.h"
@@ -26,8 +27,9 @@
 /// Not thread-safe. Times of `now` must not decrease.
 class unanswered_requests {
 public:
-    /// A request was sent at `sent`, which must not decrease.
-    void on_sent(time_point sent);
+    /// A request was sent at `sent`, which must not decrease. Its answer is expected `extra_ms`
+    /// later than usual, because of its body.
+    void on_sent(time_point sent, double extra_ms = 0);
     /// The request ended with a reply that is not an answer of the target, or without an
     /// observation. Has no effect if no request of this time waits.
     void on_end(time_point sent);
@@ -38,8 +40,8 @@
     /// `usual_ms`. Returns true if it counts in `shown_ms`. Otherwise it is an observation like
     /// that of a slow answer.
     bool on_missed(time_point now, time_point sent, double usual_ms);
-    /// Returns true if a request of this time waits.
-    [[nodiscard]] bool waits(time_point sent) const;
+    /// The `extra_ms` of the waiting request that was sent at this time; none: no request waits.
+    [[nodiscard]] std::optional<double> extra_ms(time_point sent) const;
     /// Lower bound of the expected answer time in ms, from the requests without an answer; 0 if
     /// they show nothing. `usual_ms`: usual answer time.
     [[nodiscard]] double shown_ms(time_point now, double usual_ms,
@@ -52,9 +54,18 @@
     [[nodiscard]] int missed() const { return missed_; }
 
 private:
-    std::vector<time_point> waiting_; ///< times of sending, in order
-    time_point newest_answered_{};    ///< latest time of sending of an answered request
-    time_point newest_missed_{};      ///< latest time of sending of a missed request
+    struct waiting_request {
+        time_point sent;
+        double extra_ms;
+    };
+    using iterator = std::vector<waiting_request>::const_iterator;
+
+    /// The waiting request that was sent at this time, or the end.
+    [[nodiscard]] iterator find(time_point sent) const;
+
+    std::vector<waiting_request> waiting_; ///< by time of sending
+    time_point newest_answered_{};         ///< latest time of sending of an answered request
+    time_point newest_missed_{};           ///< latest time of sending of a missed request
     time_point last_missed_at_{};
     int missed_ = 0;
     double missed_ms_ = 0; ///< longest wait of the missed requests
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -282,7 +282,7 @@
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
     const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_,
-                                     {request.service, request.route.rank});
+                                     {request.service, request.route.rank, request.body->size()});
     if (!picked && request.warm_up_refusals > 0) {
         refuse(request, reason::warming_up, request.warm_up_wait, "all targets refused");
         return;
@@ -301,6 +301,11 @@
     send(request, *picked, node->address);
 }
 
+dispatch::sent_request entry::sent_of(const pending_request& request)
+{
+    return {request.node, request.sent, request.body->size()};
+}
+
 wire::forward entry::message_for(const pending_request& request) const
 {
     const auto now = loop_.now();
@@ -346,7 +351,7 @@
     ++request.tries;
     ++request.sends;
     requests_by_number_[request.number] = id;
-    picker_.on_sent({node, request.sent});
+    picker_.on_sent(sent_of(request));
     wire::forward message = message_for(request);
     const std::string& body = *request.body;
     const auto self = hooks_.self();
@@ -440,8 +445,9 @@
     request->in_flight = false;
     parts_.stop(request->number);
     const auto now = loop_.now();
-    const dispatch::sent_request sent{from, request->sent};
+    const auto sent = sent_of(*request);
     picker_.on_work_percent(now, from, reply.work_percent);
+    picker_.on_intake_wait(now, from, reply.intake_wait);
     switch (reply.outcome) {
     case wire::forward_outcome::answered:
         if (reply.status >= min_failure_status) {
@@ -609,7 +615,7 @@
         log("repeat", request, {{"cause", "the connection lost data"}, {"sends", request.sends}});
         request.in_flight = false;
         requests_by_number_.erase(request.number);
-        picker_.on_end({request.node, request.sent});
+        picker_.on_end(sent_of(request));
         dispatch(request);
     }
 }
@@ -656,7 +662,7 @@
     ++counters_.timed_out;
     count_timeout(request);
     if (request.in_flight) {
-        picker_.on_overdue(loop_.now(), {request.node, request.sent});
+        picker_.on_overdue(loop_.now(), sent_of(request));
     }
     cancel_sent(request);
     if (request.sends > 0) {
@@ -675,7 +681,7 @@
     request.in_flight = false;
     stop_parts(request);
     requests_by_number_.erase(request.number);
-    picker_.on_cancelled(loop_.now(), {request.node, request.sent});
+    picker_.on_cancelled(loop_.now(), sent_of(request));
     const auto self = hooks_.self();
     if (request.node == self) {
         hooks_.cancel_locally({self, request.number});
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -178,6 +178,8 @@
     void count_timeout(const pending_request& request);
     /// Takes one retry from the service's allowance, if the request may be retried.
     bool try_spend_retry(pending_request& request);
+    /// The last attempt, as the picker knows it.
+    [[nodiscard]] static dispatch::sent_request sent_of(const pending_request& request);
     /// The message without the body.
     [[nodiscard]] wire::forward message_for(const pending_request& request) const;
     /// A plain-text response that this node generates itself.
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -325,3 +325,36 @@
     play.run(24000, 30000, {});
     CHECK(play.run(30000, 34000, {}) >= 30);
 }
+
+// Guards against uploads to a host that reports a backlog of bodies, and against avoiding that host
+// for short requests, which do not wait there.
+TEST(target_picker, bodies_avoid_a_host_with_a_backlog_and_other_requests_do_not)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    picker.on_intake_wait(at(1000), incarnation_id{2}, milliseconds{400});
+    const pick_traits upload{"", 0, 60000};
+    int uploads = 0;
+    for (int i = 0; i < 50; ++i) {
+        uploads += picker.pick(at(1100), candidates, {}, aim, random, upload)->value == 2 ? 1 : 0;
+    }
+    LONGS_EQUAL(0, uploads);
+    CHECK(picks(1100, 50)[2] > 10);
+}
+
+// Guards against a target that counts as slow for short requests because uploads to it wait for the
+// link of its host.
+TEST(target_picker, transfer_of_bodies_does_not_count_as_answer_time_of_other_requests)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    for (long now = 1000; now < 11000; now += 500) {
+        picker.on_intake_wait(at(now), incarnation_id{2}, milliseconds{200});
+        const sent_request upload{incarnation_id{2}, at(now), 60000};
+        picker.on_sent(upload);
+        picker.on_answer(at(now + 400), upload, milliseconds{400}, 0);
+    }
+    CHECK(picks(12000, 50)[2] > 10);
+}
