Add bodies and links to the load model

Kinds of requests have bodies and services links, which transfer one body after the other and refuse what cannot arrive in time. Scenarios: links of differing speed that uploads nearly fill, with short calls among them, and a zone whose links are full. Faults and the parties of the model are files of their own.

--- a/bench/dispatch_main.cpp
+++ b/bench/dispatch_main.cpp
@@ -58,6 +58,7 @@
     add("waiting-not-counted").picks.unanswered.counts_waiting = false;
     add("no-probes").picks.unanswered.probes = false;
     add("unanswered-ignored").picks.unanswered = {false, false, false};
+    add("bodies-ignored").picks.counts_bodies = false;
     add("no-time-spent").uses_time_spent = false;
     return result;
 }
--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -12,7 +12,7 @@
 #include <tuple>
 #include <vector>
 
-#include "bench/dispatch_silences.h"
+#include "bench/dispatch_parties.h"
 #include "dispatch/retry_allowance.h"
 #include "dispatch/slot_queue.h"
 #include "dispatch/target_picker.h"
@@ -33,46 +33,6 @@
 constexpr std::array<std::string_view, availability_zones> zone_names{"a", "b", "c"};
 
 using callback = std::function<void()>;
-using outcome_callback = std::function<void(bool answered)>;
-
-struct request_state {
-    const load_kind* kind = nullptr;
-    std::size_t entry = 0;
-    time_point first_sent; ///< of the client's first attempt
-    time_point aim;
-    time_point deadline;
-    int returns = 0; ///< how often the client has returned after a refusal
-    std::uint32_t tries = 0;
-    std::vector<incarnation_id> avoid;
-    incarnation_id node;    ///< to which the request was sent last
-    time_point sent;        ///< of the last attempt
-    bool in_flight = false; ///< sent, no reply yet
-    bool ended = false;
-    outcome_callback on_call_end; ///< only for calls of runs
-};
-using request_ptr = std::shared_ptr<request_state>;
-
-struct waiting_or_running {
-    request_ptr request;
-    time_point sent;
-    time_point started;
-};
-
-struct entry_node {
-    std::size_t zone = 0;
-    dispatch::target_picker picker;
-    dispatch::time_spent spent;
-    std::map<std::string, dispatch::retry_allowance> allowances;
-};
-
-struct model_target {
-    const load_service* service = nullptr;
-    std::size_t index = 0; ///< within the service
-    std::size_t zone = 0;
-    incarnation_id node;
-    dispatch::slot_queue queue{0};
-    std::map<dispatch::ticket, waiting_or_running> jobs;
-};
 
 class model {
 public:
@@ -94,7 +54,6 @@
     [[nodiscard]] double uniform();
     [[nodiscard]] const load_kind& kind_of(const std::string& name) const;
     [[nodiscard]] double strength(target_fault kind, const model_target& target) const;
-    [[nodiscard]] bool is_stopped(const model_target& target) const;
     /// Time until the link of the target's host transfers again.
     [[nodiscard]] boot_clock::duration silence_left(const model_target& target) const;
 
@@ -109,7 +68,10 @@
     void on_refusal(const request_ptr& request, model_target& target, bool reached_target,
                     milliseconds retry_after);
 
+    void report_intake(const request_ptr& request, const model_target& target);
+
     // Targets.
+    void receive(const request_ptr& request, model_target& target);
     void admit(const request_ptr& request, model_target& target);
     void apply(model_target& target, const dispatch::slot_decisions& decisions);
     void start(model_target& target, dispatch::ticket id);
@@ -144,6 +106,9 @@
             target->zone = targets_.size() % availability_zones;
             target->node = incarnation_id{targets_.size() + 1};
             target->queue = dispatch::slot_queue(service.slots, policy.queue);
+            if (!service.link_mbps.empty()) {
+                target->link = body_link(service.link_mbps.at(i));
+            }
             targets_.push_back(std::move(target));
         }
     }
@@ -178,31 +143,12 @@
 
 double model::strength(target_fault kind, const model_target& target) const
 {
-    for (const auto& fault : scenario_.faults) {
-        if (fault.kind == kind && fault.service == target.service->name &&
-            fault.target == target.index && now_ >= begin_ + fault.from &&
-            now_ < begin_ + fault.to) {
-            return fault.strength;
-        }
-    }
-    return 0;
-}
-
-bool model::is_stopped(const model_target& target) const
-{
-    return strength(target_fault::stop, target) > 0;
+    return fault_strength(scenario_, kind, target.service->name, target.index, now_ - begin_);
 }
 
 boot_clock::duration model::silence_left(const model_target& target) const
 {
-    for (const auto& fault : scenario_.faults) {
-        if (fault.kind == target_fault::silence && fault.service == target.service->name &&
-            fault.target == target.index && now_ >= begin_ + fault.from &&
-            now_ < begin_ + fault.to) {
-            return begin_ + fault.to - now_;
-        }
-    }
-    return {};
+    return bench::silence_left(scenario_, target.service->name, target.index, now_ - begin_);
 }
 
 void model::schedule_arrival(const load_kind& kind)
@@ -228,6 +174,7 @@
     request->first_sent = first_sent;
     request->deadline = deadline;
     request->returns = returns;
+    request->body_bytes = random_body_bytes(kind, random_);
     request->on_call_end = std::move(on_call_end);
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - now_);
     const auto observed = entries_[entry].spent.observe(kind.name, left);
@@ -237,8 +184,8 @@
     after(left, [this, request] {
         if (std::exchange(request->in_flight, false)) {
             auto& picker = entries_[request->entry].picker;
-            picker.on_overdue(now_, {request->node, request->sent});
-            picker.on_cancelled(now_, {request->node, request->sent});
+            picker.on_overdue(now_, sent_of(*request));
+            picker.on_cancelled(now_, sent_of(*request));
         }
         end(request, false, std::nullopt);
     });
@@ -287,15 +234,17 @@
     auto& entry = entries_[request->entry];
     std::vector<dispatch::pick_candidate> candidates;
     for (const auto& target : targets_) {
-        if (target->service->name == request->kind->service && !is_stopped(*target)) {
+        if (target->service->name == request->kind->service &&
+            strength(target_fault::stop, *target) <= 0) {
             candidates.push_back({target->node, target->service->slots, target->zone == entry.zone,
                                   false, zone_names.at(target->zone)});
         }
     }
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request->aim - now_));
-    const auto picked = entry.picker.pick(now_, candidates, request->avoid, aim, random_,
-                                          {request->kind->service, request->kind->rank});
+    const auto picked =
+        entry.picker.pick(now_, candidates, request->avoid, aim, random_,
+                          {request->kind->service, request->kind->rank, request->body_bytes});
     if (!picked) {
         const auto retry_ms = static_cast<double>(default_retry_after.count());
         const auto extra = milliseconds{std::lround(uniform() * retry_ms / 2)};
@@ -306,14 +255,14 @@
     request->node = *picked;
     request->sent = now_;
     request->in_flight = true;
-    entry.picker.on_sent({*picked, now_});
+    entry.picker.on_sent(sent_of(*request));
     auto& target = **std::find_if(targets_.begin(), targets_.end(),
                                   [&](const auto& item) { return item->node == *picked; });
     silences_.on_sent(now_ - begin_, target.service->name, target.index);
     auto& zone = figures_.zones[entry.zone];
     ++zone.sent;
     zone.sent_to_other += target.zone == entry.zone ? 0 : 1;
-    after(hop_delay + silence_left(target), [this, request, &target] { admit(request, target); });
+    after(hop_delay + silence_left(target), [this, request, &target] { receive(request, target); });
 }
 
 void model::on_refusal(const request_ptr& request, model_target& target, bool reached_target,
@@ -326,7 +275,8 @@
     const bool counts = reached_target && policy_.counts_target_refusals;
     const auto report =
         counts ? &dispatch::target_picker::on_target_refusal : &dispatch::target_picker::on_refusal;
-    (entry.picker.*report)(now_, {target.node, request->sent},
+    report_intake(request, target);
+    (entry.picker.*report)(now_, sent_of(*request),
                            static_cast<int>(target.queue.running() + target.queue.queued()));
     request->avoid.push_back(target.node);
     const bool may_repeat =
@@ -338,6 +288,28 @@
     dispatch(request);
 }
 
+// The target's host is told of the request. A body that cannot arrive in time is refused at once.
+void model::receive(const request_ptr& request, model_target& target)
+{
+    const auto arrival = request->body_bytes > 0 ? target.link.arrival(now_, request->body_bytes)
+                                                 : target.link.small_message_delay(now_);
+    if (now_ + arrival + request->kind->work > request->deadline) {
+        const auto wait =
+            std::chrono::duration_cast<milliseconds>(target.link.wait(now_)) + tick_interval;
+        after(hop_delay,
+              [this, request, &target, wait] { on_refusal(request, target, false, wait); });
+        return;
+    }
+    target.link.add(now_, request->body_bytes);
+    after(arrival, [this, request, &target] { admit(request, target); });
+}
+
+void model::report_intake(const request_ptr& request, const model_target& target)
+{
+    entries_[request->entry].picker.on_intake_wait(
+        now_, target.node, std::chrono::duration_cast<milliseconds>(target.link.wait(now_)));
+}
+
 void model::admit(const request_ptr& request, model_target& target)
 {
     if (!request->in_flight) {
@@ -441,7 +413,8 @@
         return;
     }
     auto& picker = entries_[request->entry].picker;
-    const dispatch::sent_request sent{target.node, request->sent};
+    const auto sent = sent_of(*request);
+    report_intake(request, target);
     if (answered) {
         picker.on_answer(now_, sent, std::chrono::duration_cast<milliseconds>(now_ - request->sent),
                          load,
--- a/bench/dispatch_scenario.cpp
+++ b/bench/dispatch_scenario.cpp
@@ -202,13 +202,52 @@
     return result;
 }
 
+/// Short calls as above, and uploads that fill most of the hosts' links; the speeds of the links
+/// differ by a factor of four.
+load_scenario full_links()
+{
+    load_scenario result = short_calls();
+    result.name = "full-links";
+    for (std::size_t i = 0; i < result.services[0].speeds.size(); ++i) {
+        result.services[0].link_mbps.push_back(i % 2 == 0 ? 4 : 16);
+    }
+    result.kinds.push_back({"upload",
+                            "prices",
+                            2,
+                            2,
+                            0.3,
+                            200,
+                            milliseconds{75},
+                            0.5,
+                            milliseconds{800},
+                            milliseconds{3000},
+                            1,
+                            {},
+                            60000});
+    return result;
+}
+
+/// The same, while the links of one zone cannot carry the uploads that arrive there, and those of
+/// the others have room.
+load_scenario full_links_in_zone()
+{
+    load_scenario result = full_links();
+    result.name = "full-links-in-zone";
+    auto& links = result.services[0].link_mbps;
+    for (std::size_t i = 0; i < links.size(); ++i) {
+        links[i] = i % 3 == 0 ? 4 : 20;
+    }
+    return result;
+}
+
 } // namespace
 
 std::vector<load_scenario> load_scenarios()
 {
     return {reports_and_calls(), slow_target(),   shedding_target(),
             stops_in_turn(),     silent_target(), silent_target_few_hosts(),
-            silent_quarter(),    slow_periods()};
+            silent_quarter(),    slow_periods(),  full_links(),
+            full_links_in_zone()};
 }
 
 } // namespace bulrushgw::bench
--- a/bench/dispatch_scenario.h
+++ b/bench/dispatch_scenario.h
@@ -31,12 +31,14 @@
     milliseconds deadline{0};
     int client_retries = 0; ///< how often a client returns after a refusal
     std::vector<nested_call> calls;
+    std::size_t body_bytes = 0; ///< mean; 0: no body
 };
 
 struct load_service {
     std::string name;
     std::vector<double> speeds; ///< one target each
     std::uint32_t slots = 1;
+    std::vector<double> link_mbps = {}; ///< of the target's host; empty: unlimited
 };
 
 enum class target_fault {
