Accept the release of a segment in pieces

A member that held a segment in several pieces released them one by one. The leader accepted only a release that covered the whole segment, and the member reported each piece once, so the keys had no holder for good.

The leader splits a segment of which a piece was released, with the evidence that a whole release needs. The member repeats a piece until its directory no longer assigns the keys to it under the same fence, and does not grant keys again under a fence under which any of their segment were released.

--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -205,6 +205,10 @@
     void assign_free(time_point now, const std::string& service);
     void balance(time_point now, const std::string& service);
     void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
+    /// Returns the target that a planned move assigns the keys of the segment to, and removes these
+    /// keys from the move; none: no move is planned for them.
+    std::optional<owner_candidate> take_planned_move(const segment& item);
+    void plan_move(planned_move move);
     void fill_gaps(const std::string& service);
     void merge_neighbours(time_point now);
     void assign_segment(segment& item, const owner_candidate& to, std::string handover);
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -1,6 +1,7 @@
 #include "assignment/leader.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bulrushgw::assignment {
@@ -85,32 +86,70 @@
 }
 
 // The end of the holds that a process granted proves nothing about the holds that an earlier
-// process of its host granted. The member repeats the release until it is accepted.
+// process of its host granted. The member repeats the release until it is accepted. A segment of
+// which only a part was released is split: the rest keeps its owner and its fence.
 void leader::accept_released(time_point now, const released_keys& keys, incarnation_id from)
 {
     if (keys.evidence != release_evidence::confirmed && now < members_.at(from).earlier_holds_end) {
         return;
     }
+    std::vector<segment> rests;
     for (auto& item : view_.segments) {
-        if (item.owner != from || !keys.covers(item)) {
+        if (item.owner != from || !keys.concerns(item)) {
             continue;
         }
+        if (item.first < keys.first) {
+            rests.push_back(item);
+            rests.back().last = keys.first - 1;
+            item.first = keys.first;
+        }
+        if (item.last > keys.last) {
+            rests.push_back(item);
+            rests.back().first = keys.last + 1;
+            item.last = keys.last;
+        }
         item.owner = {};
         item.target.clear();
         item.releasing = false;
         item.handover = keys.handover;
-        for (auto move = planned_moves_.begin(); move != planned_moves_.end(); ++move) {
-            if (move->service == item.service && move->first == item.first &&
-                move->last == item.last) {
-                if (can_own_keys(move->to.node, item.service)) {
-                    assign_segment(item, move->to, keys.handover);
-                }
-                planned_moves_.erase(move);
-                break;
-            }
+        const auto to = take_planned_move(item);
+        if (to && can_own_keys(to->node, item.service)) {
+            assign_segment(item, *to, keys.handover);
         }
         mark_changed();
     }
+    std::move(rests.begin(), rests.end(), std::back_inserter(view_.segments));
+}
+
+std::optional<owner_candidate> leader::take_planned_move(const segment& item)
+{
+    const auto found =
+        std::find_if(planned_moves_.begin(), planned_moves_.end(), [&](const planned_move& move) {
+            return move.service == item.service && move.first <= item.first &&
+                   item.last <= move.last;
+        });
+    if (found == planned_moves_.end()) {
+        return std::nullopt;
+    }
+    const planned_move move = *found;
+    planned_moves_.erase(found);
+    if (move.first < item.first) {
+        planned_moves_.push_back({move.service, move.first, item.first - 1, move.to});
+    }
+    if (item.last < move.last) {
+        planned_moves_.push_back({move.service, item.last + 1, move.last, move.to});
+    }
+    return move.to;
+}
+
+// An earlier plan for any of the keys is void: its release was superseded.
+void leader::plan_move(planned_move move)
+{
+    std::erase_if(planned_moves_, [&](const planned_move& earlier) {
+        return earlier.service == move.service && earlier.first <= move.last &&
+               move.first <= earlier.last;
+    });
+    planned_moves_.push_back(std::move(move));
 }
 
 void leader::unassign_segments(incarnation_id node)
@@ -319,7 +358,7 @@
     for (const auto& move :
          find_moves(loads_[service], service_segments, owners, max_moves - moves_under_way)) {
         release_keys(service, move.first, move.last);
-        planned_moves_.push_back({service, move.first, move.last, move.to});
+        plan_move({service, move.first, move.last, move.to});
     }
 }
 
--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -253,13 +253,30 @@
     }
 }
 
-// True if the keys were released under the segment's fence. Either the leader does not know of the
-// release yet, or the directory here is out of date and the keys may already belong to another
-// target with a higher fence.
-bool member::is_released(const segment& item) const
+// Keys released under the segment's fence must not be granted under it again. Either the leader
+// does not know of the release yet, or the directory here is out of date and the keys may already
+// belong to another target with a higher fence.
+bool member::is_partly_released(const segment& item) const
 {
     return std::any_of(released_.begin(), released_.end(),
-                       [&](const released_keys& keys) { return keys.covers(item); });
+                       [&](const released_keys& keys) { return keys.concerns(item); });
+}
+
+// True if all keys of the segment were released under its fence, possibly in several pieces.
+bool member::is_released(const segment& item) const
+{
+    std::uint32_t next = item.first;
+    while (next <= item.last) {
+        const auto piece =
+            std::find_if(released_.begin(), released_.end(), [&](const released_keys& keys) {
+                return keys.concerns(item) && keys.first <= next && next <= keys.last;
+            });
+        if (piece == released_.end()) {
+            return false;
+        }
+        next = piece->last + 1;
+    }
+    return true;
 }
 
 // Makes the held ranges match the directory.
@@ -275,6 +292,7 @@
         const bool own = assigned && item.target == target_.id && !target_.id.empty();
         // A release that an unknown target cannot confirm ends with the hold.
         const bool release_pending = assigned && item.releasing && target_.id.empty();
+        const bool releasing = item.releasing || (own && is_partly_released(item));
         bool covered = false;
         std::uint32_t covered_keys = 0; ///< keys of an own segment that were held before
         for (auto& piece : held_ranges_) {
@@ -282,7 +300,7 @@
                 piece.last > item.last || piece.service.empty()) {
                 continue;
             }
-            if (own && !item.releasing) {
+            if (own && !releasing) {
                 // One grant renews all pieces of a segment. Before that grant, the target holds the
                 // whole segment only until the earliest end of the holds of its pieces.
                 if (!covered) {
@@ -333,7 +351,7 @@
             added.last = item.last;
             added.range_fence = item.range_fence;
             added.handover = item.handover;
-            added.releasing = item.releasing;
+            added.releasing = releasing;
             // The leader may have passed the keys on from an earlier process of this host, whose
             // grant the target still holds.
             added.inherited = true;
@@ -400,6 +418,20 @@
 
 void member::finish_release(const held_range& item, release_evidence evidence, std::string handover)
 {
+    const auto earlier =
+        std::find_if(released_.begin(), released_.end(), [&](const released_keys& keys) {
+            return keys.service == item.service && keys.first == item.first &&
+                   keys.last == item.last && keys.range_fence == item.range_fence;
+        });
+    if (earlier != released_.end()) {
+        // The handover token of the first confirmation is the one that concerns held keys.
+        if (earlier->evidence == release_evidence::confirmed ||
+            evidence != release_evidence::confirmed) {
+            report_due_ = true;
+            return;
+        }
+        released_.erase(earlier);
+    }
     released_.push_back(
         {item.service, item.first, item.last, item.range_fence, std::move(handover), evidence});
     report_due_ = true;
@@ -599,11 +631,12 @@
     if (report_sent_times_.size() > max_open_reports) {
         report_sent_times_.erase(report_sent_times_.begin());
     }
-    // The leader knows of the release of keys that the directory no longer assigns to this node.
+    // The leader knows of the release of keys that the directory no longer assigns to this node
+    // under the same fence. Others are reported again.
     std::erase_if(released_, [&](const released_keys& keys) {
         return view_.term == term_ &&
                std::none_of(view_.segments.begin(), view_.segments.end(), [&](const segment& item) {
-                   return item.owner == self_.node && keys.covers(item);
+                   return item.owner == self_.node && keys.concerns(item);
                });
     });
     return result;
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -187,6 +187,7 @@
     void adopt_directory(time_point now, const directory_change& content);
     void reconcile_held_ranges();
     [[nodiscard]] bool is_released(const segment& item) const;
+    [[nodiscard]] bool is_partly_released(const segment& item) const;
     void split_held_range(const std::string& service, std::uint32_t start);
     void finish_release(const held_range& item, release_evidence evidence, std::string handover);
     void consider_clearing(time_point now);
--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -169,11 +169,12 @@
     std::string handover; ///< token from the target, see `segment::handover`; empty: none
     release_evidence evidence = release_evidence::hold_ended;
 
-    /// True if `item` has the fence under which the keys were released and lies within them. The
-    /// leader may have split the segment since.
-    [[nodiscard]] bool covers(const segment& item) const
+    /// True if some of the keys are in `item`, which has the fence under which they were released.
+    /// Either may be a part of the other: a member holds a segment in several pieces if the leader
+    /// has merged it, and the leader may have split a segment since.
+    [[nodiscard]] bool concerns(const segment& item) const
     {
-        return item.service == service && first <= item.first && item.last <= last &&
+        return item.service == service && first <= item.last && item.first <= last &&
                item.range_fence == range_fence;
     }
 };
--- a/tests/assignment/member_test.cpp
+++ b/tests/assignment/member_test.cpp
@@ -152,6 +152,63 @@
     LONGS_EQUAL(1, test.report_and_get_lease({releasing_keys}).released.size());
 }
 
+// Guards against keys that nobody holds any more: a member that held a segment in several pieces
+// reported each released piece once, and the leader accepted only the whole segment.
+TEST(member, released_pieces_are_reported_until_the_leader_has_accepted_them)
+{
+    leased_member test;
+    test.report_and_get_lease({keys(0, 49, 2), keys(50, 99, 3)});
+    LONGS_EQUAL(2, test.confirm_grants());
+    auto releasing_keys = keys(0, 99, 9);
+    releasing_keys.releasing = true;
+    test.report_and_get_lease({releasing_keys});
+    const auto orders = test.member_.take_releases(test.now_);
+    LONGS_EQUAL(2, orders.size());
+    test.member_.on_release_result(test.now_, orders[0].id, order_outcome::done, "first");
+    for (int i = 0; i < 3; ++i) {
+        const auto released = test.report_and_get_lease({releasing_keys}).released;
+        LONGS_EQUAL(1, released.size());
+        LONGS_EQUAL(49, released[0].last);
+    }
+    test.member_.on_release_result(test.now_, orders[1].id, order_outcome::done, "second");
+    LONGS_EQUAL(2, test.report_and_get_lease({releasing_keys}).released.size());
+    LONGS_EQUAL(2, test.report_and_get_lease({releasing_keys}).released.size());
+    LONGS_EQUAL(0, test.member_.take_releases(test.now_).size()); // no key is left to release
+    // The leader has assigned the first piece to another target.
+    auto rest = releasing_keys;
+    rest.first = 50;
+    test.report_and_get_lease({rest});
+    test.report_and_get_lease({rest});
+    const auto released = test.report_and_get_lease({rest}).released;
+    LONGS_EQUAL(1, released.size());
+    LONGS_EQUAL(50, released[0].first);
+    STRCMP_EQUAL("second", released[0].handover.c_str());
+    test.report_and_get_lease({});
+    test.report_and_get_lease({});
+    CHECK(test.report_and_get_lease({}).released.empty());
+}
+
+// Guards against two holders of a key: a leader that has split and merged a segment may accept the
+// release of one piece while its owner grants the whole segment again under the same fence.
+TEST(member, segment_with_a_released_piece_is_not_granted_under_the_same_fence)
+{
+    leased_member test;
+    test.report_and_get_lease({keys(0, 49, 2), keys(50, 99, 2)});
+    LONGS_EQUAL(2, test.confirm_grants());
+    test.member_.on_target(test.now_, target(target_phase::absent));
+    while (!test.member_.holdings(test.now_).empty()) {
+        test.advance(milliseconds{50});
+    }
+    test.report_and_get_lease({keys(0, 49, 2), keys(50, 99, 2)});
+    test.member_.on_target(test.now_, target(target_phase::ready));
+    // The directory now has a part of the released keys and others in one segment.
+    test.report_and_get_lease({keys(0, 49, 30), keys(50, 150, 2)});
+    const auto orders = test.member_.take_grants(test.now_);
+    LONGS_EQUAL(1, orders.size());
+    LONGS_EQUAL(49, orders[0].last);
+    CHECK(test.member_.may_serve(test.now_, "s", 120) == serve_verdict::not_owner);
+}
+
 // Guards against keys in use that a new leader does not know of. A member reported that it held no
 // keys and then granted keys from the directory of the previous term.
 TEST(member, keys_of_the_previous_term_are_not_granted_after_a_report)
--- a/tests/sidecar/long_work_test.cpp
+++ b/tests/sidecar/long_work_test.cpp
@@ -165,3 +165,12 @@
     settings.times.holds_count_from_arrival = true;
     check_no_problem(50429, run_restart_faults(50429, settings));
 }
+
+// Guards against keys that wait for ever: the leader waited for the release of a whole segment,
+// which its owner had held and released in several pieces. Nobody got a quarter of the keys.
+TEST(long_work, keys_released_in_pieces_are_held_again)
+{
+    auto settings = settings_with_long_leases(milliseconds{4000});
+    settings.times.holds_count_from_arrival = false;
+    check_no_problem(60090, run_random_faults(60090, settings));
+}
