Tell clients when a request has not run at the timeout of its route

A request that waited in the queue of the target's host, or whose body was incomplete, ended with 504 when the timeout of its route was over, so that a client could not repeat an unsafe request.

The target's host replies to a cancellation if it has not sent the request to the target and never will. It remembers the latest requests of each sender for this, and drops a request that arrives after its confirmed cancellation. A call to the target that is cancelled before it has a connection no longer counts as a refusal by the target.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -230,8 +230,9 @@
          std::function<head_verdict(const http_response&, bool is_new_connection)> accept_head = {},
          std::shared_ptr<const std::string> shared_body = {});
     /// Ends the call and closes its connection, which cancels the request at the server. Does
-    /// nothing if the call has ended, or within its `before_write`.
-    void cancel(call_id call);
+    /// nothing if the call has ended, or within its `before_write`. Returns true if this ended the
+    /// call before any byte of the request was written.
+    bool cancel(call_id call);
 
 private:
     struct state;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -631,13 +631,16 @@
     return id;
 }
 
-void http_client::cancel(call_id call)
+bool http_client::cancel(call_id call)
 {
     const auto found = state_->calls.find(call);
     // `cancel` does nothing within `before_write`, which can end the call by returning false.
-    if (found != state_->calls.end() && !found->second->in_before_write) {
-        state_->abort(*found->second, http_failure::closed);
+    if (found == state_->calls.end() || found->second->in_before_write) {
+        return false;
     }
+    const bool is_unwritten = found->second->current_phase != state::phase::written;
+    state_->abort(*found->second, http_failure::closed);
+    return is_unwritten;
 }
 
 } // namespace bulrushgw::net
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -180,6 +180,7 @@
     milliseconds time = client_time_left
                             ? milliseconds{std::max<std::int64_t>(*client_time_left, 0)}
                             : default_timeout;
+    request.client_deadline = now + time;
     if (route->timeout.count() > 0) {
         time = std::min(time, route->timeout);
     }
@@ -410,7 +411,8 @@
                          found->second.number == reply.number && found->second.node == from &&
                          found->second.request_id == reply.request_id;
     if (!matches) {
-        ++counters_.foreign_replies;
+        // The host of a target also replies to a cancellation after which nobody waits.
+        counters_.foreign_replies += detail::is_cancellation_reply(reply) ? 0 : 1;
         return nullptr;
     }
     requests_by_number_.erase(number);
@@ -433,6 +435,10 @@
 void entry::on_reply(incarnation_id from, const wire::forward_reply& reply)
 {
     successive_timeouts_.erase(from);
+    if (pending_request* cancelled = find_cancelled(from, reply)) {
+        on_reply_after_cancellation(*cancelled, reply);
+        return;
+    }
     pending_request* request = find_in_flight(from, reply);
     if (request == nullptr) {
         return;
@@ -562,7 +568,8 @@
 {
     std::vector<std::uint64_t> affected;
     for (const auto& [id, request] : pending_) {
-        if (request.in_flight && request.address == address && request.node != hooks_.self()) {
+        const bool awaits_reply = request.in_flight || request.is_cancelled;
+        if (awaits_reply && request.address == address && request.node != hooks_.self()) {
             affected.push_back(id);
         }
     }
@@ -654,11 +661,15 @@
     auto& request = found->second;
     ++counters_.timed_out;
     count_timeout(request);
-    if (request.in_flight) {
+    const bool was_in_flight = request.in_flight;
+    if (was_in_flight) {
         picker_.on_overdue(loop_.now(), request.node);
     }
     cancel_sent(request);
-    if (request.sends > 0) {
+    if (was_in_flight && can_await_cancellation(request)) {
+        await_cancellation(request);
+    }
+    else if (request.sends > 0) {
         fail(request, 504, reason::deadline_sent);
     }
     else {
@@ -668,6 +679,9 @@
 
 void entry::cancel_sent(pending_request& request)
 {
+    if (std::exchange(request.is_cancelled, false)) {
+        requests_by_number_.erase(request.number);
+    }
     if (!request.in_flight) {
         return;
     }
@@ -677,7 +691,7 @@
     picker_.on_end(request.node);
     const auto self = hooks_.self();
     if (request.node == self) {
-        hooks_.cancel_locally({self, request.number});
+        request.sends -= hooks_.cancel_locally({self, request.number}) ? 1 : 0;
     }
     else {
         hooks_.send(request.address, request.node, wire::cancel{request.number});
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -47,6 +47,9 @@
     std::uint64_t refused = 0;
     std::uint64_t unknown = 0;
     std::uint64_t timed_out = 0;
+    /// Refused after the timeout of their route, because a reply to the cancellation said that they
+    /// had not run; part of `timed_out` and of `refused`.
+    std::uint64_t cancelled_not_run = 0;
     std::uint64_t abandoned = 0; ///< clients that disconnected before the answer
     std::uint64_t retries = 0;
     std::uint64_t foreign_replies = 0;   ///< replies that match no request in flight
@@ -55,8 +58,16 @@
     std::uint64_t warm_up_refusals = 0;  ///< by nodes whose targets warm up
 };
 
-/// Implemented in two files: requests (entry.cpp), and the exclusion of targets by regions and
-/// evacuations (entry_targets.cpp). Not thread-safe: runs on one loop.
+namespace detail {
+
+/// True if the reply says that a cancelled request has not run and never will.
+bool is_cancellation_reply(const wire::forward_reply& reply);
+
+} // namespace detail
+
+/// Implemented in three files: requests (entry.cpp), the exclusion of targets by regions and
+/// evacuations (entry_targets.cpp), and the replies to cancellations (entry_cancellation.cpp). Not
+/// thread-safe: runs on one loop.
 class entry {
 public:
     struct hooks {
@@ -65,9 +76,10 @@
         std::function<const routing::evacuations&()> evacuations;
         /// Returns false if the message was certainly not sent.
         std::function<bool(const std::string& address, incarnation_id to, const wire::body&)> send;
-        /// Run or cancel a request at the target on this host.
+        /// Run or cancel a request at the target on this host, see `forward_intake::run_local` and
+        /// `forward_intake::cancel`.
         std::function<void(request_key, wire::forward, gate::completion)> run_locally;
-        std::function<void(request_key)> cancel_locally;
+        std::function<bool(request_key)> cancel_locally;
         std::function<void(const std::string& service, std::uint32_t key)> on_keyed_request;
         /// The peer at `address` did not answer in time, see `peer_check::suspect`.
         std::function<void(const std::string& address, const std::string& cause)> suspect;
@@ -125,6 +137,7 @@
         time_point arrived;
         time_point aim; ///< latency goal: an answer after this time is worth less
         time_point deadline;
+        time_point client_deadline;         ///< not before `deadline`, which the route may bound
         time_point owner_wait_end;          ///< end of the wait for an owner or a target
         std::uint32_t sends = 0;            ///< attempts that may have reached a target
         std::uint32_t tries = 0;            ///< all attempts
@@ -133,6 +146,7 @@
         milliseconds warm_up_wait{0}; ///< least time until one of these targets accepts a request
         bool waits_for_owner = false; ///< waits for an owner or a target
         bool in_flight = false;       ///< sent, no reply yet
+        bool is_cancelled = false;    ///< the reply to its cancellation is awaited
         std::uint64_t number = 0;     ///< of the last message that was sent for the request
         incarnation_id node;          ///< receiver of that message
         std::string address;          ///< of `node`
@@ -172,6 +186,14 @@
     void fail(pending_request& request, int status, request::reason why);
     void end(std::uint64_t id, net::http_response response);
     void cancel_sent(pending_request& request);
+    /// Whether a reply to the cancellation can tell that the request has not run, while its client
+    /// still waits. Precondition: the request was in flight and has been cancelled.
+    [[nodiscard]] bool can_await_cancellation(const pending_request& request) const;
+    void await_cancellation(pending_request& request);
+    void on_cancellation_timeout(std::uint64_t id);
+    /// Returns the request whose cancellation the reply can answer, or null.
+    pending_request* find_cancelled(incarnation_id from, const wire::forward_reply& reply);
+    void on_reply_after_cancellation(pending_request& request, const wire::forward_reply& reply);
     /// Sends no more parts of the body. A request with unsent parts has not run.
     void stop_parts(pending_request& request);
     [[nodiscard]] const std::string* body_of(std::uint64_t number) const;
--- a/src/sidecar/forward_intake.cpp
+++ b/src/sidecar/forward_intake.cpp
@@ -115,10 +115,19 @@
                         }));
 }
 
-void forward_intake::cancel(request_key key)
+bool forward_intake::cancel(request_key key)
 {
-    if (!bodies_.cancel(key)) {
-        hooks_.cancel(key);
+    return bodies_.cancel(key) || hooks_.cancel(key);
+}
+
+// The sender knows the request by its number. The id is not known here if the request never
+// arrived.
+void forward_intake::on_cancel(const wire::frame& frame, const wire::cancel& cancellation)
+{
+    const request_key key{frame.from, cancellation.number};
+    if (cancel(key)) {
+        ++counters_.cancelled_not_run;
+        refuse(frame.reply_address, key, "", reason::cancelled_not_sent);
     }
 }
 
--- a/src/sidecar/forward_intake.h
+++ b/src/sidecar/forward_intake.h
@@ -25,6 +25,8 @@
     std::uint64_t assembled = 0; ///< bodies that arrived in parts and are complete
     std::uint64_t dropped = 0;   ///< bodies dropped because their sender was lost or was too late
     std::uint64_t invalid = 0;   ///< bodies dropped because a part was missing or malformed
+    /// Cancelled requests of other nodes that have certainly not run.
+    std::uint64_t cancelled_not_run = 0;
 };
 
 /// Reserves the memory of each request until the gate has finished with it, and refuses a request
@@ -38,8 +40,8 @@
         /// cancellation.
         std::function<void(request_key, wire::forward, gate::completion)> run;
         std::function<void(request_key, wire::forward, gate::completion)> run_later;
-        /// Cancels a request at the gate.
-        std::function<void(request_key)> cancel;
+        /// Cancels a request at the gate, see `gate::cancel`.
+        std::function<bool(request_key)> cancel;
         /// Why the gate would refuse the request now, as far as that is known without its body.
         std::function<std::optional<request::reason>(const wire::forward&)> expected_refusal;
         /// Requests running and queued at the gate.
@@ -56,8 +58,11 @@
     /// A request of another node, whose body may follow in parts.
     void on_forward(const wire::frame& frame, const wire::forward& request);
     void on_part(const wire::frame& frame, const wire::forward_part& part);
-    /// Cancels a request, whether its body is complete or not.
-    void cancel(request_key key);
+    /// Cancels a request, whether its body is complete or not. Returns true if the request has
+    /// certainly not been sent to the target and never will be.
+    bool cancel(request_key key);
+    /// Cancels a request of another node, and replies that it has not run if that is certain.
+    void on_cancel(const wire::frame& frame, const wire::cancel& cancellation);
     /// A node has no connection to this node any more: bodies that it was sending are dropped.
     void on_sender_lost(incarnation_id sender);
     /// Drops bodies whose deadline has passed, and logs the counts of `counters` that changed. Call
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -74,6 +74,9 @@
 
 void gate::run(request_key key, wire::forward request, completion done)
 {
+    if (history_.is_cancelled(key)) {
+        return;
+    }
     const auto now = loop_.now();
     const dispatch::ticket id = next_ticket_++;
     active_request entry;
@@ -241,6 +244,7 @@
         return;
     }
     entry.sent = true;
+    history_.on_sent(entry.key);
     entry.target_id = watch_.status().id;
     const auto left = std::chrono::duration_cast<milliseconds>(entry.deadline - now);
     entry.call = http_.send(
@@ -326,7 +330,8 @@
     else if (answered) {
         watch_.on_answer(now);
     }
-    else if (refused && !is_late) {
+    else if (refused && !is_late && found != active_.end()) {
+        // A call that was cancelled before it had a connection proves nothing about the target.
         watch_.on_refused(now);
     }
     else if (found != active_.end() && result.failure == net::http_failure::timeout) {
@@ -393,26 +398,27 @@
     extracted.mapped().done(std::move(reply));
 }
 
-void gate::cancel(request_key key)
+bool gate::cancel(request_key key)
 {
     if (arrivals_.erase(key) > 0) {
-        return;
+        return true;
     }
     const auto found = tickets_.find(key);
     if (found == tickets_.end()) {
-        return;
+        return history_.cancel(key);
     }
     const dispatch::ticket id = found->second;
     const auto entry = active_.extract(id);
     tickets_.erase(found);
     if (entry.mapped().sent) {
         // `on_result` frees the slot once the connection is closed.
-        http_.cancel(entry.mapped().call);
+        return http_.cancel(entry.mapped().call);
     }
-    else if (!queue_.cancel_queued(id)) {
+    if (!queue_.cancel_queued(id)) {
         // The request may have a slot while it waits for a renewal.
         apply(queue_.finish(loop_.now(), id, false));
     }
+    return true;
 }
 
 void gate::on_target()
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -19,14 +19,12 @@
 #include "net/loop.h"
 #include "request/outcomes.h"
 #include "sidecar/protocol.h"
+#include "sidecar/request_history.h"
 #include "sidecar/target_watch.h"
 #include "wire/messages.h"
 
 namespace bulrushgw::sidecar {
 
-/// The node that sent a request, and the request's number, unique for that node.
-using request_key = std::pair<incarnation_id, std::uint64_t>;
-
 /// Not thread-safe: runs on one loop.
 class gate {
 public:
@@ -52,7 +50,7 @@
          target_watch& watch, hooks callbacks);
 
     /// Runs the request at the target. `done` is called exactly once, on the loop, possibly within
-    /// this call. It is not called after `cancel`.
+    /// this call. It is not called after `cancel`, also if the cancellation arrived first.
     void run(request_key key, wire::forward request, completion done);
     /// Runs the request as `run` does, after the events of this loop iteration, so that a `cancel`
     /// that arrived together with the request prevents the run.
@@ -61,8 +59,9 @@
     /// run.
     [[nodiscard]] std::optional<request::reason> refusal_for(const wire::forward& request) const;
     /// Cancels the request: removes it from the queue, or closes its connection to the target.
-    /// Unknown keys are ignored.
-    void cancel(request_key key);
+    /// Returns true if the request has certainly not been sent to the target and never will be, see
+    /// `request_history` for requests that the gate does not have.
+    bool cancel(request_key key);
     /// The process exits at `end`. A request is refused if its answer is not expected before `end`,
     /// so that the exit aborts no running request.
     void stop_at(time_point end) { exit_time_ = end; }
@@ -185,6 +184,7 @@
     std::uint64_t warm_up_refusals_ = 0;
     std::map<dispatch::ticket, active_request> active_;
     std::map<request_key, dispatch::ticket> tickets_;
+    request_history history_;
     dispatch::ticket next_ticket_ = 1;
     std::optional<time_point> exit_time_;      ///< exit time of the process; none: not stopping
     std::optional<time_point> evacuated_from_; ///< see `refuse_from`
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -181,7 +181,7 @@
     hooks.run_later = [this](request_key key, wire::forward request, gate::completion done) {
         gate_.run_later(key, std::move(request), std::move(done));
     };
-    hooks.cancel = [this](request_key key) { gate_.cancel(key); };
+    hooks.cancel = [this](request_key key) { return gate_.cancel(key); };
     hooks.expected_refusal = [this](const wire::forward& request) {
         return gate_.refusal_for(request);
     };
@@ -253,7 +253,7 @@
     hooks.on_keyed_request = [this](const std::string& service, std::uint32_t key) {
         coordination_.on_keyed_request(service, key);
     };
-    hooks.cancel_locally = [this](request_key key) { intake_.cancel(key); };
+    hooks.cancel_locally = [this](request_key key) { return intake_.cancel(key); };
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
@@ -453,7 +453,7 @@
         entry_.on_reply(frame.from, *reply);
     }
     else if (const auto* cancel = std::get_if<wire::cancel>(&frame.content)) {
-        intake_.cancel({frame.from, cancel->number});
+        intake_.on_cancel(frame, *cancel);
     }
     else if (const auto* report = std::get_if<assignment::report>(&frame.content)) {
         coordination_.on_report(frame, *report);
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -53,6 +53,7 @@
     write_metric(out, "requests_refused_total", "counter", requests.refused);
     write_metric(out, "requests_unknown_total", "counter", requests.unknown);
     write_metric(out, "requests_timed_out_total", "counter", requests.timed_out);
+    write_metric(out, "requests_cancelled_not_run_total", "counter", requests.cancelled_not_run);
     write_metric(out, "requests_abandoned_total", "counter", requests.abandoned);
     write_metric(out, "requests_ignored_total", "counter", gauges.requests_ignored);
     write_metric(out, "request_repeats_total", "counter", requests.retries);
@@ -95,6 +96,7 @@
     write_metric(out, "bodies_dropped_total", "counter", counters.dropped);
     write_metric(out, "bodies_invalid_total", "counter", counters.invalid);
     write_metric(out, "bodies_incomplete", "gauge", intake.incomplete());
+    write_metric(out, "intake_cancelled_not_run_total", "counter", counters.cancelled_not_run);
     return out.str();
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -113,7 +113,9 @@
     milliseconds intake_wait{0};
 };
 
-/// Cancels the `forward` with this number: the client disconnected or its deadline passed.
+/// Cancels the `forward` with this number: the client disconnected or its deadline passed. Between
+/// sidecars, the receiver replies with `not_run` and reason `cancelled-not-sent` if the request has
+/// certainly not been sent to the target and never will be. Otherwise it does not reply.
 struct cancel {
     std::uint64_t number = 0;
 };
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -181,7 +181,7 @@
     CHECK(loop.run_until([&] { return exchanges.size() == 1; }, wait_limit));
     bool cancelled = false;
     *exchanges[0].on_cancel = [&] { cancelled = true; };
-    client->cancel(id);
+    CHECK_FALSE(client->cancel(id)); // it was written
     CHECK(loop.run_until([&] { return cancelled && recorder.calls == 1; }, wait_limit));
     CHECK(recorder.result->failure == http_failure::closed);
     exchanges[0].respond({200, {}, "late"});
@@ -279,7 +279,7 @@
     CHECK(call(get("/"), milliseconds{30}).failure == http_failure::not_sent);
     LONGS_EQUAL(2, exchanges.size());
     const auto id = client->send(server->address(), get("/"), call_timeout, busy.callback());
-    client->cancel(id);
+    CHECK(client->cancel(id));
     CHECK(loop.run_until([&] { return busy.calls == 1; }, wait_limit));
     CHECK(busy.result->failure == http_failure::not_sent);
 }
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -53,6 +53,7 @@
 /// A client's request; `answer` is empty until it is answered.
 struct client {
     std::optional<net::http_response> answer;
+    int order = 0; ///< 1 for the first request that was answered
     std::shared_ptr<std::function<void()>> on_cancel = std::make_shared<std::function<void()>>();
 };
 
@@ -71,6 +72,8 @@
     std::vector<std::string> suspected;
     std::vector<std::string> events;
     std::unique_ptr<entry> tested_entry;
+    int answers = 0;
+    bool cancels_locally = false; ///< a request to the own target has not run when it is cancelled
 
     void setup() override
     {
@@ -83,7 +86,7 @@
             return true;
         };
         hooks.run_locally = [](request_key, const wire::forward&, const gate::completion&) {};
-        hooks.cancel_locally = [](request_key) {};
+        hooks.cancel_locally = [this](request_key) { return cancels_locally; };
         hooks.on_keyed_request = [](const std::string&, std::uint32_t) {};
         hooks.suspect = [this](const std::string& address, const std::string&) {
             suspected.push_back(address);
@@ -168,13 +171,35 @@
             path,
             {{"host", "h"}, {"x-id", id}, {"x-left", std::to_string(left.count())}, {"x-key", "7"}},
             body};
-        exchange.respond = [result](net::http_response response) {
+        exchange.respond = [this, result](net::http_response response) {
             result->answer = std::move(response);
+            result->order = ++answers;
         };
         exchange.on_cancel = result->on_cancel;
         tested_entry->on_request(std::move(exchange));
         return result;
     }
+    /// Calls a route of service "keyed" with this timeout, whose time limit is over on return.
+    std::shared_ptr<client> call_and_time_out(milliseconds timeout, milliseconds left)
+    {
+        auto rule = route_to("keyed", false);
+        rule.timeout = timeout;
+        set_manifest({rule});
+        auto result = call("/keyed-write/a", left);
+        const auto timed_out = tested_entry->counters().timed_out;
+        CHECK(loop.run_until([&] { return tested_entry->counters().timed_out > timed_out; },
+                             milliseconds{5000}));
+        return result;
+    }
+    /// The reply of the target's host to a cancellation. It knows the number only.
+    void confirm_cancellation(incarnation_id from, std::uint64_t number)
+    {
+        wire::forward_reply confirmation;
+        confirmation.number = number;
+        confirmation.outcome = wire::forward_outcome::not_run;
+        confirmation.reason = request::to_text(request::reason::cancelled_not_sent);
+        tested_entry->on_reply(from, confirmation);
+    }
     const wire::forward& last_forward() const
     {
         for (auto at = sent.rbegin(); at != sent.rend(); ++at) {
@@ -502,3 +527,97 @@
     LONGS_EQUAL(2, tested_entry->counters().warm_up_refusals);
     LONGS_EQUAL(0, tested_entry->counters().retries);
 }
+
+// Guards against a client that cannot repeat an unsafe request although it has not run: the timeout
+// of its route is over while it waits in the queue of the target's host.
+TEST(entry, request_cancelled_before_it_was_sent_to_the_target_is_refused)
+{
+    const auto caller = call_and_time_out(milliseconds{20}, milliseconds{60000});
+    CHECK(std::holds_alternative<wire::cancel>(sent.back().second));
+    CHECK_FALSE(caller->answer.has_value());
+    const auto number = last_forward().number;
+    confirm_cancellation(other, number); // not from the receiver of the request
+    confirm_cancellation(peer, number + 1);
+    CHECK_FALSE(caller->answer.has_value());
+    confirm_cancellation(peer, number);
+    LONGS_EQUAL(503, caller->answer->status);
+    CHECK(net::find_header(caller->answer->headers, "retry-after").has_value());
+    confirm_cancellation(peer, number); // arrives twice
+    LONGS_EQUAL(1, answers);
+    LONGS_EQUAL(1, tested_entry->counters().cancelled_not_run);
+    LONGS_EQUAL(0, tested_entry->counters().foreign_replies);
+    LONGS_EQUAL(1, forwards());
+}
+
+// Guards against a response that is lost because it crosses the cancellation of its request, and
+// against a refusal of a request that has run.
+TEST(entry, response_that_crosses_its_cancellation_is_delivered)
+{
+    const auto caller = call_and_time_out(milliseconds{20}, milliseconds{60000});
+    reply(peer, last_forward(), 200);
+    LONGS_EQUAL(200, caller->answer->status);
+    confirm_cancellation(peer, last_forward().number);
+    LONGS_EQUAL(1, answers);
+}
+
+// Guards against a client that waits for a reply to the cancellation after its own deadline, or for
+// ever if the reply is lost, and against a late reply that changes the outcome.
+TEST(entry, wait_for_the_reply_to_a_cancellation_ends)
+{
+    const auto patient = call_and_time_out(milliseconds{20}, milliseconds{60000});
+    const auto patient_number = last_forward().number;
+    const auto hasty = call("/keyed-write/a", milliseconds{40}, "r-2");
+    CHECK(loop.run_until([&] { return answers == 2; }, milliseconds{5000}));
+    LONGS_EQUAL(504, patient->answer->status);
+    LONGS_EQUAL(504, hasty->answer->status);
+    LONGS_EQUAL(1, hasty->order);
+    confirm_cancellation(peer, patient_number);
+    LONGS_EQUAL(2, answers);
+    LONGS_EQUAL(0, tested_entry->pending());
+}
+
+// Guards against a wait for a reply that cannot tell the outcome: an earlier attempt may have run.
+TEST(entry, repeated_request_does_not_await_the_reply_to_its_cancellation)
+{
+    auto rule = route_to("keyed", true);
+    rule.timeout = milliseconds{50};
+    set_manifest({rule});
+    const auto caller = call("/keyed-read/a", milliseconds{60000});
+    tested_entry->on_connection_reset("n2");
+    LONGS_EQUAL(2, forwards());
+    CHECK(
+        loop.run_until([&] { return tested_entry->counters().timed_out > 0; }, milliseconds{5000}));
+    LONGS_EQUAL(504, caller->answer->status);
+}
+
+// Guards against a client that leaves, a connection that breaks or a node that stops while the
+// reply to a cancellation is awaited.
+TEST(entry, end_of_a_request_whose_cancellation_is_not_confirmed)
+{
+    const auto gone = call_and_time_out(milliseconds{20}, milliseconds{60000});
+    (*gone->on_cancel)();
+    LONGS_EQUAL(0, tested_entry->pending());
+    confirm_cancellation(peer, last_forward().number);
+    const auto disconnected = call_and_time_out(milliseconds{20}, milliseconds{60000});
+    tested_entry->on_disconnect("n2", std::nullopt);
+    LONGS_EQUAL(504, disconnected->answer->status);
+    const auto unsent = call_and_time_out(milliseconds{20}, milliseconds{60000});
+    tested_entry->on_disconnect("n2", loop.now() - milliseconds{60000});
+    LONGS_EQUAL(503, unsent->answer->status);
+    const auto stopped = call_and_time_out(milliseconds{20}, milliseconds{60000});
+    tested_entry->answer_all_pending();
+    LONGS_EQUAL(502, stopped->answer->status);
+    LONGS_EQUAL(3, answers);
+}
+
+// Guards against the same for a request to the target of this host, which needs no message.
+TEST(entry, local_request_cancelled_before_it_was_sent_to_the_target_is_refused)
+{
+    change_directory([&] { view.nodes.push_back(node_of(self, "keyed")); });
+    move_keys(self, "t1");
+    cancels_locally = true;
+    LONGS_EQUAL(503, call_and_time_out(milliseconds{20}, milliseconds{60000})->answer->status);
+    cancels_locally = false;
+    LONGS_EQUAL(504, call_and_time_out(milliseconds{20}, milliseconds{60000})->answer->status);
+    LONGS_EQUAL(0, forwards());
+}
--- a/tests/sidecar/forward_intake_test.cpp
+++ b/tests/sidecar/forward_intake_test.cpp
@@ -38,7 +38,7 @@
             running[key] = {std::move(request), std::move(done)};
         };
         hooks.run_later = hooks.run;
-        hooks.cancel = [this](request_key key) { running.erase(key); };
+        hooks.cancel = [this](request_key key) { return running.erase(key) > 0; };
         hooks.load = [this] { return running.size(); };
         hooks.expected_refusal = [](const wire::forward& request) {
             return request.key == "lost" ? std::optional{request::reason::not_owner} : std::nullopt;
@@ -174,3 +174,25 @@
     LONGS_EQUAL(0, budget->used());
     LONGS_EQUAL(2, tested->counters().dropped);
 }
+
+// Guards against a sender that does not learn that its request has not run, because the body was
+// incomplete or the gate had not sent it, and against one that is told so of a request that the
+// gate has sent.
+TEST(forward_intake, cancellation_of_a_request_that_has_not_run_is_confirmed)
+{
+    receive(request_for(1, 0, 30000));
+    receive(request_for(2, 100));
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        const wire::cancel cancellation{number};
+        tested->on_cancel({sender, self, "n2", cancellation}, cancellation);
+    }
+    LONGS_EQUAL(2, replies.size()); // the gate does not confirm the third
+    for (std::size_t i = 0; i < replies.size(); ++i) {
+        LONGS_EQUAL(i + 1, replies[i].number);
+        CHECK(replies[i].outcome == wire::forward_outcome::not_run);
+        STRCMP_EQUAL("cancelled-not-sent", replies[i].reason.c_str());
+    }
+    receive_part(1, 0, 30000);
+    LONGS_EQUAL(0, running.size());
+    LONGS_EQUAL(2, tested->counters().cancelled_not_run);
+}
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -369,3 +369,29 @@
     }
     LONGS_EQUAL(2, bodies.size());
 }
+
+// Guards against a cancelled request that is reported as not run although the target got it, or
+// still gets it because the cancellation overtook it, and against one that is not reported.
+TEST(gate, cancellation_tells_whether_the_request_was_sent)
+{
+    const auto cancel = [&](std::uint64_t number) {
+        return tested_gate->cancel({incarnation_id{9}, number});
+    };
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        run(number);
+    }
+    CHECK(cancel(3)); // queued
+    CHECK(cancel(2)); // no connection yet
+    CHECK(loop.run_until([&] { return arrived.size() == 1; }, wait_limit));
+    CHECK_FALSE(cancel(1));
+    CHECK_FALSE(cancel(1));
+    run(4);
+    wait_for(1);
+    CHECK_FALSE(cancel(4)); // answered
+    CHECK(cancel(5));       // unknown
+    run(5);
+    LONGS_EQUAL(0, tested_gate->active());
+    run(6);
+    wait_for(2);
+    CHECK(arrived == std::vector<std::string>({"r-1", "r-4", "r-6"}));
+}
