Test the rule for health checks without a warm-up time

A warm target may leave out the header with the rest of its warm-up time. The rule was a line of the process and had no test. It becomes the function warm_up_left beside warm_up_state, with a test that a cold target counts as warm after such an answer, and not after an unreadable time.

--- a/src/sidecar/process_warm_up.cpp
+++ b/src/sidecar/process_warm_up.cpp
@@ -85,9 +85,8 @@
         watch_.on_health(now, health);
     }
     warm_up_.on_target(now, watch_.status());
-    // A warm target may leave the header out.
-    const auto header = net::find_header(headers, protocol_.names.warm_up);
-    const auto left = header ? protocol_.parse_warm_up(*header) : milliseconds{0};
+    const auto left =
+        warm_up_left(net::find_header(headers, protocol_.names.warm_up), protocol_.parse_warm_up);
     if (left && !refused) {
         warm_up_.on_check_answer(now, health.target_id, *left);
     }
--- a/src/sidecar/warm_up_state.cpp
+++ b/src/sidecar/warm_up_state.cpp
@@ -6,6 +6,13 @@
 
 using assignment::target_phase;
 
+std::optional<milliseconds>
+warm_up_left(std::optional<std::string_view> text,
+             const std::function<std::optional<milliseconds>(std::string_view)>& parse)
+{
+    return text ? parse(*text) : milliseconds{0};
+}
+
 void warm_up_state::set_service(bool is_limited, milliseconds cold_time)
 {
     is_limited_ = is_limited;
--- a/src/sidecar/warm_up_state.h
+++ b/src/sidecar/warm_up_state.h
@@ -6,8 +6,10 @@
 /// socket or clock.
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "assignment/types.h"
 #include "common/boot_clock.h"
@@ -28,6 +30,13 @@
     milliseconds report_delay{700};
 };
 
+/// The rest of the warm-up that the answer to a health check tells: 0 if the answer names none,
+/// because a warm target may leave it out; none if it cannot be read. `parse`: see
+/// `platform_protocol::parse_warm_up`.
+[[nodiscard]] std::optional<milliseconds>
+warm_up_left(std::optional<std::string_view> text,
+             const std::function<std::optional<milliseconds>(std::string_view)>& parse);
+
 /// Not thread-safe.
 class warm_up_state {
 public:
--- a/tests/sidecar/warm_up_state_test.cpp
+++ b/tests/sidecar/warm_up_state_test.cpp
@@ -126,3 +126,21 @@
     CHECK_FALSE(state.is_warming_up(at(1500)));
     CHECK(state.is_warming_up(at(1700)));
 }
+
+// Guards against a warm target that stays limited for ever because it leaves out the warm-up time
+// in its answers, and against an unreadable time that counts as warm.
+TEST(warm_up_state, health_check_without_a_warm_up_time_is_that_of_a_warm_target)
+{
+    const auto parse = [](std::string_view text) {
+        return text == "900" ? std::optional{milliseconds{900}} : std::nullopt;
+    };
+    CHECK(warm_up_left("900", parse) == milliseconds{900});
+    CHECK_FALSE(warm_up_left("soon", parse).has_value());
+    answer(100, 2000);
+    CHECK(state.is_cold());
+    const auto left = warm_up_left(std::nullopt, parse);
+    CHECK(left.has_value());
+    answer(500, left->count());
+    CHECK_FALSE(state.is_cold());
+    CHECK_FALSE(state.is_warming_up(at(505)));
+}
