Bound the wait for a grant, and check each end of a call to the target

A request waited for the grant of its key for 150 ms even if its time limit was over before. The wait ends at the time limit.

A call that ended while it waited for one of the connections to the target, or that was held back before its first byte, counted as a refusal by the target, so that a few of them made the host take the target for lost. Only a connection that the target does not accept counts now.

--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -37,6 +37,21 @@
 /// to a cold target. `dispatch::warm_up_limiter` allows for this time
 /// between the starts of requests and their arrivals.
 constexpr milliseconds max_write_delay{100};
+
+/// True if the call ended before the first byte of the request was written.
+bool is_unwritten(const net::http_result& result)
+{
+    return !result.response && (result.failure == net::http_failure::connect ||
+                                result.failure == net::http_failure::not_sent);
+}
+
+/// True if the target did not accept a connection. A call that ends as `not_sent` waited for one of
+/// the connections here, or was held back or invalid, which tells nothing about the target.
+bool is_refused(const net::http_result& result)
+{
+    return !result.response && result.failure == net::http_failure::connect;
+}
+
 } // namespace
 
 gate::gate(net::loop& loop, net::endpoint target, const platform_protocol& protocol,
@@ -95,7 +110,7 @@
         return;
     }
     if (!stored.request.key.empty()) {
-        wait_for_grant(id, now + max_grant_wait);
+        wait_for_grant(id, std::min(now + max_grant_wait, stored.deadline));
         return;
     }
     admit(id);
@@ -315,8 +330,7 @@
     const auto now = loop_.now();
     const auto found = active_.find(id);
     const bool answered = result.response.has_value();
-    const bool refused = !answered && (result.failure == net::http_failure::connect ||
-                                       result.failure == net::http_failure::not_sent);
+    const bool not_run = is_unwritten(result);
     const bool is_late = found != active_.end() && found->second.is_late;
     if (answered) {
         observe_load(*result.response);
@@ -330,7 +344,7 @@
     else if (answered) {
         watch_.on_answer(now);
     }
-    else if (refused && !is_late && found != active_.end()) {
+    else if (is_refused(result) && found != active_.end()) {
         // A call that was cancelled before it had a connection proves nothing about the target.
         watch_.on_refused(now);
     }
@@ -347,10 +361,10 @@
             reply.number = entry.request.number;
             reply.request_id = entry.request.request_id;
             reply.outcome =
-                refused ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
+                not_run ? wire::forward_outcome::not_run : wire::forward_outcome::unknown;
             const reason why =
                 is_late                                          ? reason::warming_up
-                : refused                                        ? reason::no_target
+                : not_run                                        ? reason::no_target
                 : result.failure == net::http_failure::timeout   ? reason::deadline_sent
                 : result.failure == net::http_failure::malformed ? reason::malformed_answer
                                                                  : reason::connection_lost;
@@ -511,29 +525,23 @@
                       milliseconds timeout, milliseconds latest_write,
                       std::function<void(const net::http_result&)> done)
 {
-    const auto is_late = std::make_shared<bool>(false);
-    const auto on_result = [this, is_late, done = std::move(done)](const net::http_result& result) {
+    const auto on_result = [this, done = std::move(done)](const net::http_result& result) {
         const auto now = loop_.now();
-        const bool refused = result.failure == net::http_failure::connect ||
-                             result.failure == net::http_failure::not_sent;
         if (result.response) {
             observe_load(*result.response);
             watch_.on_answer(now);
         }
-        else if (!refused) {
-            watch_.on_no_answer(now);
-        }
-        else if (!*is_late) {
+        else if (is_refused(result)) {
             watch_.on_refused(now);
         }
+        else if (!is_unwritten(result)) {
+            watch_.on_no_answer(now);
+        }
         done(result);
         hooks_.on_target_changed();
     };
     client.send(target_, request, timeout, on_result,
-                [this, is_late, latest = loop_.now() + latest_write] {
-                    *is_late = loop_.now() > latest;
-                    return !*is_late;
-                });
+                [this, latest = loop_.now() + latest_write] { return loop_.now() <= latest; });
 }
 
 } // namespace bulrushgw::sidecar
