--- a/src/sidecar/forward_intake.cpp
+++ b/src/sidecar/forward_intake.cpp
@@ -241,14 +241,24 @@
                         }));
 }
 
-void forward_intake::cancel(request_key key)
+bool forward_intake::cancel(request_key key)
 {
-    if (bodies_.cancel(key)) {
-        drop({key});
-        credit_bodies();
+    if (!bodies_.cancel(key)) {
+        return hooks_.cancel(key);
     }
-    else {
-        hooks_.cancel(key);
+    drop({key});
+    credit_bodies();
+    return true;
+}
+
+// The sender knows the request by its number. The id is not known here if the request never
+// arrived.
+void forward_intake::on_cancel(const wire::frame& frame, const wire::cancel& cancellation)
+{
+    const request_key key{frame.from, cancellation.number};
+    if (cancel(key)) {
+        ++counters_.cancelled_not_run;
+        refuse(frame.reply_address, key, "", reason::cancelled_not_sent, milliseconds{0});
     }
 }
 
