Report the targets that are avoided because they do not answer

Metrics: requests without an answer and missed requests, at targets in use and at avoided ones, and the number of avoided targets.

--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -226,16 +226,21 @@
                                  std::mt19937_64& random)
 {
     const auto found = stats_.find(candidate.node);
-    if (found == stats_.end() || !settings_.unanswered.probes) {
+    if (found == stats_.end()) {
         return false;
     }
     auto& stats = found->second;
     const double usual =
         (stats.mean_answer_ms > 0 ? stats.mean_answer_ms : service.mean_answer_ms) *
         stats.slowdown(now);
-    const bool avoided = shown_ms(now, stats, usual) > avoid_factor * usual;
-    const bool is_due = stats.probes.update(now, avoided, random);
-    return is_due && (candidate.same_zone || balance.share_of(candidate.zone) > 0);
+    const double shown = shown_ms(now, stats, usual);
+    const bool was_avoided = stats.probes.is_avoided();
+    const bool is_due = stats.probes.update(now, shown > avoid_factor * usual, random);
+    if (stats.probes.is_avoided() != was_avoided) {
+        note_change(candidate.node, stats, shown, usual);
+    }
+    return settings_.unanswered.probes && is_due &&
+           (candidate.same_zone || balance.share_of(candidate.zone) > 0);
 }
 
 double target_picker::shown_ms(time_point now, const target_stats& stats, double usual_ms) const
@@ -434,6 +439,7 @@
             add_failure(now, stats);
         }
         observe_missed(now, stats, request.sent);
+        ++(stats.probes.is_avoided() ? missed_at_avoided_ : missed_at_used_);
     }
     if (auto* balance = balance_of(stats)) {
         balance->on_refusal(now, stats.zone, -1);
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -69,6 +69,27 @@
     bool counts_bodies = true; ///< transfer times of bodies; a switch for experiments
 };
 
+/// A target starts or stops being avoided because it does not answer, with the evidence.
+struct avoidance_change {
+    incarnation_id node;
+    std::string service;
+    std::string zone;
+    bool avoided = false;
+    std::size_t waiting = 0; ///< requests of this host without an answer
+    int missed = 0;          ///< requests that ended without an answer
+    double shown_ms = 0;     ///< answer time that these show at least; 0: they show nothing
+    double usual_ms = 0;     ///< usual answer time
+};
+
+/// Requests without an answer, by whether their target is avoided.
+struct unanswered_counts {
+    std::size_t at_used = 0; ///< in flight
+    std::size_t at_avoided = 0;
+    std::uint64_t missed_at_used = 0; ///< ended at their deadline without an answer, in total
+    std::uint64_t missed_at_avoided = 0;
+    std::size_t avoided_targets = 0;
+};
+
 /// Not thread-safe.
 class target_picker {
 public:
@@ -117,6 +138,13 @@
     void on_end(const sent_request& request);
     /// Removes the statistics of nodes that are not in `live`.
     void keep(std::span<const incarnation_id> live);
+    /// Returns the changes since the last call, which are noticed when requests are picked for.
+    /// Beyond `max_changes` they are dropped.
+    std::vector<avoidance_change> take_avoidance_changes();
+    [[nodiscard]] unanswered_counts unanswered() const;
+
+    static constexpr std::size_t max_changes = 100;
+
     /// The balance between zones of each service that was picked for.
     [[nodiscard]] const std::map<std::string, zone_balance, std::less<>>& balances() const
     {
@@ -179,6 +207,8 @@
     [[nodiscard]] double shown_ms(time_point now, const target_stats& stats, double usual_ms) const;
     /// Counts the time that a request waited without an answer.
     void observe_missed(time_point now, target_stats& stats, time_point sent);
+    void note_change(incarnation_id node, const target_stats& stats, double shown_ms,
+                     double usual_ms);
     static void add_failure(time_point now, target_stats& stats);
     [[nodiscard]] double cost_of_own_requests(time_point now, const pick_candidate& candidate,
                                               const service_averages& service,
@@ -194,6 +224,9 @@
     std::map<incarnation_id, target_stats> stats_;
     cold_target_trials trials_;
     std::map<std::string, zone_balance, std::less<>> balances_; ///< by service
+    std::vector<avoidance_change> changes_;
+    std::uint64_t missed_at_used_ = 0; ///< since the start
+    std::uint64_t missed_at_avoided_ = 0;
 };
 
 } // namespace bulrushgw::dispatch
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -638,6 +638,7 @@
 void entry::on_tick()
 {
     zone_traffic_.report(loop_.now(), picker_, hooks_.log);
+    avoided_targets_.report(loop_.now(), picker_, hooks_.log);
     std::vector<std::uint64_t> waiting;
     for (const auto& [id, request] : pending_) {
         if (request.waits_for_owner) {
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -22,6 +22,7 @@
 #include "routing/evacuations.h"
 #include "routing/regions.h"
 #include "routing/route_index.h"
+#include "sidecar/avoided_targets.h"
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
 #include "sidecar/part_sender.h"
@@ -109,8 +110,11 @@
 
     [[nodiscard]] const entry_counters& counters() const { return counters_; }
     [[nodiscard]] std::size_t pending() const { return pending_.size(); }
-    /// The metrics of the traffic to each availability zone.
-    [[nodiscard]] std::string zone_metrics() const { return zone_traffic_.metrics_text(picker_); }
+    /// The metrics of the traffic to each availability zone, and of requests without an answer.
+    [[nodiscard]] std::string target_metrics() const
+    {
+        return zone_traffic_.metrics_text(picker_) + unanswered_text(picker_);
+    }
 
 private:
     struct pending_request {
@@ -201,6 +205,7 @@
     dispatch::target_picker picker_;
     part_sender parts_;
     zone_traffic zone_traffic_;
+    avoided_targets avoided_targets_;
     dispatch::time_spent time_spent_;
     std::map<std::string, dispatch::retry_allowance> retry_allowances_;
     std::map<std::uint64_t, pending_request> pending_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -339,7 +339,7 @@
             gauges.requests_ignored = request_server_->abandoned_requests();
             exchange.respond({status_ok,
                               {{"content-type", "text/plain; version=0.0.4"}},
-                              metrics_.text(entry_.counters(), gauges) + entry_.zone_metrics() +
+                              metrics_.text(entry_.counters(), gauges) + entry_.target_metrics() +
                                   traffic_text(transport_->counters()) +
                                   refusal_metrics(*request_server_, *budget_) +
                                   intake_text(intake_)});
