End requests of the same time one by one, and look targets up once

A request that reached its deadline removed its record, and the cancellation that follows would have counted another request that was sent to the same target at the same time. on_overdue now marks the target until that cancellation.

--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace bulrushgw::dispatch {
 
@@ -75,14 +76,14 @@
     return warming_up ? std::max(cold_slowdown, scale.factor(now)) : scale.factor(now);
 }
 
-const target_picker::target_stats* target_picker::find(incarnation_id node) const
+target_picker::target_stats* target_picker::find(incarnation_id node)
 {
     const auto found = stats_.find(node);
     return found == stats_.end() ? nullptr : &found->second;
 }
 
 target_picker::service_averages
-target_picker::averages_over(std::span<const pick_candidate> candidates) const
+target_picker::averages_over(std::span<const pick_candidate> candidates)
 {
     service_averages result;
     double targets_with_answers = 0;
@@ -126,14 +127,15 @@
 // unknown target is idle and fast, the nodes together would send all requests to that target. The
 // load and answer time of an unknown target are therefore assumed to be the means of the service.
 double target_picker::cost(time_point now, const pick_candidate& candidate,
-                           const service_averages& service, std::size_t body_bytes) const
+                           const target_stats* stats, const service_averages& service,
+                           std::size_t body_bytes) const
 {
     const double slots = std::max<std::uint32_t>(candidate.slots, 1);
     double mean = service.mean_answer_ms;
     double load = service.other_requests_per_slot * slots;
     double added_ms = 0;
     double slowdown = candidate.warming_up ? cold_slowdown : 1;
-    if (const auto* stats = find(candidate.node)) {
+    if (stats != nullptr) {
         mean = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : mean;
         if (stats->load_reported_at != time_point{}) {
             const auto age =
@@ -144,7 +146,9 @@
         load += stats->own_in_flight;
         slowdown = stats->slowdown(now);
         added_ms = failure_cost(now, *stats) + body_ms(now, *stats, body_bytes);
-        mean = std::max(mean, shown_ms(now, *stats, mean * slowdown) / slowdown);
+        if (!stats->unanswered.is_empty()) {
+            mean = std::max(mean, shown_ms(now, *stats, mean * slowdown) / slowdown);
+        }
     }
     return mean * slowdown * queueing_factor(load, slots) + added_ms;
 }
@@ -153,11 +157,11 @@
 // are known to all nodes at about the same time, and are no reason for all of them to leave it at
 // once. Those that a node with few requests knows are means of few answers.
 double target_picker::cost_of_own_requests(time_point now, const pick_candidate& candidate,
+                                           const target_stats* stats,
                                            const service_averages& service,
                                            std::size_t body_bytes) const
 {
     const std::uint32_t slots = std::max<std::uint32_t>(candidate.slots, 1);
-    const auto* stats = find(candidate.node);
     if (stats == nullptr) {
         return service.shortest_answer_ms;
     }
@@ -165,8 +169,11 @@
     if (stats->own_in_flight >= std::max(min_in_flight, slots / 3)) {
         mean = std::max(mean, std::min(stats->mean_answer_ms, service.mean_answer_ms));
     }
-    const double usual = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : service.mean_answer_ms;
-    mean = std::max(mean, shown_ms(now, *stats, usual * stats->slowdown(now)));
+    if (!stats->unanswered.is_empty()) {
+        const double usual =
+            stats->mean_answer_ms > 0 ? stats->mean_answer_ms : service.mean_answer_ms;
+        mean = std::max(mean, shown_ms(now, *stats, usual * stats->slowdown(now)));
+    }
     const double body_ms = settings_.counts_bodies ? stats->bodies.own_wait_ms(body_bytes) : 0;
     return mean * queueing_factor(stats->own_in_flight, slots) + failure_cost(now, *stats) +
            body_ms;
@@ -196,11 +203,13 @@
             request.refused_at_own = request.refused_at_own || candidate.same_zone;
             continue;
         }
-        double value = cost(now, candidate, service, traits.body_bytes) * noise(random);
+        auto* stats = find(candidate.node);
+        double value = cost(now, candidate, stats, service, traits.body_bytes) * noise(random);
         if (candidate.warming_up) {
             value = trial_cost(now, candidate, value, random);
         }
-        const bool probe = is_probe_due(now, candidate, service, balance, random);
+        const bool probe =
+            stats != nullptr && is_probe_due(now, candidate, *stats, service, balance, random);
         if (value <= 0 || (probe && avoid.empty())) {
             // A trial of a cold target and a probe are not left to the choice between zones.
             return note_pick(now, candidate, traits, random);
@@ -209,7 +218,8 @@
             best[at] = &candidate;
             zones[at].expected_ms = value;
         }
-        const double own_value = cost_of_own_requests(now, candidate, service, traits.body_bytes);
+        const double own_value =
+            cost_of_own_requests(now, candidate, stats, service, traits.body_bytes);
         zones[at].expected_from_own_ms =
             std::min(zones[at].expected_from_own_ms.value_or(own_value), own_value);
     }
@@ -222,14 +232,12 @@
 }
 
 bool target_picker::is_probe_due(time_point now, const pick_candidate& candidate,
-                                 const service_averages& service, const zone_balance& balance,
-                                 std::mt19937_64& random)
+                                 target_stats& stats, const service_averages& service,
+                                 const zone_balance& balance, std::mt19937_64& random)
 {
-    const auto found = stats_.find(candidate.node);
-    if (found == stats_.end()) {
+    if (stats.unanswered.is_empty() && !stats.probes.is_avoided()) {
         return false;
     }
-    auto& stats = found->second;
     const double usual =
         (stats.mean_answer_ms > 0 ? stats.mean_answer_ms : service.mean_answer_ms) *
         stats.slowdown(now);
@@ -310,14 +318,19 @@
                : 0;
 }
 
-target_picker::target_stats& target_picker::end_request(const sent_request& request)
+void target_picker::remove_in_flight(target_stats& stats, const sent_request& request)
 {
-    auto& stats = stats_[request.node];
     if (stats.own_in_flight > 0) {
         --stats.own_in_flight;
     }
-    stats.unanswered.on_end(request.sent);
     stats.bodies.on_end(request.body_bytes);
+}
+
+target_picker::target_stats& target_picker::end_request(const sent_request& request)
+{
+    auto& stats = stats_[request.node];
+    remove_in_flight(stats, request);
+    stats.unanswered.on_end(request.sent);
     return stats;
 }
 
@@ -423,11 +436,8 @@
 
 void target_picker::on_overdue(time_point now, const sent_request& request)
 {
-    const auto found = stats_.find(request.node);
-    if (found == stats_.end()) {
-        return;
-    }
-    auto& stats = found->second;
+    auto& stats = stats_[request.node];
+    stats.overdue = true;
     const auto extra_ms = stats.unanswered.extra_ms(request.sent);
     if (settings_.unanswered.counts_ended && extra_ms) {
         if (stats.unanswered.missed() == 0) {
@@ -441,6 +451,9 @@
         observe_missed(now, stats, request.sent);
         ++(stats.probes.is_avoided() ? missed_at_avoided_ : missed_at_used_);
     }
+    else {
+        stats.unanswered.on_end(request.sent);
+    }
     if (auto* balance = balance_of(stats)) {
         balance->on_refusal(now, stats.zone, -1);
     }
@@ -449,10 +462,16 @@
 void target_picker::on_cancelled(time_point now, const sent_request& request)
 {
     auto& stats = stats_[request.node];
+    remove_in_flight(stats, request);
+    // Requests may have been sent at the same time as one that was removed at its deadline.
+    if (std::exchange(stats.overdue, false)) {
+        return;
+    }
     if (settings_.unanswered.counts_ended && stats.unanswered.extra_ms(request.sent)) {
         observe_missed(now, stats, request.sent);
+        return;
     }
-    end_request(request);
+    stats.unanswered.on_end(request.sent);
 }
 
 void target_picker::on_end(const sent_request& request)
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -129,10 +129,9 @@
     void on_failure(time_point now, const sent_request& request);
     /// The request got no answer until its deadline. The answer would have taken at least this
     /// long. It counts as a failure if the request had at least the usual answer time, and for the
-    /// node's zone. Does not end the request.
+    /// node's zone. `on_cancelled` must follow for the same request.
     void on_overdue(time_point now, const sent_request& request);
-    /// The request was cancelled without an answer, which would have taken at least this long. Has
-    /// no effect but the end of the request after `on_overdue`.
+    /// The request was cancelled without an answer, which would have taken at least this long.
     void on_cancelled(time_point now, const sent_request& request);
     /// The request ended without an observation of the target.
     void on_end(const sent_request& request);
@@ -166,6 +165,7 @@
         std::string zone;    ///< as of the last pick
         std::uint32_t slots = 1;
         bool warming_up = false;    ///< as of the last pick
+        bool overdue = false;       ///< `on_overdue` was called, and `on_cancelled` follows
         time_point refused_until{}; ///< it warms up and accepts nothing before
         work_scale scale;
         unanswered_requests unanswered;
@@ -184,10 +184,12 @@
         double other_requests_per_slot = 0;
     };
 
-    [[nodiscard]] service_averages averages_over(std::span<const pick_candidate> candidates) const;
-    [[nodiscard]] const target_stats* find(incarnation_id node) const;
+    [[nodiscard]] service_averages averages_over(std::span<const pick_candidate> candidates);
+    /// The statistics of the node, or null.
+    [[nodiscard]] target_stats* find(incarnation_id node);
     [[nodiscard]] double cost(time_point now, const pick_candidate& candidate,
-                              const service_averages& service, std::size_t body_bytes) const;
+                              const target_stats* stats, const service_averages& service,
+                              std::size_t body_bytes) const;
     /// Expected time until the body has arrived, in ms.
     [[nodiscard]] double body_ms(time_point now, const target_stats& stats,
                                  std::size_t bytes) const;
@@ -201,8 +203,8 @@
                              const pick_traits& traits, std::mt19937_64& random);
     /// True if the target is avoided because it does not answer and should get the request.
     [[nodiscard]] bool is_probe_due(time_point now, const pick_candidate& candidate,
-                                    const service_averages& service, const zone_balance& balance,
-                                    std::mt19937_64& random);
+                                    target_stats& stats, const service_averages& service,
+                                    const zone_balance& balance, std::mt19937_64& random);
     /// Lower bound of the target's answer time by its unanswered requests, in ms.
     [[nodiscard]] double shown_ms(time_point now, const target_stats& stats, double usual_ms) const;
     /// Counts the time that a request waited without an answer.
@@ -211,6 +213,7 @@
                      double usual_ms);
     static void add_failure(time_point now, target_stats& stats);
     [[nodiscard]] double cost_of_own_requests(time_point now, const pick_candidate& candidate,
+                                              const target_stats* stats,
                                               const service_averages& service,
                                               std::size_t body_bytes) const;
     [[nodiscard]] double failure_cost(time_point now, const target_stats& stats) const;
@@ -218,6 +221,7 @@
     /// The balance that counts answers of the target; null if it was never picked.
     zone_balance* balance_of(const target_stats& stats);
     target_stats& end_request(const sent_request& request);
+    static void remove_in_flight(target_stats& stats, const sent_request& request);
     void record_load(time_point now, target_stats& stats, int load);
 
     pick_settings settings_;
--- a/src/dispatch/unanswered_requests.cpp
+++ b/src/dispatch/unanswered_requests.cpp
@@ -86,7 +86,7 @@
 double unanswered_requests::shown_ms(time_point now, double usual_ms,
                                      const unanswered_settings& settings) const
 {
-    if (waiting_.empty() && missed_ == 0) {
+    if (is_empty()) {
         return 0;
     }
     int late = missed_;
--- a/src/dispatch/unanswered_requests.h
+++ b/src/dispatch/unanswered_requests.h
@@ -49,6 +49,8 @@
     /// True if an answer after `took_ms` is as late as a missing one.
     [[nodiscard]] static bool is_late(double took_ms, double usual_ms);
 
+    /// True if there is no request that `shown_ms` depends on.
+    [[nodiscard]] bool is_empty() const { return waiting_.empty() && missed_ == 0; }
     [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
     /// Requests that ended without an answer since the last answer that counted.
     [[nodiscard]] int missed() const { return missed_; }
@@ -56,7 +58,7 @@
 private:
     struct waiting_request {
         time_point sent;
-        double extra_ms;
+        double extra_ms = 0;
     };
     using iterator = std::vector<waiting_request>::const_iterator;
 
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -358,3 +358,19 @@
     }
     CHECK(picks(12000, 50)[2] > 10);
 }
+
+// Guards against a request that counts as missed because another one, sent at the same time,
+// reached its deadline.
+TEST(target_picker, requests_sent_at_the_same_time_end_one_by_one)
+{
+    answer(1, 50, 20);
+    const sent_request request{incarnation_id{1}, at(1000)};
+    picker.on_sent(request);
+    picker.on_sent(request);
+    picker.on_overdue(at(1300), request);
+    picker.on_cancelled(at(1300), request);
+    LONGS_EQUAL(1, picker.unanswered().at_used);
+    picker.on_answer(at(1310), request, milliseconds{310}, 1);
+    LONGS_EQUAL(0, picker.unanswered().at_used);
+    LONGS_EQUAL(1, picker.unanswered().missed_at_used);
+}
