Do not take a slower target for a silent one

After a missed request, each answer later than four times the former mean counted as missed. A target that had become slower, or one that had never answered before, would have been avoided for ever. Such an answer now counts as missed only if it took half as long as the missed requests at least, and a former answer time is known.

--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -367,8 +367,7 @@
     const double extra_ms = stats.unanswered.extra_ms(request.sent).value_or(0);
     // The mean is that of a warm target at the usual speed.
     const double ms = static_cast<double>(took.count()) / stats.slowdown(now);
-    const bool still_silent = stats.unanswered.missed() > 0 &&
-                              unanswered_requests::is_late(ms - extra_ms, stats.mean_answer_ms) &&
+    const bool still_silent = stats.unanswered.is_as_late(ms - extra_ms, stats.mean_answer_ms) &&
                               stats.unanswered.on_missed(now, request.sent, stats.mean_answer_ms);
     end_request(request);
     // Late answers of a target that is avoided would keep its mean high after it recovers, when it
--- a/src/dispatch/unanswered_requests.cpp
+++ b/src/dispatch/unanswered_requests.cpp
@@ -24,6 +24,14 @@
 /// no probes is used again.
 constexpr std::chrono::duration<double> missed_half_life{4};
 
+/// An answer after this part of the wait of missed requests is as late as they were.
+constexpr double least_part_of_missed = 0.5;
+
+bool is_late(double waited_ms, double usual_ms)
+{
+    return waited_ms >= std::max(min_late_ms, late_factor * usual_ms);
+}
+
 double ms_between(time_point from, time_point to)
 {
     return std::chrono::duration<double, std::milli>(to - from).count();
@@ -114,9 +122,10 @@
     return missed_ > 0 ? usual_ms + weight_of_one * std::max(0.0, longest_ms - usual_ms) : 0;
 }
 
-bool unanswered_requests::is_late(double took_ms, double usual_ms)
+bool unanswered_requests::is_as_late(double took_ms, double usual_ms) const
 {
-    return took_ms >= std::max(min_late_ms, late_factor * usual_ms);
+    return missed_ > 0 && usual_ms > 0 && is_late(took_ms, usual_ms) &&
+           took_ms >= least_part_of_missed * missed_ms_;
 }
 
 } // namespace bulrushgw::dispatch
--- a/src/dispatch/unanswered_requests.h
+++ b/src/dispatch/unanswered_requests.h
@@ -46,9 +46,9 @@
     /// they show nothing. `usual_ms`: usual answer time.
     [[nodiscard]] double shown_ms(time_point now, double usual_ms,
                                   const unanswered_settings& settings) const;
-    /// True if an answer after `took_ms` is as late as a missing one.
-    [[nodiscard]] static bool is_late(double took_ms, double usual_ms);
-
+    /// True if requests were missed and an answer after `took_ms` is as late as they were, so that
+    /// the target has not recovered. A shorter answer is one of a target that became slower.
+    [[nodiscard]] bool is_as_late(double took_ms, double usual_ms) const;
     /// True if there is no request that `shown_ms` depends on.
     [[nodiscard]] bool is_empty() const { return waiting_.empty() && missed_ == 0; }
     [[nodiscard]] std::size_t waiting() const { return waiting_.size(); }
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -374,3 +374,21 @@
     LONGS_EQUAL(0, picker.unanswered().at_used);
     LONGS_EQUAL(1, picker.unanswered().missed_at_used);
 }
+
+// Guards against a target that seems fast because clients leave before it answers, and against a
+// failure for a request that had too little time for any target.
+TEST(target_picker, cancelled_requests_count_and_requests_with_too_little_time_do_not)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    const sent_request hasty{incarnation_id{2}, at(1000)};
+    picker.on_sent(hasty);
+    picker.on_overdue(at(1020), hasty);
+    picker.on_cancelled(at(1020), hasty);
+    CHECK(picks(1030, 100)[2] > 20);
+    const sent_request left{incarnation_id{2}, at(1100)};
+    picker.on_sent(left);
+    picker.on_cancelled(at(1500), left);
+    LONGS_EQUAL(0, picks(1510, 100)[2]);
+}
--- a/tests/dispatch/unanswered_requests_test.cpp
+++ b/tests/dispatch/unanswered_requests_test.cpp
@@ -72,3 +72,14 @@
     CHECK_FALSE(requests.on_missed(at(1060), at(1000), usual_ms));
     DOUBLES_EQUAL(0, shown(1060), 0);
 }
+
+// Guards against a target that is avoided for ever, because its answers take longer than before or
+// because it had not answered before.
+TEST(unanswered_requests, slower_target_and_new_target_are_not_silent)
+{
+    requests.on_sent(at(1000));
+    requests.on_missed(at(2000), at(1000), usual_ms);
+    CHECK(requests.is_as_late(900, usual_ms));
+    CHECK_FALSE(requests.is_as_late(400, usual_ms));
+    CHECK_FALSE(requests.is_as_late(900, 0));
+}
