Bound the load in motion instead of the number of moves

In a service of 49 targets, six moves at a time left targets full for seconds: a move lasts as long as the longest run for its keys, and the destination of a move in progress did not count as the owner, so later rounds moved keys for nothing. The planner computes the loads once for each round and considers the eight destinations with the most room.

--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -181,6 +181,11 @@
         std::uint32_t first = 0;
         std::uint32_t last = 0;
         owner_candidate to;
+
+        [[nodiscard]] bool is_for(const segment& item) const
+        {
+            return service == item.service && first == item.first && last == item.last;
+        }
     };
     /// Pace at which keys leave the evacuated zones.
     struct evacuation_pace {
@@ -203,6 +208,7 @@
     void begin_evacuation(time_point now, const std::string& service);
     void find_services_elsewhere();
     void assign_free(time_point now, const std::string& service);
+    [[nodiscard]] std::vector<segment> segments_after_moves(const std::string& service) const;
     void balance(time_point now, const std::string& service);
     void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
     void fill_gaps(const std::string& service);
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-/// The limit on concurrent moves is one move per `targets_per_concurrent_move` targets of the
-/// service, but at least `min_concurrent_moves`. Requests for moving keys wait, so only a small
-/// part of the targets may take part in moves at a time. Each move involves two targets.
-constexpr std::size_t min_concurrent_moves = 4;
-constexpr std::size_t targets_per_concurrent_move = 8;
 /// Interval between two rounds in which adjacent segments of one owner are merged. Segments
 /// assigned since the last round are not merged, because their owners may still need the handover
 /// tokens.
@@ -100,8 +95,7 @@
         item.releasing = false;
         item.handover = keys.handover;
         for (auto move = planned_moves_.begin(); move != planned_moves_.end(); ++move) {
-            if (move->service == item.service && move->first == item.first &&
-                move->last == item.last) {
+            if (move->is_for(item)) {
                 if (can_own_keys(move->to.node, item.service)) {
                     assign_segment(item, move->to, keys.handover);
                 }
@@ -296,28 +290,43 @@
     mark_changed();
 }
 
-void leader::balance(time_point now, const std::string& service)
+// The destination of a planned move counts as the owner of the moving keys, so that neither it nor
+// the present owner takes part in a move that this one makes superfluous.
+std::vector<segment> leader::segments_after_moves(const std::string& service) const
 {
-    const auto owners = candidates(service);
-    const std::size_t max_moves =
-        std::max(min_concurrent_moves, owners.size() / targets_per_concurrent_move);
-    std::vector<segment> service_segments;
-    std::size_t moves_under_way = 0;
+    std::vector<segment> result;
     for (const auto& item : view_.segments) {
-        if (item.service == service) {
-            service_segments.push_back(item);
-            moves_under_way += item.releasing || !item.owner ? 1 : 0;
+        if (item.service != service) {
+            continue;
+        }
+        result.push_back(item);
+        const auto move =
+            std::find_if(planned_moves_.begin(), planned_moves_.end(),
+                         [&](const planned_move& planned) { return planned.is_for(item); });
+        if (item.releasing && move != planned_moves_.end()) {
+            result.back().owner = move->to.node;
         }
     }
-    // With few targets each move changes the loads of many of them, so a round must end before the
-    // next begins.
-    const bool must_wait =
-        moves_under_way > 0 && (max_moves == min_concurrent_moves || moves_under_way >= max_moves);
-    if (must_wait || !has_authority(now)) {
+    return result;
+}
+
+void leader::balance(time_point now, const std::string& service)
+{
+    if (!has_authority(now)) {
         return;
     }
-    for (const auto& move :
-         find_moves(loads_[service], service_segments, owners, max_moves - moves_under_way)) {
+    const auto owners = candidates(service);
+    const auto& keys = loads_[service];
+    auto segments = segments_after_moves(service);
+    keys_in_motion moving;
+    for (const auto& item : segments) {
+        if (item.releasing || !item.owner) {
+            ++moving.ranges;
+            moving.load += keys.sum(item.first, item.last);
+        }
+    }
+    const auto budget = remaining_budget(owners.size(), moving, keys.total());
+    for (const auto& move : find_moves(keys, std::move(segments), owners, budget)) {
         release_keys(service, move.first, move.last);
         planned_moves_.push_back({service, move.first, move.last, move.to});
     }
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <numbers>
 #include <numeric>
+#include <utility>
 
 namespace bulrushgw::assignment {
 
@@ -24,18 +26,6 @@
 /// Lower bound of the part of the usual load that a cold target can take.
 constexpr double min_tolerated_share = 0.02;
 
-double owner_load(const key_load_table& keys, std::span<const segment> segments,
-                  incarnation_id node)
-{
-    double load = 0;
-    for (const auto& item : segments) {
-        if (item.owner == node) {
-            load += keys.sum(item.first, item.last);
-        }
-    }
-    return load;
-}
-
 /// Returns pieces of a segment that could move: about `load` from its start or from its end, the
 /// busiest key alone, all keys before the busiest key, and all keys after it.
 std::vector<std::pair<std::uint32_t, std::uint32_t>> candidate_pieces(const key_load_table& keys,
@@ -224,125 +214,202 @@
 
 namespace {
 
-/// Loads of the candidates between which keys may move.
-struct balance {
-    std::vector<double> loads;
-    std::vector<bool> eligible; ///< false: excluded, see `find_move`
+/// Number of candidates with the most room among which the destination of a move is chosen. It
+/// bounds the time that a round takes with many targets.
+constexpr std::size_t max_destinations = 8;
 
-    [[nodiscard]] double mean(std::span<const owner_candidate> candidates) const
+/// Finds moves one after the other, each as if the moves before it were done. A target whose load
+/// cannot be reduced by any move, such as a target with only one very hot key, is excluded together
+/// with its load, so that the load of the others is still balanced.
+class move_search {
+public:
+    move_search(const key_load_table& keys, std::vector<segment> segments,
+                std::span<const owner_candidate> candidates, const balance_limits& limits)
+        : keys_(keys), segments_(std::move(segments)), candidates_(candidates), limits_(limits),
+          loads_(candidates.size(), 0), eligible_(candidates.size(), true)
+    {
+        std::map<incarnation_id, std::size_t> indexes;
+        for (std::size_t i = 0; i < candidates_.size(); ++i) {
+            indexes[candidates_[i].node] = i;
+        }
+        for (const auto& item : segments_) {
+            if (const auto found = indexes.find(item.owner); found != indexes.end()) {
+                loads_[found->second] += keys_.sum(item.first, item.last);
+            }
+        }
+    }
+
+    std::optional<key_move> next()
+    {
+        for (auto left = std::count(eligible_.begin(), eligible_.end(), true); left >= 2; --left) {
+            const double mean = mean_load();
+            const std::size_t most_loaded = most_loaded_candidate();
+            const double highest_load = relative_load(most_loaded);
+            // Loads are request counts, so a small count may be high by chance.
+            const double noise = limits_.overload_deviations * std::sqrt(loads_[most_loaded]) /
+                                 candidates_[most_loaded].capacity;
+            if (highest_load < mean * limits_.overload_ratio + noise && !is_any_underloaded(mean)) {
+                return std::nullopt;
+            }
+            const double peak_to_beat = highest_load - limits_.min_gain * (highest_load - mean);
+            if (const auto best = best_move(most_loaded, peak_to_beat, mean)) {
+                return apply(most_loaded, *best);
+            }
+            eligible_[most_loaded] = false;
+        }
+        return std::nullopt;
+    }
+
+private:
+    struct found_move {
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        std::size_t to = 0;
+    };
+
+    [[nodiscard]] double relative_load(std::size_t candidate) const
+    {
+        return loads_[candidate] / candidates_[candidate].capacity;
+    }
+
+    [[nodiscard]] double mean_load() const
     {
         double total = 0;
         double capacity = 0;
-        for (std::size_t i = 0; i < candidates.size(); ++i) {
-            total += eligible[i] ? loads[i] : 0;
-            capacity += eligible[i] ? candidates[i].capacity : 0;
+        for (std::size_t i = 0; i < candidates_.size(); ++i) {
+            total += eligible_[i] ? loads_[i] : 0;
+            capacity += eligible_[i] ? candidates_[i].capacity : 0;
         }
         return capacity > 0 ? total / capacity : 0;
     }
-};
 
-/// Returns the move away from candidate `most_loaded` that leaves the lowest maximum load.
-std::optional<key_move> best_move(const key_load_table& keys, std::span<const segment> segments,
-                                  std::span<const owner_candidate> candidates, const balance& state,
-                                  std::size_t most_loaded, double peak_to_beat)
-{
-    const auto& loads = state.loads;
-    std::optional<key_move> best;
-    for (const auto& item : segments) {
-        if (item.owner != candidates[most_loaded].node || item.releasing) {
-            continue;
+    // Precondition: a candidate is eligible.
+    [[nodiscard]] std::size_t most_loaded_candidate() const
+    {
+        std::size_t result = candidates_.size();
+        for (std::size_t i = 0; i < candidates_.size(); ++i) {
+            if (eligible_[i] &&
+                (result == candidates_.size() || relative_load(i) > relative_load(result))) {
+                result = i;
+            }
         }
-        const std::uint32_t busiest_key = keys.busiest(item.first, item.last);
-        for (std::size_t i = 0; i < candidates.size(); ++i) {
-            if (i == most_loaded || !state.eligible[i]) {
-                continue;
+        return result;
+    }
+
+    [[nodiscard]] bool is_any_underloaded(double mean) const
+    {
+        for (std::size_t i = 0; i < candidates_.size(); ++i) {
+            if (eligible_[i] && relative_load(i) < mean * limits_.underload_ratio) {
+                return true;
             }
-            // Moving this load gives both targets the same load relative to their capacity.
-            const double total_capacity = candidates[most_loaded].capacity + candidates[i].capacity;
-            const double load_to_move = (loads[most_loaded] * candidates[i].capacity -
-                                         loads[i] * candidates[most_loaded].capacity) /
-                                        total_capacity;
-            if (load_to_move <= 0) {
+        }
+        return false;
+    }
+
+    // Returns the other eligible candidates that are furthest below the mean, those with the most
+    // room first.
+    [[nodiscard]] std::vector<std::size_t> destinations(std::size_t from, double mean) const
+    {
+        std::vector<std::size_t> result;
+        for (std::size_t i = 0; i < candidates_.size(); ++i) {
+            if (i != from && eligible_[i]) {
+                result.push_back(i);
+            }
+        }
+        const auto room = [&](std::size_t i) { return mean * candidates_[i].capacity - loads_[i]; };
+        const auto kept = std::min(result.size(), max_destinations);
+        std::partial_sort(result.begin(), result.begin() + static_cast<std::ptrdiff_t>(kept),
+                          result.end(), [&](std::size_t a, std::size_t b) {
+                              return std::pair(-room(a), a) < std::pair(-room(b), b);
+                          });
+        result.resize(kept);
+        return result;
+    }
+
+    // Returns the move away from candidate `from` that leaves the lowest maximum load.
+    [[nodiscard]] std::optional<found_move> best_move(std::size_t from, double peak_to_beat,
+                                                      double mean) const
+    {
+        std::optional<found_move> best;
+        const auto choices = destinations(from, mean);
+        for (const auto& item : segments_) {
+            if (item.owner != candidates_[from].node || item.releasing) {
                 continue;
             }
-            for (const auto& [first, last] :
-                 candidate_pieces(keys, item, busiest_key, load_to_move)) {
-                const double moved_load = keys.sum(first, last);
-                const double peak =
-                    std::max((loads[most_loaded] - moved_load) / candidates[most_loaded].capacity,
-                             (loads[i] + moved_load) / candidates[i].capacity);
-                if (peak < peak_to_beat) {
-                    peak_to_beat = peak;
-                    best = key_move{first, last, candidates[most_loaded].node, candidates[i]};
+            const std::uint32_t busiest_key = keys_.busiest(item.first, item.last);
+            for (const std::size_t to : choices) {
+                const double load = load_to_move(from, to);
+                if (load <= 0) {
+                    continue;
+                }
+                for (const auto& [first, last] : candidate_pieces(keys_, item, busiest_key, load)) {
+                    const double moved_load = keys_.sum(first, last);
+                    const double peak =
+                        std::max((loads_[from] - moved_load) / candidates_[from].capacity,
+                                 (loads_[to] + moved_load) / candidates_[to].capacity);
+                    if (peak < peak_to_beat) {
+                        peak_to_beat = peak;
+                        best = found_move{first, last, to};
+                    }
                 }
             }
         }
+        return best;
     }
-    return best;
-}
+
+    // Moving this load gives both targets the same load relative to their capacity.
+    [[nodiscard]] double load_to_move(std::size_t from, std::size_t to) const
+    {
+        return (loads_[from] * candidates_[to].capacity - loads_[to] * candidates_[from].capacity) /
+               (candidates_[from].capacity + candidates_[to].capacity);
+    }
+
+    key_move apply(std::size_t from, const found_move& found)
+    {
+        split_segments(segments_, found.first);
+        split_segments(segments_, found.last + 1);
+        for (auto& item : segments_) {
+            if (item.first == found.first && item.last == found.last) {
+                item.owner = candidates_[found.to].node;
+                item.releasing = true;
+            }
+        }
+        const double load = keys_.sum(found.first, found.last);
+        loads_[from] -= load;
+        loads_[found.to] += load;
+        return {found.first, found.last, candidates_[from].node, candidates_[found.to], load};
+    }
+
+    const key_load_table& keys_;
+    std::vector<segment> segments_;
+    std::span<const owner_candidate> candidates_;
+    balance_limits limits_;
+    std::vector<double> loads_;
+    std::vector<bool> eligible_; ///< false: excluded from all moves
+};
 
 } // namespace
 
-// A target whose load cannot be reduced by any move, such as a target with only one very hot key,
-// is excluded together with its load, so that the load of the others is still balanced.
 std::optional<key_move> find_move(const key_load_table& keys, std::span<const segment> segments,
                                   std::span<const owner_candidate> candidates,
                                   const balance_limits& limits)
 {
-    balance state;
-    for (const auto& candidate : candidates) {
-        state.loads.push_back(owner_load(keys, segments, candidate.node));
-        state.eligible.push_back(true);
-    }
-    for (std::size_t eligible_count = candidates.size(); eligible_count >= 2; --eligible_count) {
-        const double mean = state.mean(candidates);
-        std::size_t most_loaded = candidates.size();
-        double highest_load = 0;
-        bool any_underloaded = false;
-        for (std::size_t i = 0; i < candidates.size(); ++i) {
-            if (!state.eligible[i]) {
-                continue;
-            }
-            const double load = state.loads[i] / candidates[i].capacity;
-            any_underloaded = any_underloaded || load < mean * limits.underload_ratio;
-            if (most_loaded == candidates.size() || load > highest_load) {
-                most_loaded = i;
-                highest_load = load;
-            }
-        }
-        // Loads are request counts, so a small count may be high by chance.
-        const double noise = limits.overload_deviations * std::sqrt(state.loads[most_loaded]) /
-                             candidates[most_loaded].capacity;
-        if (highest_load < mean * limits.overload_ratio + noise && !any_underloaded) {
-            return std::nullopt;
-        }
-        const double peak_to_beat = highest_load - limits.min_gain * (highest_load - mean);
-        if (auto move = best_move(keys, segments, candidates, state, most_loaded, peak_to_beat)) {
-            return move;
-        }
-        state.eligible[most_loaded] = false;
-    }
-    return std::nullopt;
+    return move_search(keys, {segments.begin(), segments.end()}, candidates, limits).next();
 }
 
 std::vector<key_move> find_moves(const key_load_table& keys, std::vector<segment> segments,
-                                 std::span<const owner_candidate> candidates, std::size_t max_moves,
-                                 const balance_limits& limits)
+                                 std::span<const owner_candidate> candidates,
+                                 const move_budget& budget, const balance_limits& limits)
 {
+    move_search search(keys, std::move(segments), candidates, limits);
     std::vector<key_move> result;
-    while (result.size() < max_moves) {
-        const auto move = find_move(keys, segments, candidates, limits);
+    double load = 0;
+    while (result.size() < budget.moves && load < budget.load) {
+        const auto move = search.next();
         if (!move) {
             break;
         }
-        split_segments(segments, move->first);
-        split_segments(segments, move->last + 1);
-        for (auto& item : segments) {
-            if (item.first == move->first && item.last == move->last) {
-                item.owner = move->to.node;
-                item.releasing = true;
-            }
-        }
+        load += move->load;
         result.push_back(*move);
     }
     return result;
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "assignment/move_budget.h"
 #include "assignment/types.h"
 
 namespace bulrushgw::assignment {
@@ -79,6 +80,7 @@
     std::uint32_t last = 0;
     incarnation_id from;
     owner_candidate to;
+    double load = 0; ///< of the keys
 };
 
 struct balance_limits {
@@ -108,9 +110,9 @@
 /// must belong to one service.
 void split_segments(std::vector<segment>& segments, std::uint32_t start);
 
-/// Returns up to `max_moves` moves. Each is found as if the moves before it were done.
+/// Returns moves within the budget. Each is found as if the moves before it were done.
 std::vector<key_move> find_moves(const key_load_table& keys, std::vector<segment> segments,
-                                 std::span<const owner_candidate> candidates, std::size_t max_moves,
-                                 const balance_limits& limits = {});
+                                 std::span<const owner_candidate> candidates,
+                                 const move_budget& budget, const balance_limits& limits = {});
 
 } // namespace bulrushgw::assignment
--- a/tests/assignment/planner_test.cpp
+++ b/tests/assignment/planner_test.cpp
@@ -36,7 +36,7 @@
                         const std::vector<owner_candidate>& candidates, int max_rounds)
 {
     for (int round = 0; round < max_rounds; ++round) {
-        const auto moves = find_moves(keys, segments, candidates, 4);
+        const auto moves = find_moves(keys, segments, candidates, {4});
         if (moves.empty()) {
             break;
         }
@@ -112,7 +112,7 @@
     const auto candidates = owners({0.7, 1.6, 0.7, 0.7});
     auto segments = first_assignment(keys, candidates);
     for (int round = 0; round < 20; ++round) {
-        for (const auto& move : find_moves(keys, segments, candidates, 4)) {
+        for (const auto& move : find_moves(keys, segments, candidates, {4})) {
             split_segments(segments, move.first);
             split_segments(segments, move.last + 1);
             for (auto& item : segments) {
@@ -195,7 +195,7 @@
     auto segments =
         distribute_keys(idle, std::vector<unassigned_keys>{{0, last_key, ""}}, candidates, loads);
     for (int round = 0; round < 40; ++round) {
-        for (const auto& move : find_moves(keys, segments, candidates, 4)) {
+        for (const auto& move : find_moves(keys, segments, candidates, {4})) {
             split_segments(segments, move.first);
             split_segments(segments, move.last + 1);
             for (auto& item : segments) {
