Move keys to new targets at once and from the fullest targets

New targets of a large service waited for the next round, and each move halved the load between its two targets, so that the source fell below the mean and later got keys back. A target that becomes ready now starts a round within 100 ms, rounds follow every 250 ms, and a move takes only the load by which its source exceeds the mean, but at least a fifth of its share. Services that move their keys in rounds of four moves keep the interval of 500 ms and the size of their moves.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -14,9 +14,8 @@
 constexpr milliseconds max_first_assignment_delay{5000};
 /// Decay visits all keys, so it does not run for each report.
 constexpr milliseconds decay_interval{500};
-/// Interval between two rounds of moves for load balancing. The effect of a move must show in the
-/// loads before the next round.
-constexpr milliseconds balance_interval{500};
+/// Time for which a new leader learns the loads before it moves keys.
+constexpr milliseconds load_learning_time{500};
 /// Minimum interval between two pushes of the directory. Many changes occur together when hosts are
 /// lost or moved, and each push costs a message per member.
 constexpr milliseconds push_interval{50};
@@ -35,7 +34,7 @@
 leader::leader(timing times, leader_identity self, term_start start)
     : times_(times), self_(std::move(self)), start_(std::move(start)), lengths_(times),
       store_confirmed_(start_.claim_sent), last_decay_(start_.claimed),
-      next_balance_(start_.claimed + balance_interval)
+      balancing_from_(start_.claimed + load_learning_time)
 {
     view_.term = start_.term;
     view_.leader = self_.node;
@@ -82,6 +81,7 @@
     const target_status previous_target = member.last_report.target;
     const bool target_restarted =
         !previous_target.id.empty() && !previous_target.is_same_instance(body.target);
+    const bool was_usable = is_usable_owner(from, body.target.service);
     decisions_due_ = decisions_due_ || !is_live(member, now) ||
                      member.last_report.target != body.target || member.leaving != body.leaving ||
                      !body.released.empty();
@@ -107,6 +107,9 @@
     const bool is_recorded = may_have_lease(from, body.host);
     decisions_due_ = decisions_due_ || is_recorded != member.recorded;
     member.recorded = is_recorded;
+    if (!was_usable && is_usable_owner(from, body.target.service)) {
+        balance_paces_[body.target.service].has_new_target = true;
+    }
     if (decisions_due_ && now - last_tick_ >= min_decision_interval) {
         on_tick(now);
     }
@@ -344,13 +347,10 @@
         if (now >= old_leases_end() || knows_all_holdings(now)) {
             assign_free(now, service);
         }
-        if (balancing_ && now >= next_balance_) {
+        if (balancing_ && now >= balancing_from_) {
             balance(now, service);
         }
     }
-    if (now >= next_balance_) {
-        next_balance_ = now + balance_interval;
-    }
     merge_neighbours(now);
 }
 
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -193,6 +193,11 @@
         bool whole_segments = false; ///< false: a round releases a part of each segment
         time_point next_round{};
     };
+    /// Pace of the rounds of moves for load balancing in one service.
+    struct balance_pace {
+        time_point last_round{};
+        bool has_new_target = false; ///< a target became ready since the last round
+    };
 
     void supersede(incarnation_id old, incarnation_id next);
     void accept_holdings(incarnation_id from, const report& body);
@@ -273,6 +278,7 @@
     /// Sharded services with a target outside of the evacuated zones that can own keys.
     std::set<std::string> services_elsewhere_;
     std::map<std::string, evacuation_pace> evacuation_paces_; ///< by service, while keys must move
+    std::map<std::string, balance_pace> balance_paces_;       ///< by service
     std::map<std::string, double> cold_rates_;                ///< see `set_cold_rates`
     std::map<incarnation_id, member_state> members_;
     /// The node of each host in `members_`.
@@ -296,7 +302,7 @@
     fence last_merge_fence_; ///< newest fence at the last merge
     time_point next_merge_;
     time_point last_decay_;
-    time_point next_balance_;
+    time_point balancing_from_; ///< no keys are moved for load balancing before this time
     bool is_first_leader_ = false;
     time_point first_assignment_at_{}; ///< if there was no earlier leader, no keys are assigned
                                        ///< before this time
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -7,6 +7,14 @@
 
 namespace {
 
+/// Interval between two rounds of moves for load balancing in a service that moves its keys in
+/// rounds. The effect of a move must show in the loads before the next round.
+constexpr milliseconds balance_interval{500};
+/// The same in other services, in which the destinations of moves in progress count as owners. The
+/// loads change with the reports.
+constexpr milliseconds large_balance_interval{250};
+/// The same after a target became ready. Many targets may become ready one after the other.
+constexpr milliseconds new_target_balance_interval{100};
 /// Interval between two rounds in which adjacent segments of one owner are merged. Segments
 /// assigned since the last round are not merged, because their owners may still need the handover
 /// tokens.
@@ -312,10 +320,16 @@
 
 void leader::balance(time_point now, const std::string& service)
 {
-    if (!has_authority(now)) {
+    const auto owners = candidates(service);
+    auto& pace = balance_paces_[service];
+    const auto usual_interval =
+        moves_in_rounds(owners.size()) ? balance_interval : large_balance_interval;
+    if (now - pace.last_round <
+            (pace.has_new_target ? new_target_balance_interval : usual_interval) ||
+        !has_authority(now)) {
         return;
     }
-    const auto owners = candidates(service);
+    pace = {now, false};
     const auto& keys = loads_[service];
     auto segments = segments_after_moves(service);
     keys_in_motion moving;
@@ -325,8 +339,10 @@
             moving.load += keys.sum(item.first, item.last);
         }
     }
+    balance_limits limits;
+    limits.keeps_source_at_mean = !moves_in_rounds(owners.size());
     const auto budget = remaining_budget(owners.size(), moving, keys.total());
-    for (const auto& move : find_moves(keys, std::move(segments), owners, budget)) {
+    for (const auto& move : find_moves(keys, std::move(segments), owners, budget, limits)) {
         release_keys(service, move.first, move.last);
         planned_moves_.push_back({service, move.first, move.last, move.to});
     }
--- a/src/assignment/move_budget.cpp
+++ b/src/assignment/move_budget.cpp
@@ -14,9 +14,14 @@
 
 } // namespace
 
+bool moves_in_rounds(std::size_t targets)
+{
+    return targets < min_targets_without_rounds;
+}
+
 move_budget remaining_budget(std::size_t targets, const keys_in_motion& moving, double total_load)
 {
-    if (targets < min_targets_without_rounds) {
+    if (moves_in_rounds(targets)) {
         return {moving.ranges == 0 ? moves_per_round : 0};
     }
     // Each range costs its new owner a grant, so on average a target gets at most one at a time.
--- a/src/assignment/move_budget.h
+++ b/src/assignment/move_budget.h
@@ -23,9 +23,11 @@
     double load = std::numeric_limits<double>::infinity();
 };
 
+/// True if a service with so many targets moves its keys in rounds: a few moves, which end before
+/// the next begin, because each changes the loads of many of the targets.
+[[nodiscard]] bool moves_in_rounds(std::size_t targets);
+
 /// Returns what may begin to move in a service of `targets` targets with the load `total_load`.
-/// With few targets each move changes the loads of many of them, so a round of a few moves must end
-/// before the next begins.
 [[nodiscard]] move_budget remaining_budget(std::size_t targets, const keys_in_motion& moving,
                                            double total_load);
 
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -338,7 +338,7 @@
             }
             const std::uint32_t busiest_key = keys_.busiest(item.first, item.last);
             for (const std::size_t to : choices) {
-                const double load = load_to_move(from, to);
+                const double load = load_to_move(from, to, mean);
                 if (load <= 0) {
                     continue;
                 }
@@ -357,11 +357,16 @@
         return best;
     }
 
-    // Moving this load gives both targets the same load relative to their capacity.
-    [[nodiscard]] double load_to_move(std::size_t from, std::size_t to) const
+    // Moving all of this gives both targets the same load relative to their capacity. A source that
+    // gives more than its excess would get keys of others in turn, and keys would move for nothing.
+    [[nodiscard]] double load_to_move(std::size_t from, std::size_t to, double mean) const
     {
-        return (loads_[from] * candidates_[to].capacity - loads_[to] * candidates_[from].capacity) /
-               (candidates_[from].capacity + candidates_[to].capacity);
+        const double equal =
+            (loads_[from] * candidates_[to].capacity - loads_[to] * candidates_[from].capacity) /
+            (candidates_[from].capacity + candidates_[to].capacity);
+        const double share = mean * candidates_[from].capacity;
+        const double given = std::max(loads_[from] - share, limits_.min_given_share * share);
+        return limits_.keeps_source_at_mean ? std::min(equal, given) : equal;
     }
 
     key_move apply(std::size_t from, const found_move& found)
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -96,6 +96,11 @@
     /// Part of the excess load of the most loaded target that a move must remove. A smaller gain is
     /// not worth the time in which nobody serves the keys.
     double min_gain = 0.15;
+    /// A move takes only the load by which its source exceeds the mean, but at least
+    /// `min_given_share` of its share by capacity. Otherwise a move evens out its two targets. Many
+    /// moves in progress reach the mean sooner this way and move fewer keys.
+    bool keeps_source_at_mean = false;
+    double min_given_share = 0.2;
 };
 
 /// Returns the move that evens out the load most, or none if the load is even enough. If one key
--- a/tests/assignment/balance_trial.cpp
+++ b/tests/assignment/balance_trial.cpp
@@ -18,8 +18,8 @@
 constexpr std::int64_t message_delay_ms = 2;
 /// A request waits for a moving key for at most this time.
 constexpr std::int64_t longest_wait_ms = 950;
-/// Weight of the latest run in the mean time of a target.
-constexpr double latest_run_weight = 0.05;
+/// Weight of the latest run in the mean time of a target, see `dispatch::work_estimates`.
+constexpr double latest_run_weight = 0.04;
 /// Others have room if this share of all slots is free.
 constexpr double room_share = 0.1;
 /// The queue of a target is as long as its slots divided by this.
@@ -218,9 +218,9 @@
             return false;
         }
         const auto work_ms = static_cast<double>(run.end_ms - run.started_ms);
-        at.mean_work_ms = at.mean_work_ms == 0
-                              ? work_ms
-                              : at.mean_work_ms + latest_run_weight * (work_ms - at.mean_work_ms);
+        at.ended_runs += 1;
+        at.mean_work_ms +=
+            std::max(latest_run_weight, 1 / at.ended_runs) * (work_ms - at.mean_work_ms);
         return true;
     });
     while (!at.queue.empty() && at.runs.size() < settings_.slots) {
--- a/tests/assignment/balance_trial.h
+++ b/tests/assignment/balance_trial.h
@@ -92,6 +92,7 @@
         std::vector<request_run> runs;
         std::deque<std::uint32_t> queue; ///< keys of requests that wait for a slot
         double mean_work_ms = 0;
+        double ended_runs = 0;
         std::uint64_t sequence = 0;
         std::uint64_t echo = 0;
         std::map<std::uint32_t, std::uint32_t> counts;
