Average the reported work times over several seconds

The capacity of a target follows from the mean time of its latest 25 or so runs. With 3 % of the runs seven times as long as the rest, that mean varies by an eighth under a steady load, and keys moved to follow it. The leader now averages the reports of 3 s, and begins anew with a new run of the target or a change of its warm-up.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -86,6 +86,11 @@
                      member.last_report.target != body.target || member.leaving != body.leaving ||
                      !body.released.empty();
     member.last_report_at = now;
+    if (!previous_target.is_same_instance(body.target) ||
+        previous_target.warming_up != body.target.warming_up) {
+        member.work = {};
+    }
+    member.work.add(now, std::chrono::microseconds{body.mean_work_us});
     member.leaving = body.leaving;
     member.last_report = body;
     accept_process_age(now, member, body.process_age);
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -18,6 +18,7 @@
 #include "assignment/planner.h"
 #include "assignment/relay_plan.h"
 #include "assignment/types.h"
+#include "assignment/work_average.h"
 
 namespace bulrushgw::assignment {
 
@@ -164,6 +165,7 @@
     struct member_state {
         report last_report;
         time_point last_report_at;
+        work_average work;          ///< of the target
         time_point term_acked_at;   ///< latest time at which the member knew of this term
         time_point lease_end_bound; ///< latest possible end of its lease, on the leader's clock
         /// Latest possible end of the holds that earlier processes of its host granted, on the
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -167,14 +167,13 @@
         const auto& member = members_.at(node.node);
         members.push_back(&member);
         result.push_back({node.node, node.target.id, 1});
-        if (member.last_report.mean_work_us > 0) {
-            total_work_us += member.last_report.mean_work_us;
-            reporting_targets += 1;
-        }
+        const auto work_us = static_cast<double>(member.work.mean().count());
+        total_work_us += work_us;
+        reporting_targets += work_us > 0 ? 1 : 0;
     }
     const double cold_share = cold_target_share(service, result.size());
     for (std::size_t i = 0; i < result.size(); ++i) {
-        const double own_work_us = members[i]->last_report.mean_work_us;
+        const auto own_work_us = static_cast<double>(members[i]->work.mean().count());
         double relative_speed = own_work_us > 0
                                     ? std::clamp(total_work_us / reporting_targets / own_work_us,
                                                  min_relative_speed, max_relative_speed)
