Release moving keys in pieces with few runs in progress

A released range waits for the longest run in progress for its keys. With 3 % of the runs seven times as long as the rest, a fifth of the runs in progress are long ones, so a range with ten runs nearly always waits for one. A move is now cut into up to six pieces with about 1.5 runs each, by the load of its keys and the mean work time of its owner. Moves with fewer runs stay whole. Up to 10 % of the load may be in motion, since the moves end sooner.

--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -1,4 +1,5 @@
 #include "assignment/leader.h"
+#include "assignment/release_pieces.h"
 
 #include <algorithm>
 #include <utility>
@@ -342,8 +343,14 @@
     limits.keeps_source_at_mean = !moves_in_rounds(owners.size());
     const auto budget = remaining_budget(owners.size(), moving, keys.total());
     for (const auto& move : find_moves(keys, std::move(segments), owners, budget, limits)) {
-        release_keys(service, move.first, move.last);
-        planned_moves_.push_back({service, move.first, move.last, move.to});
+        constexpr double us_per_s = 1e6;
+        const double work_s =
+            static_cast<double>(members_.at(move.from).work.mean().count()) / us_per_s;
+        const double runs = key_load_table::rate_of(move.load) * work_s;
+        for (const auto& piece : release_pieces(keys, move.first, move.last, runs)) {
+            release_keys(service, piece.first, piece.last);
+            planned_moves_.push_back({service, piece.first, piece.last, move.to});
+        }
     }
 }
 
--- a/src/assignment/move_budget.cpp
+++ b/src/assignment/move_budget.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t min_targets_without_rounds = 40;
 /// Share of the load of a service that may be in motion. A move takes about as long as the runs in
 /// progress, so a quarter of the load can move within about 2 s.
-constexpr double max_share_in_motion = 0.08;
+constexpr double max_share_in_motion = 0.1;
 
 } // namespace
 
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -92,11 +92,15 @@
 
 double key_load_table::requests_per_s() const
 {
-    // With `rate` requests per second, the decaying number of requests settles at
-    // `rate` * half-life / ln 2.
+    return rate_of(std::max(0.0, total() - idle_key_load * key_count));
+}
+
+// With `rate` requests per second, the decaying number of requests settles at
+// `rate` * half-life / ln 2.
+double key_load_table::rate_of(double load)
+{
     constexpr double ms_per_s = 1000;
-    const double requests = total() - idle_key_load * key_count;
-    return std::max(0.0, requests * std::numbers::ln2 * ms_per_s / half_life_ms);
+    return load * std::numbers::ln2 * ms_per_s / half_life_ms;
 }
 
 double tolerated_share(double tolerated_per_s, double usual_per_s)
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -29,6 +29,8 @@
     [[nodiscard]] double total() const { return sum(0, key_count - 1); }
     /// Requests per second for all keys, on average over the last seconds.
     [[nodiscard]] double requests_per_s() const;
+    /// Requests per second that caused this part of the load.
+    [[nodiscard]] static double rate_of(double load);
     /// First key at which the sum of the loads from `first` on reaches `load`, but at most `last`.
     [[nodiscard]] std::uint32_t key_at_load(std::uint32_t first, std::uint32_t last,
                                             double load) const;
