Detect full targets by their use of slots, from the first second on

A target was overloaded if its load exceeded the mean by 15 % and two standard deviations. With a utilisation of 0.8, a target at 1.3 times the mean has no room, and in the first second of traffic two deviations are nearly half of the mean. In services of 40 targets or more, a target whose requests use 90 % of its slots now gives keys away from 10 % and one deviation above the mean on. The rate is taken over the time in which the requests were counted, so it is right from the first reports on.

--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -216,6 +217,8 @@
     void find_services_elsewhere();
     void assign_free(time_point now, const std::string& service);
     [[nodiscard]] std::vector<segment> segments_after_moves(const std::string& service) const;
+    [[nodiscard]] double full_load(const std::string& service,
+                                   std::span<const owner_candidate> owners) const;
     void balance(time_point now, const std::string& service);
     void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
     void fill_gaps(const std::string& service);
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -20,6 +20,8 @@
 /// assigned since the last round are not merged, because their owners may still need the handover
 /// tokens.
 constexpr milliseconds merge_interval{2000};
+/// A target that uses this share of its slots on average has no room at times.
+constexpr double full_utilisation = 0.9;
 /// Bounds on the speed of a target relative to the mean of its service. Values beyond them are not
 /// trusted.
 constexpr double min_relative_speed = 0.4;
@@ -318,6 +320,26 @@
     return result;
 }
 
+// Returns the load relative to capacity at which a target uses nearly all of its slots, or 0 if the
+// work times are not known yet.
+double leader::full_load(const std::string& service, std::span<const owner_candidate> owners) const
+{
+    const auto keys = loads_.find(service);
+    double work_s = 0;
+    double reporting_targets = 0;
+    for (const auto& owner : owners) {
+        const double own_s =
+            std::chrono::duration<double>(members_.at(owner.node).work.mean()).count();
+        work_s += own_s;
+        reporting_targets += own_s > 0 ? 1 : 0;
+    }
+    if (keys == loads_.end() || work_s <= 0) {
+        return 0;
+    }
+    // A target of capacity 1 has one slot and takes the mean time for a request.
+    return full_utilisation * reporting_targets / (work_s * keys->second.rate_of(1));
+}
+
 void leader::balance(time_point now, const std::string& service)
 {
     const auto owners = candidates(service);
@@ -340,13 +362,16 @@
         }
     }
     balance_limits limits;
-    limits.keeps_source_at_mean = !moves_in_rounds(owners.size());
+    if (!moves_in_rounds(owners.size())) {
+        limits.keeps_source_at_mean = true;
+        limits.full_load = full_load(service, owners);
+    }
     const auto budget = remaining_budget(owners.size(), moving, keys.total());
     for (const auto& move : find_moves(keys, std::move(segments), owners, budget, limits)) {
         constexpr double us_per_s = 1e6;
         const double work_s =
             static_cast<double>(members_.at(move.from).work.mean().count()) / us_per_s;
-        const double runs = key_load_table::rate_of(move.load) * work_s;
+        const double runs = keys.rate_of(move.load) * work_s;
         for (const auto& piece : release_pieces(keys, move.first, move.last, runs)) {
             release_keys(service, piece.first, piece.last);
             planned_moves_.push_back({service, piece.first, piece.last, move.to});
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -15,6 +15,9 @@
 constexpr double half_life_ms = 3000;
 /// Load of a key without requests.
 constexpr double idle_key_load = 0.002;
+/// Requests are counted for at least this time before a rate is computed from them.
+constexpr double min_window_ms = 250;
+constexpr double ms_per_s = 1000;
 /// Loads below this value are set to 0.
 constexpr double min_kept_load = 1e-4;
 /// Load that one candidate takes over from lost targets at once, as a fraction of the mean load of
@@ -68,9 +71,13 @@
 void key_load_table::decay(milliseconds elapsed)
 {
     const double factor = std::exp2(-static_cast<double>(elapsed.count()) / half_life_ms);
+    bool is_idle = true;
     for (double& load : requests_) {
         load = load < min_kept_load ? 0 : load * factor;
+        is_idle = is_idle && load == 0;
     }
+    // The window begins anew with the first request after an idle time.
+    window_ms_ = is_idle ? 0 : (window_ms_ + static_cast<double>(elapsed.count())) * factor;
     prefix_sums_.clear();
 }
 
@@ -92,15 +99,15 @@
 
 double key_load_table::requests_per_s() const
 {
-    return rate_of(std::max(0.0, total() - idle_key_load * key_count));
+    // With `rate` requests per second, the decaying number of requests settles at
+    // `rate` * half-life / ln 2.
+    const double requests = total() - idle_key_load * key_count;
+    return std::max(0.0, requests * std::numbers::ln2 * ms_per_s / half_life_ms);
 }
 
-// With `rate` requests per second, the decaying number of requests settles at
-// `rate` * half-life / ln 2.
-double key_load_table::rate_of(double load)
+double key_load_table::rate_of(double load) const
 {
-    constexpr double ms_per_s = 1000;
-    return load * std::numbers::ln2 * ms_per_s / half_life_ms;
+    return load * ms_per_s / std::max(window_ms_, min_window_ms);
 }
 
 double tolerated_share(double tolerated_per_s, double usual_per_s)
@@ -249,10 +256,7 @@
             const double mean = mean_load();
             const std::size_t most_loaded = most_loaded_candidate();
             const double highest_load = relative_load(most_loaded);
-            // Loads are request counts, so a small count may be high by chance.
-            const double noise = limits_.overload_deviations * std::sqrt(loads_[most_loaded]) /
-                                 candidates_[most_loaded].capacity;
-            if (highest_load < mean * limits_.overload_ratio + noise && !is_any_underloaded(mean)) {
+            if (highest_load < overload_threshold(most_loaded, mean) && !is_any_underloaded(mean)) {
                 return std::nullopt;
             }
             const double peak_to_beat = highest_load - limits_.min_gain * (highest_load - mean);
@@ -300,6 +304,18 @@
         return result;
     }
 
+    // Loads are request counts, so a small count may be high by chance.
+    [[nodiscard]] double overload_threshold(std::size_t candidate, double mean) const
+    {
+        const double deviation = std::sqrt(loads_[candidate]) / candidates_[candidate].capacity;
+        const double threshold =
+            mean * limits_.overload_ratio + limits_.overload_deviations * deviation;
+        const bool is_full = limits_.full_load > 0 && relative_load(candidate) >= limits_.full_load;
+        return is_full ? std::min(threshold,
+                                  mean * limits_.full_ratio + limits_.full_deviations * deviation)
+                       : threshold;
+    }
+
     [[nodiscard]] bool is_any_underloaded(double mean) const
     {
         for (std::size_t i = 0; i < candidates_.size(); ++i) {
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -29,8 +29,8 @@
     [[nodiscard]] double total() const { return sum(0, key_count - 1); }
     /// Requests per second for all keys, on average over the last seconds.
     [[nodiscard]] double requests_per_s() const;
-    /// Requests per second that caused this part of the load.
-    [[nodiscard]] static double rate_of(double load);
+    /// Requests per second that caused this part of the load, also in the first seconds of traffic.
+    [[nodiscard]] double rate_of(double load) const;
     /// First key at which the sum of the loads from `first` on reaches `load`, but at most `last`.
     [[nodiscard]] std::uint32_t key_at_load(std::uint32_t first, std::uint32_t last,
                                             double load) const;
@@ -43,6 +43,8 @@
     [[nodiscard]] const std::vector<double>& prefix_sums() const;
 
     std::vector<double> requests_;
+    /// Time in which `requests_` were counted, decaying like them.
+    double window_ms_ = 0;
     mutable std::vector<double> prefix_sums_;
 };
 
@@ -92,6 +94,11 @@
     /// The load must also exceed the threshold that `overload_ratio` sets. The excess must be at
     /// least this many standard deviations of a request count.
     double overload_deviations = 2;
+    /// A target whose load relative to its capacity is at least this has no room. The lower
+    /// thresholds `full_ratio` and `full_deviations` apply to it. 0: unknown.
+    double full_load = 0;
+    double full_ratio = 1.1;
+    double full_deviations = 1;
     /// A target whose load relative to its capacity is below this part of the mean gets keys, so
     /// that a target that has just joined does not wait for an overload elsewhere.
     double underload_ratio = 0.5;
--- a/tests/assignment/planner_test.cpp
+++ b/tests/assignment/planner_test.cpp
@@ -261,3 +261,36 @@
     CHECK(loads[3] > 0);
     CHECK(loads[3] < 0.35 * loads[0]);
 }
+
+// Guards against a target that stays full because its load is only a little above the mean.
+TEST(planner, full_target_gives_keys_away_although_it_is_near_the_mean)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 0; key < key_count; key += 64) {
+        keys.add(key, key < key_count / 4 ? 3.7 : 3.0);
+    }
+    const auto candidates = owners({1, 1, 1, 1});
+    const key_load_table idle;
+    const auto segments = first_assignment(idle, candidates);
+    balance_limits limits;
+    CHECK_FALSE(find_move(keys, segments, candidates, limits).has_value());
+    limits.full_load = 850;
+    const auto move = find_move(keys, segments, candidates, limits);
+    CHECK(move.has_value());
+    LONGS_EQUAL(1, move->from.value);
+}
+
+// Guards against a full target that is not detected in the first second of traffic, because the
+// decaying number of requests takes several seconds to settle.
+TEST(planner, rate_is_known_in_the_first_second)
+{
+    key_load_table keys;
+    keys.decay(milliseconds{500});
+    for (int i = 0; i < 2; ++i) {
+        keys.add(7, 50);
+        keys.decay(milliseconds{500});
+    }
+    const double rate = keys.rate_of(keys.load_of(7));
+    CHECK(rate > 80);
+    CHECK(rate < 130);
+}
