Move a hot key only to a target that serves much more of it

While a key with more requests than one target can serve moves, all of them wait, and its next target is full as well. Such a key now moves only if its next target serves more additional requests in 3 s, the time for which a key is likely to stay so busy, than arrive in 1 s of the move. The other keys of its target move as before.

--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -363,6 +363,10 @@
                     continue;
                 }
                 for (const auto& [first, last] : candidate_pieces(keys_, item, busiest_key, load)) {
+                    const bool has_busiest = first <= busiest_key && busiest_key <= last;
+                    if (has_busiest && !may_move_key(busiest_key, from, to, mean)) {
+                        continue;
+                    }
                     const double moved_load = keys_.sum(first, last);
                     const double peak =
                         std::max((loads_[from] - moved_load) / candidates_[from].capacity,
@@ -377,6 +381,20 @@
         return best;
     }
 
+    // A key with more requests than its target can serve moves only to a target that serves more
+    // additional requests, for the time for which such a key is likely to stay busy, than wait for
+    // the move.
+    [[nodiscard]] bool may_move_key(std::uint32_t key, std::size_t from, std::size_t to,
+                                    double mean) const
+    {
+        const double limit = limits_.full_load > 0 ? limits_.full_load : mean;
+        const double load = keys_.load_of(key);
+        const double served_here = limit * candidates_[from].capacity;
+        const double served_there = std::min(load, limit * candidates_[to].capacity);
+        return load < served_here || (served_there - served_here) * limits_.hot_key_time_s >
+                                         load * limits_.hot_key_wait_s;
+    }
+
     // Moving all of this gives both targets the same load relative to their capacity. A source that
     // gives more than its excess would get keys of others in turn, and keys would move for nothing.
     [[nodiscard]] double load_to_move(std::size_t from, std::size_t to, double mean) const
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -110,6 +110,11 @@
     /// moves in progress reach the mean sooner this way and move fewer keys.
     bool keeps_source_at_mean = false;
     double min_given_share = 0.2;
+    /// A key with more requests than one target can serve is likely to stay so busy for this time.
+    double hot_key_time_s = 3;
+    /// Time for which the requests for such a key wait during a move: with all slots of its target
+    /// in use for the key, mostly for one of the long runs.
+    double hot_key_wait_s = 1;
 };
 
 /// Returns the move that evens out the load most, or none if the load is even enough. If one key
--- a/tests/assignment/key_balance_test.cpp
+++ b/tests/assignment/key_balance_test.cpp
@@ -89,3 +89,37 @@
     CHECK(result.joined.full_share() < 0.01);
     CHECK(result.even.full_share() < 0.005);
 }
+
+// Guards against moves of a key that no target can serve: while it moves, all its requests wait,
+// and its next target is full as well.
+TEST(key_balance, hot_key_rarely_moves)
+{
+    constexpr std::uint32_t hot_key = 30001;
+    const std::uint64_t seeds = is_printing() ? 20 : 3;
+    trial_figures figures;
+    std::uint64_t moves_of_key = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        balance_trial trial(seed);
+        trial.run(milliseconds{3000});
+        trial.start_traffic();
+        trial.run(milliseconds{10000});
+        trial.take_figures();
+        trial.set_hot_key(hot_key, 0.2);
+        auto owner = trial.owner_of(hot_key);
+        for (int i = 0; i < 500; ++i) {
+            trial.run(milliseconds{10});
+            moves_of_key +=
+                owner != trial.owner_of(hot_key) && owner != balance_trial::no_owner ? 1 : 0;
+            owner = trial.owner_of(hot_key);
+        }
+        figures += trial.take_figures();
+    }
+    if (is_printing()) {
+        std::printf("\nhot key: %.2f moves, refused in all %.2f %%, %s\n",
+                    static_cast<double>(moves_of_key) / static_cast<double>(seeds),
+                    100.0 * static_cast<double>(figures.found_full + figures.refused_moving) /
+                        static_cast<double>(figures.requests),
+                    figures.text().c_str());
+    }
+    CHECK(moves_of_key <= seeds);
+}
--- a/tests/assignment/planner_test.cpp
+++ b/tests/assignment/planner_test.cpp
@@ -294,3 +294,23 @@
     CHECK(rate > 80);
     CHECK(rate < 130);
 }
+
+// Guards against a move of a key that its next target cannot serve much better, while which all
+// requests for the key wait. The other keys of its target move instead.
+TEST(planner, hot_key_does_not_move_to_a_target_that_is_hardly_faster)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 0; key < key_count; key += 16) {
+        keys.add(key, 0.5);
+    }
+    constexpr std::uint32_t hot = 5;
+    keys.add(hot, 4000);
+    const auto candidates = owners({1, 1.2, 1, 1});
+    const key_load_table idle;
+    const auto moves = find_moves(keys, first_assignment(idle, candidates), candidates, {4});
+    CHECK_FALSE(moves.empty());
+    LONGS_EQUAL(1, moves.front().from.value);
+    for (const auto& move : moves) {
+        CHECK(hot < move.first || move.last < hot);
+    }
+}
