Count and log the moves of keys by cause

The leader logs `keys_move` for each round that moves keys: the number of moves by cause (underload of the destination, full source, overload of the source), the ranges that are released, and the share of the load in motion. `bulrushgw_key_moves_total` counts the moves by cause and `bulrushgw_key_load_in_motion_ratio` has the highest share of a service. The balancing part of the leader moves to leader_balance.cpp.

--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -5,6 +5,7 @@
 /// record with that term to the store. The keys of a service are divided into segments, which are
 /// ranges of keys with at most one owner each.
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -12,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "assignment/directory_log.h"
@@ -58,9 +60,10 @@
 
 } // namespace detail
 
-/// Implemented in five files: reports and members (leader.cpp), the validity of terms
+/// Implemented in six files: reports and members (leader.cpp), the validity of terms
 /// (leader_term.cpp), their transfer to other nodes (leader_transfer.cpp), the keys
-/// (leader_keys.cpp) and the evacuation of zones (leader_evacuation.cpp). Not thread-safe.
+/// (leader_keys.cpp), their moves for load balancing (leader_balance.cpp) and the evacuation of
+/// zones (leader_evacuation.cpp). Not thread-safe.
 class leader {
 public:
     /// Precondition: the store has accepted the claim of the term.
@@ -159,6 +162,17 @@
         milliseconds longest_lease{0}; ///< upper bound on the lengths of all leases that may run
     };
     [[nodiscard]] summary summarize(time_point now) const;
+    /// Keys that began to move for load balancing in one round.
+    struct balance_round {
+        std::string service;
+        std::array<std::size_t, move_cause_names.size()> moves{}; ///< by cause
+        std::size_t ranges = 0;                                   ///< that are released separately
+        double share_in_motion = 0; ///< of the service's load, after the begin of the round
+    };
+    /// Returns the rounds since the last call.
+    std::vector<balance_round> take_balance_rounds() { return std::exchange(balance_rounds_, {}); }
+    /// Highest share of the load of a service whose keys are moving or have no owner.
+    [[nodiscard]] double highest_share_in_motion() const;
     /// Number of keys that targets in evacuated zones own and other targets can own.
     [[nodiscard]] std::size_t keys_to_evacuate() const;
 
@@ -220,6 +234,8 @@
     [[nodiscard]] double full_load(const std::string& service,
                                    std::span<const owner_candidate> owners) const;
     void balance(time_point now, const std::string& service);
+    [[nodiscard]] keys_in_motion moving_keys(const std::string& service) const;
+    [[nodiscard]] double share_in_motion(const std::string& service) const;
     void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
     void fill_gaps(const std::string& service);
     void merge_neighbours(time_point now);
@@ -291,6 +307,7 @@
     std::set<incarnation_id> superseded_;
     std::map<std::string, key_load_table> loads_;
     std::vector<planned_move> planned_moves_;
+    std::vector<balance_round> balance_rounds_;     ///< since the last `take_balance_rounds`
     std::map<std::string, time_point> accepted_at_; ///< first report of each host in this term
     time_point store_confirmed_;
     std::uint64_t transfers_ = 0; ///< how often the leadership of this term was transferred
--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -1,5 +1,4 @@
 #include "assignment/leader.h"
-#include "assignment/release_pieces.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,20 +7,10 @@
 
 namespace {
 
-/// Interval between two rounds of moves for load balancing in a service that moves its keys in
-/// rounds. The effect of a move must show in the loads before the next round.
-constexpr milliseconds balance_interval{500};
-/// The same in other services, in which the destinations of moves in progress count as owners. The
-/// loads change with the reports.
-constexpr milliseconds large_balance_interval{250};
-/// The same after a target became ready. Many targets may become ready one after the other.
-constexpr milliseconds new_target_balance_interval{100};
 /// Interval between two rounds in which adjacent segments of one owner are merged. Segments
 /// assigned since the last round are not merged, because their owners may still need the handover
 /// tokens.
 constexpr milliseconds merge_interval{2000};
-/// A target that uses this share of its slots on average has no room at times.
-constexpr double full_utilisation = 0.9;
 /// Bounds on the speed of a target relative to the mean of its service. Values beyond them are not
 /// trusted.
 constexpr double min_relative_speed = 0.4;
@@ -300,85 +289,6 @@
     mark_changed();
 }
 
-// The destination of a planned move counts as the owner of the moving keys, so that neither it nor
-// the present owner takes part in a move that this one makes superfluous.
-std::vector<segment> leader::segments_after_moves(const std::string& service) const
-{
-    std::vector<segment> result;
-    for (const auto& item : view_.segments) {
-        if (item.service != service) {
-            continue;
-        }
-        result.push_back(item);
-        const auto move =
-            std::find_if(planned_moves_.begin(), planned_moves_.end(),
-                         [&](const planned_move& planned) { return planned.is_for(item); });
-        if (item.releasing && move != planned_moves_.end()) {
-            result.back().owner = move->to.node;
-        }
-    }
-    return result;
-}
-
-// Returns the load relative to capacity at which a target uses nearly all of its slots, or 0 if the
-// work times are not known yet.
-double leader::full_load(const std::string& service, std::span<const owner_candidate> owners) const
-{
-    const auto keys = loads_.find(service);
-    double work_s = 0;
-    double reporting_targets = 0;
-    for (const auto& owner : owners) {
-        const double own_s =
-            std::chrono::duration<double>(members_.at(owner.node).work.mean()).count();
-        work_s += own_s;
-        reporting_targets += own_s > 0 ? 1 : 0;
-    }
-    if (keys == loads_.end() || work_s <= 0) {
-        return 0;
-    }
-    // A target of capacity 1 has one slot and takes the mean time for a request.
-    return full_utilisation * reporting_targets / (work_s * keys->second.rate_of(1));
-}
-
-void leader::balance(time_point now, const std::string& service)
-{
-    const auto owners = candidates(service);
-    auto& pace = balance_paces_[service];
-    const auto usual_interval =
-        moves_in_rounds(owners.size()) ? balance_interval : large_balance_interval;
-    if (now - pace.last_round <
-            (pace.has_new_target ? new_target_balance_interval : usual_interval) ||
-        !has_authority(now)) {
-        return;
-    }
-    pace = {now, false};
-    const auto& keys = loads_[service];
-    auto segments = segments_after_moves(service);
-    keys_in_motion moving;
-    for (const auto& item : segments) {
-        if (item.releasing || !item.owner) {
-            ++moving.ranges;
-            moving.load += keys.sum(item.first, item.last);
-        }
-    }
-    balance_limits limits;
-    if (!moves_in_rounds(owners.size())) {
-        limits.keeps_source_at_mean = true;
-        limits.full_load = full_load(service, owners);
-    }
-    const auto budget = remaining_budget(owners.size(), moving, keys.total());
-    for (const auto& move : find_moves(keys, std::move(segments), owners, budget, limits)) {
-        constexpr double us_per_s = 1e6;
-        const double work_s =
-            static_cast<double>(members_.at(move.from).work.mean().count()) / us_per_s;
-        const double runs = keys.rate_of(move.load) * work_s;
-        for (const auto& piece : release_pieces(keys, move.first, move.last, runs)) {
-            release_keys(service, piece.first, piece.last);
-            planned_moves_.push_back({service, piece.first, piece.last, move.to});
-        }
-    }
-}
-
 void leader::release_keys(const std::string& service, std::uint32_t first, std::uint32_t last)
 {
     split_at(service, first, last);
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -261,7 +261,7 @@
             }
             const double peak_to_beat = highest_load - limits_.min_gain * (highest_load - mean);
             if (const auto best = best_move(most_loaded, peak_to_beat, mean)) {
-                return apply(most_loaded, *best);
+                return apply(most_loaded, *best, mean);
             }
             eligible_[most_loaded] = false;
         }
@@ -304,16 +304,20 @@
         return result;
     }
 
+    [[nodiscard]] bool is_full(std::size_t candidate) const
+    {
+        return limits_.full_load > 0 && relative_load(candidate) >= limits_.full_load;
+    }
+
     // Loads are request counts, so a small count may be high by chance.
     [[nodiscard]] double overload_threshold(std::size_t candidate, double mean) const
     {
         const double deviation = std::sqrt(loads_[candidate]) / candidates_[candidate].capacity;
         const double threshold =
             mean * limits_.overload_ratio + limits_.overload_deviations * deviation;
-        const bool is_full = limits_.full_load > 0 && relative_load(candidate) >= limits_.full_load;
-        return is_full ? std::min(threshold,
-                                  mean * limits_.full_ratio + limits_.full_deviations * deviation)
-                       : threshold;
+        return is_full(candidate) ? std::min(threshold, mean * limits_.full_ratio +
+                                                            limits_.full_deviations * deviation)
+                                  : threshold;
     }
 
     [[nodiscard]] bool is_any_underloaded(double mean) const
@@ -407,7 +411,7 @@
         return limits_.keeps_source_at_mean ? std::min(equal, given) : equal;
     }
 
-    key_move apply(std::size_t from, const found_move& found)
+    key_move apply(std::size_t from, const found_move& found, double mean)
     {
         split_segments(segments_, found.first);
         split_segments(segments_, found.last + 1);
@@ -418,9 +422,14 @@
             }
         }
         const double load = keys_.sum(found.first, found.last);
+        const auto cause = relative_load(found.to) < mean * limits_.underload_ratio
+                               ? move_cause::underload
+                           : is_full(from) ? move_cause::full
+                                           : move_cause::overload;
         loads_[from] -= load;
         loads_[found.to] += load;
-        return {found.first, found.last, candidates_[from].node, candidates_[found.to], load};
+        return {found.first,           found.last, candidates_[from].node,
+                candidates_[found.to], load,       cause};
     }
 
     const key_load_table& keys_;
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -3,6 +3,7 @@
 /// Decides which target should own which keys, from the load of each key. Handles adjacent keys
 /// that are busier than the rest, and a single key with more load than one target's share.
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -78,6 +79,15 @@
                                      std::span<const owner_candidate> candidates,
                                      std::vector<double>& loads);
 
+/// Why keys move.
+enum class move_cause : std::uint8_t {
+    underload, ///< the destination has much less than its share, mostly because it has just joined
+    full,      ///< the source uses nearly all of its slots
+    overload,  ///< the load of the source exceeds the mean
+};
+/// Names of the causes in logs and metrics, by their value.
+inline constexpr std::array<const char*, 3> move_cause_names{"underload", "full", "overload"};
+
 /// A move of keys that evens out the load.
 struct key_move {
     std::uint32_t first = 0;
@@ -85,6 +95,7 @@
     incarnation_id from;
     owner_candidate to;
     double load = 0; ///< of the keys
+    move_cause cause = move_cause::overload;
 };
 
 struct balance_limits {
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -420,6 +420,7 @@
         send_leader_outputs(now);
         log_summary(now);
         log_evacuation();
+        log_balance_rounds();
         transfer_leadership(now);
     }
     else {
@@ -528,6 +529,21 @@
     }
 }
 
+void coordination::log_balance_rounds()
+{
+    constexpr double percent = 100;
+    for (const auto& round : leader_->take_balance_rounds()) {
+        journal::fields details{{"service", round.service},
+                                {"ranges", round.ranges},
+                                {"load_in_motion_percent", percent * round.share_in_motion}};
+        for (std::size_t i = 0; i < round.moves.size(); ++i) {
+            key_moves_[i] += round.moves[i];
+            details[assignment::move_cause_names[i]] = round.moves[i];
+        }
+        hooks_.log("keys_move", details);
+    }
+}
+
 // Sends directory changes to the other members and applies them to this node's own member.
 void coordination::push_directory()
 {
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -6,6 +6,7 @@
 /// the leader's record with that term to the store, if the record is unchanged since it was read.
 /// The leader then rewrites the record regularly; each of these writes increases the record's beat.
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -106,6 +107,14 @@
     {
         return leader_ == nullptr ? 0 : leader_->keys_to_evacuate();
     }
+    /// Moves of keys for load balancing that this node began as a leader since its start, by cause.
+    using key_move_counts = std::array<std::uint64_t, assignment::move_cause_names.size()>;
+    [[nodiscard]] const key_move_counts& key_moves() const { return key_moves_; }
+    /// See `assignment::leader::highest_share_in_motion`; 0 if this node does not lead.
+    [[nodiscard]] double key_load_in_motion() const
+    {
+        return leader_ == nullptr ? 0 : leader_->highest_share_in_motion();
+    }
 
 private:
     void note_tick(time_point now);
@@ -117,6 +126,7 @@
     void send_leader_outputs(time_point now);
     void log_summary(time_point now);
     void log_evacuation();
+    void log_balance_rounds();
     void push_directory();
     void write_record(time_point now, const assignment::leader_record& record);
     void on_record_written(time_point sent, std::uint64_t beat, store_outcome outcome,
@@ -152,6 +162,7 @@
     /// knew then.
     incarnation_id informed_leader_;
     std::uint64_t leader_evacuations_version_ = 0;
+    key_move_counts key_moves_{};
     bool evacuating_keys_ = false; ///< as last logged by this leader
     time_point last_tick_{};
     /// The last pause of the process: time of the last tick before it, and of the first one after.
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -336,6 +336,8 @@
             gauges.store_up = store_.is_up();
             gauges.errors = errors_;
             set_evacuation_gauges(gauges);
+            gauges.key_moves = coordination_.key_moves();
+            gauges.key_load_in_motion = coordination_.key_load_in_motion();
             gauges.requests_ignored = request_server_->abandoned_requests();
             exchange.respond({status_ok,
                               {{"content-type", "text/plain; version=0.0.4"}},
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -69,6 +69,12 @@
                  gauges.target_refusals_evacuated);
     write_metric(out, "evacuated_zones", "gauge", gauges.evacuated_zones);
     write_metric(out, "evacuation_keys_left", "gauge", gauges.keys_to_evacuate);
+    out << "# TYPE bulrushgw_key_moves_total counter\n";
+    for (std::size_t i = 0; i < gauges.key_moves.size(); ++i) {
+        out << "bulrushgw_key_moves_total{cause=\"" << assignment::move_cause_names[i] << "\"} "
+            << gauges.key_moves[i] << '\n';
+    }
+    write_metric(out, "key_load_in_motion_ratio", "gauge", gauges.key_load_in_motion);
     if (gauges.evacuations_age) {
         write_metric(out, "evacuations_age_seconds", "gauge",
                      std::chrono::duration<double>(*gauges.evacuations_age).count());
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -9,6 +9,7 @@
 
 #include "common/boot_clock.h"
 #include "net/peer_transport.h"
+#include "sidecar/coordination.h"
 #include "sidecar/entry.h"
 #include "sidecar/forward_intake.h"
 
@@ -42,6 +43,8 @@
     std::uint64_t requests_ignored = 0; ///< whose clients had left before they were read
     std::uint64_t evacuated_zones = 0;
     std::uint64_t keys_to_evacuate = 0;          ///< see `coordination::keys_to_evacuate`
+    coordination::key_move_counts key_moves{};   ///< see `coordination::key_moves`
+    double key_load_in_motion = 0;               ///< see `coordination::key_load_in_motion`
     std::uint64_t target_refusals_evacuated = 0; ///< total since the start
     /// See `routing::evacuations::confirmed_at`; none: the store has not answered yet.
     std::optional<milliseconds> evacuations_age;
