Report requests and work times in the simulated cluster

Without them a leader in the simulated cluster knew no loads, so it cut no move into pieces and moved keys only by their number. With requests, nodes now count each one and report the expected run time.

--- a/tests/sidecar/simulated_requests.cpp
+++ b/tests/sidecar/simulated_requests.cpp
@@ -72,9 +72,11 @@
     if (!local_target.alive || local_target.holds.empty()) {
         return;
     }
+    each.node->set_mean_work(expected_run);
     const hold& held = local_target.holds[random_() % local_target.holds.size()];
     const auto key =
         held.first + static_cast<std::uint32_t>(random_() % (held.last - held.first + 1));
+    each.node->on_keyed_request(service, key);
     if (held.until_us <= now_us_ ||
         each.node->member().may_serve(clock_of(host_index), service, key) !=
             assignment::serve_verdict::serve) {
