--- a/tests/assignment/key_balance_test.cpp
+++ b/tests/assignment/key_balance_test.cpp
@@ -79,7 +79,7 @@
 TEST_GROUP(key_balance){};
 
 // Guards against a placement that follows the load too slowly: targets stay full while others have
-// room.
+// room, and targets that have just joined wait for keys.
 TEST(key_balance, load_is_even_within_seconds)
 {
     const auto result = run_trials();
@@ -88,6 +88,19 @@
     }
     CHECK(result.joined.full_share() < 0.01);
     CHECK(result.even.full_share() < 0.005);
+    CHECK(part(result.half_share, 0.9) <= milliseconds{2000});
+}
+
+// Guards against keys that move back and forth although neither loads nor speeds change, and
+// against moves that wait for the longest of many runs.
+TEST(key_balance, few_keys_move_under_a_steady_load)
+{
+    const auto result = run_trials();
+    // One and a half times the share that moved each second with moves bounded by number.
+    CHECK(result.steady.moved_per_s() < 0.053);
+    CHECK(result.steady.keys_returned < result.steady.keys_moved / 10);
+    // Half of the time after which a request for a moving key is refused.
+    CHECK(result.join.mean_move_ms() < 475);
 }
 
 // Guards against moves of a key that no target can serve: while it moves, all its requests wait,
