--- a/src/assignment/leader_keys.cpp
+++ b/src/assignment/leader_keys.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-/// The limit on concurrent moves is one move per `targets_per_concurrent_move` targets of the
-/// service, but at least `min_concurrent_moves`. Requests for moving keys wait, so only a small
-/// part of the targets may take part in moves at a time. Each move involves two targets.
-constexpr std::size_t min_concurrent_moves = 4;
-constexpr std::size_t targets_per_concurrent_move = 8;
 /// Interval between two rounds in which adjacent segments of one owner are merged. Segments
 /// assigned since the last round are not merged, because their owners may still need the handover
 /// tokens.
@@ -204,14 +199,13 @@
         const auto& member = members_.at(node.node);
         members.push_back(&member);
         result.push_back({node.node, node.target.id, 1});
-        if (member.last_report.mean_work_us > 0) {
-            total_work_us += member.last_report.mean_work_us;
-            reporting_targets += 1;
-        }
+        const auto work_us = static_cast<double>(member.work.mean().count());
+        total_work_us += work_us;
+        reporting_targets += work_us > 0 ? 1 : 0;
     }
     const double cold_share = cold_target_share(service, result.size());
     for (std::size_t i = 0; i < result.size(); ++i) {
-        const double own_work_us = members[i]->last_report.mean_work_us;
+        const auto own_work_us = static_cast<double>(members[i]->work.mean().count());
         double relative_speed = own_work_us > 0
                                     ? std::clamp(total_work_us / reporting_targets / own_work_us,
                                                  min_relative_speed, max_relative_speed)
@@ -335,33 +329,6 @@
     mark_changed();
 }
 
-void leader::balance(time_point now, const std::string& service)
-{
-    const auto owners = candidates(service);
-    const std::size_t max_moves =
-        std::max(min_concurrent_moves, owners.size() / targets_per_concurrent_move);
-    std::vector<segment> service_segments;
-    std::size_t moves_under_way = 0;
-    for (const auto& item : view_.segments) {
-        if (item.service == service) {
-            service_segments.push_back(item);
-            moves_under_way += item.releasing || !item.owner ? 1 : 0;
-        }
-    }
-    // With few targets each move changes the loads of many of them, so a round must end before the
-    // next begins.
-    const bool must_wait =
-        moves_under_way > 0 && (max_moves == min_concurrent_moves || moves_under_way >= max_moves);
-    if (must_wait || !has_authority(now)) {
-        return;
-    }
-    for (const auto& move :
-         find_moves(loads_[service], service_segments, owners, max_moves - moves_under_way)) {
-        release_keys(service, move.first, move.last);
-        plan_move({service, move.first, move.last, move.to});
-    }
-}
-
 void leader::release_keys(const std::string& service, std::uint32_t first, std::uint32_t last)
 {
     split_at(service, first, last);
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -3,12 +3,14 @@
 /// Decides which target should own which keys, from the load of each key. Handles adjacent keys
 /// that are busier than the rest, and a single key with more load than one target's share.
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
 #include <vector>
 
+#include "assignment/move_budget.h"
 #include "assignment/types.h"
 
 namespace bulrushgw::assignment {
@@ -28,6 +30,8 @@
     [[nodiscard]] double total() const { return sum(0, key_count - 1); }
     /// Requests per second for all keys, on average over the last seconds.
     [[nodiscard]] double requests_per_s() const;
+    /// Requests per second that caused this part of the load, also in the first seconds of traffic.
+    [[nodiscard]] double rate_of(double load) const;
     /// First key at which the sum of the loads from `first` on reaches `load`, but at most `last`.
     [[nodiscard]] std::uint32_t key_at_load(std::uint32_t first, std::uint32_t last,
                                             double load) const;
@@ -40,6 +44,8 @@
     [[nodiscard]] const std::vector<double>& prefix_sums() const;
 
     std::vector<double> requests_;
+    /// Time in which `requests_` were counted, decaying like them.
+    double window_ms_ = 0;
     mutable std::vector<double> prefix_sums_;
 };
 
@@ -73,12 +79,23 @@
                                      std::span<const owner_candidate> candidates,
                                      std::vector<double>& loads);
 
+/// Why keys move.
+enum class move_cause : std::uint8_t {
+    underload, ///< the destination has much less than its share, mostly because it has just joined
+    full,      ///< the source uses nearly all of its slots
+    overload,  ///< the load of the source exceeds the mean
+};
+/// Names of the causes in logs and metrics, by their value.
+inline constexpr std::array<const char*, 3> move_cause_names{"underload", "full", "overload"};
+
 /// A move of keys that evens out the load.
 struct key_move {
     std::uint32_t first = 0;
     std::uint32_t last = 0;
     incarnation_id from;
     owner_candidate to;
+    double load = 0; ///< of the keys
+    move_cause cause = move_cause::overload;
 };
 
 struct balance_limits {
@@ -88,12 +105,27 @@
     /// The load must also exceed the threshold that `overload_ratio` sets. The excess must be at
     /// least this many standard deviations of a request count.
     double overload_deviations = 2;
+    /// A target whose load relative to its capacity is at least this has no room. The lower
+    /// thresholds `full_ratio` and `full_deviations` apply to it. 0: unknown.
+    double full_load = 0;
+    double full_ratio = 1.1;
+    double full_deviations = 1;
     /// A target whose load relative to its capacity is below this part of the mean gets keys, so
     /// that a target that has just joined does not wait for an overload elsewhere.
     double underload_ratio = 0.5;
     /// Part of the excess load of the most loaded target that a move must remove. A smaller gain is
     /// not worth the time in which nobody serves the keys.
     double min_gain = 0.15;
+    /// A move takes only the load by which its source exceeds the mean, but at least
+    /// `min_given_share` of its share by capacity. Otherwise a move evens out its two targets. Many
+    /// moves in progress reach the mean sooner this way and move fewer keys.
+    bool keeps_source_at_mean = false;
+    double min_given_share = 0.2;
+    /// A key with more requests than one target can serve is likely to stay so busy for this time.
+    double hot_key_time_s = 3;
+    /// Time for which the requests for such a key wait during a move: with all slots of its target
+    /// in use for the key, mostly for one of the long runs.
+    double hot_key_wait_s = 1;
 };
 
 /// Returns the move that evens out the load most, or none if the load is even enough. If one key
@@ -108,9 +140,9 @@
 /// must belong to one service.
 void split_segments(std::vector<segment>& segments, std::uint32_t start);
 
-/// Returns up to `max_moves` moves. Each is found as if the moves before it were done.
+/// Returns moves within the budget. Each is found as if the moves before it were done.
 std::vector<key_move> find_moves(const key_load_table& keys, std::vector<segment> segments,
-                                 std::span<const owner_candidate> candidates, std::size_t max_moves,
-                                 const balance_limits& limits = {});
+                                 std::span<const owner_candidate> candidates,
+                                 const move_budget& budget, const balance_limits& limits = {});
 
 } // namespace bulrushgw::assignment
--- a/tests/assignment/planner_test.cpp
+++ b/tests/assignment/planner_test.cpp
@@ -36,7 +36,7 @@
                         const std::vector<owner_candidate>& candidates, int max_rounds)
 {
     for (int round = 0; round < max_rounds; ++round) {
-        const auto moves = find_moves(keys, segments, candidates, 4);
+        const auto moves = find_moves(keys, segments, candidates, {4});
         if (moves.empty()) {
             break;
         }
@@ -112,7 +112,7 @@
     const auto candidates = owners({0.7, 1.6, 0.7, 0.7});
     auto segments = first_assignment(keys, candidates);
     for (int round = 0; round < 20; ++round) {
-        for (const auto& move : find_moves(keys, segments, candidates, 4)) {
+        for (const auto& move : find_moves(keys, segments, candidates, {4})) {
             split_segments(segments, move.first);
             split_segments(segments, move.last + 1);
             for (auto& item : segments) {
@@ -195,7 +195,7 @@
     auto segments =
         distribute_keys(idle, std::vector<unassigned_keys>{{0, last_key, ""}}, candidates, loads);
     for (int round = 0; round < 40; ++round) {
-        for (const auto& move : find_moves(keys, segments, candidates, 4)) {
+        for (const auto& move : find_moves(keys, segments, candidates, {4})) {
             split_segments(segments, move.first);
             split_segments(segments, move.last + 1);
             for (auto& item : segments) {
@@ -261,3 +261,56 @@
     CHECK(loads[3] > 0);
     CHECK(loads[3] < 0.35 * loads[0]);
 }
+
+// Guards against a target that stays full because its load is only a little above the mean.
+TEST(planner, full_target_gives_keys_away_although_it_is_near_the_mean)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 0; key < key_count; key += 64) {
+        keys.add(key, key < key_count / 4 ? 3.7 : 3.0);
+    }
+    const auto candidates = owners({1, 1, 1, 1});
+    const key_load_table idle;
+    const auto segments = first_assignment(idle, candidates);
+    balance_limits limits;
+    CHECK_FALSE(find_move(keys, segments, candidates, limits).has_value());
+    limits.full_load = 850;
+    const auto move = find_move(keys, segments, candidates, limits);
+    CHECK(move.has_value());
+    LONGS_EQUAL(1, move->from.value);
+}
+
+// Guards against a full target that is not detected in the first second of traffic, because the
+// decaying number of requests takes several seconds to settle.
+TEST(planner, rate_is_known_in_the_first_second)
+{
+    key_load_table keys;
+    keys.decay(milliseconds{500});
+    for (int i = 0; i < 2; ++i) {
+        keys.add(7, 50);
+        keys.decay(milliseconds{500});
+    }
+    const double rate = keys.rate_of(keys.load_of(7));
+    CHECK(rate > 80);
+    CHECK(rate < 130);
+}
+
+// Guards against a move of a key that its next target cannot serve much better, while which all
+// requests for the key wait. The other keys of its target move instead.
+TEST(planner, hot_key_does_not_move_to_a_target_that_is_hardly_faster)
+{
+    key_load_table keys;
+    for (std::uint32_t key = 0; key < key_count; key += 16) {
+        keys.add(key, 0.5);
+    }
+    constexpr std::uint32_t hot = 5;
+    keys.add(hot, 4000);
+    const auto candidates = owners({1, 1.2, 1, 1});
+    const key_load_table idle;
+    const auto moves = find_moves(keys, first_assignment(idle, candidates), candidates, {4});
+    CHECK_FALSE(moves.empty());
+    LONGS_EQUAL(1, moves.front().from.value);
+    for (const auto& move : moves) {
+        CHECK(hot < move.first || move.last < hot);
+    }
+}
