Revert "Ignore targets that are underloaded only by chance"

Without requests, the load of a target is less than the deviation, so a target of a large idle service never counted as underloaded: in evacuation_test, a zone of 30 of 90 targets got no keys after its evacuation was revoked.

--- a/src/assignment/leader_balance.cpp
+++ b/src/assignment/leader_balance.cpp
@@ -85,7 +85,6 @@
     balance_limits limits;
     if (!moves_in_rounds(owners.size())) {
         limits.keeps_source_at_mean = true;
-        limits.underload_deviations = 1;
         limits.full_load = full_load(service, owners);
     }
     const auto moves = find_moves(keys, segments_after_moves(service), owners, budget, limits);
--- a/src/assignment/planner.cpp
+++ b/src/assignment/planner.cpp
@@ -320,17 +320,10 @@
                                   : threshold;
     }
 
-    // Small counts may be low by chance, as in the first second of traffic.
-    [[nodiscard]] bool is_underloaded(std::size_t candidate, double mean) const
-    {
-        const double bound = mean * limits_.underload_ratio * candidates_[candidate].capacity;
-        return loads_[candidate] < bound - limits_.underload_deviations * std::sqrt(bound);
-    }
-
     [[nodiscard]] bool is_any_underloaded(double mean) const
     {
         for (std::size_t i = 0; i < candidates_.size(); ++i) {
-            if (eligible_[i] && is_underloaded(i, mean)) {
+            if (eligible_[i] && relative_load(i) < mean * limits_.underload_ratio) {
                 return true;
             }
         }
@@ -429,9 +422,10 @@
             }
         }
         const double load = keys_.sum(found.first, found.last);
-        const auto cause = is_underloaded(found.to, mean) ? move_cause::underload
-                           : is_full(from)                ? move_cause::full
-                                                          : move_cause::overload;
+        const auto cause = relative_load(found.to) < mean * limits_.underload_ratio
+                               ? move_cause::underload
+                           : is_full(from) ? move_cause::full
+                                           : move_cause::overload;
         loads_[from] -= load;
         loads_[found.to] += load;
         return {found.first,           found.last, candidates_[from].node,
--- a/src/assignment/planner.h
+++ b/src/assignment/planner.h
@@ -113,8 +113,6 @@
     /// A target whose load relative to its capacity is below this part of the mean gets keys, so
     /// that a target that has just joined does not wait for an overload elsewhere.
     double underload_ratio = 0.5;
-    /// The load must also be below that part by this many standard deviations of a request count.
-    double underload_deviations = 0;
     /// Part of the excess load of the most loaded target that a move must remove. A smaller gain is
     /// not worth the time in which nobody serves the keys.
     double min_gain = 0.15;
