Send lost directory changes again while the directory changes often

The leader took a change as in transit until 700 ms after its last push. The time now counts from the last progress of the member.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -86,6 +86,9 @@
                      member.last_report.target != body.target || member.leaving != body.leaving ||
                      !body.released.empty();
     member.last_report_at = now;
+    if (body.directory_version != member.last_report.directory_version) {
+        member.unconfirmed_since = now;
+    }
     if (!previous_target.is_same_instance(body.target) ||
         previous_target.warming_up != body.target.warming_up) {
         member.work = {};
@@ -131,7 +134,7 @@
     if (base != view_.version) {
         reply.content.push_back(log_.since(base));
         member.sent_version = view_.version;
-        member.sent_at = now;
+        member.unconfirmed_since = now;
     }
     return reply;
 }
@@ -162,18 +165,18 @@
 // the member or the next push. A reply contains only changes after that version, because a complete
 // directory in each reply would occupy the leader's link for seconds after a restart of all hosts.
 // A change is no longer in transit if the member has acknowledged a later message and still reports
-// an older version.
+// an older version. The time counts from the last progress of the member and not from the last
+// push: while the directory changes all the time, there is always a recent push, and the member
+// cannot apply it without the change that was lost.
 std::uint64_t leader::base_version_for(const member_state& member, time_point now) const
 {
     const std::uint64_t reported_version = member.last_report.directory_version;
-    if (member.sent_version < view_.version && reported_version <= member.sent_version) {
-        return view_.version;
-    }
     const bool in_transit =
         reported_version < member.sent_version &&
-        detail::from_leader_time_ms(member.last_report.echo) <= member.sent_at &&
-        now - member.sent_at < push_loss_timeout;
-    return in_transit ? member.sent_version : reported_version;
+        detail::from_leader_time_ms(member.last_report.echo) <= member.unconfirmed_since &&
+        now - member.unconfirmed_since < push_loss_timeout;
+    const bool has_sent_changes = in_transit || reported_version == member.sent_version;
+    return has_sent_changes ? view_.version : reported_version;
 }
 
 void leader::update_directory_log()
@@ -205,8 +208,10 @@
              member.last_report.cpu_millicores,
              std::chrono::duration_cast<milliseconds>(now - member.last_report_at),
              member.leaving});
+        if (member.last_report.directory_version >= member.sent_version) {
+            member.unconfirmed_since = now;
+        }
         member.sent_version = view_.version;
-        member.sent_at = now;
         last_push_ = now;
     }
     for (const auto& [base, members] : members_by_version) {
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -191,7 +191,8 @@
         bool inherits = false;    ///< took over the segments of an earlier incarnation of its host
         bool leaving = false;
         std::uint64_t sent_version = 0; ///< newest directory version sent to it
-        time_point sent_at{};
+        /// The member's directory has been older than `sent_version` without progress since then.
+        time_point unconfirmed_since{};
     };
     struct planned_move {
         std::string service;
