--- a/src/node/operator_api.h
+++ b/src/node/operator_api.h
@@ -166,14 +166,6 @@
 void handle_operator_request(const net::http_request& request, const operator_hooks& hooks,
                              const std::function<void(net::http_response)>& respond);
 
-/// Decoded path and query of an HTTP request target. Malformed escapes are kept as they are.
-struct request_target {
-    std::string path;
-    std::vector<std::pair<std::string, std::string>> query;
-};
-
-request_target parse_request_target(const std::string& target);
-
 /// Name of a failure in responses, such as "bad-request" for `operator_failure::bad_request`.
 std::string_view to_string(operator_failure failure);
 int http_status(operator_failure failure);
