Split the choice of a target into a const part and one that records

Cause: nothing can tell where a request would go without sending it, since the functions that decide also record. Change: target_picker::cost returns its parts, zone_balance::plan is the decision before the random draw, and target_picker::explain combines them without a change of state. The same split for retry_allowance, time_spent, cold_target_trials and the destinations of a route.

--- a/src/dispatch/cold_target_trials.cpp
+++ b/src/dispatch/cold_target_trials.cpp
@@ -15,6 +15,12 @@
 constexpr double min_length = 0.6;
 constexpr double max_length = 1.4;
 
+bool is_over(time_point now, time_point begin, double length, bool same_zone)
+{
+    const auto mean = same_zone ? own_zone_interval : other_zone_interval;
+    return now - begin >= mean * length;
+}
+
 } // namespace
 
 bool cold_target_trials::is_due(time_point now, incarnation_id node, bool same_zone,
@@ -25,8 +31,17 @@
     if (current.length <= 0) {
         current.length = std::uniform_real_distribution<double>(min_length, max_length)(random);
     }
-    const auto mean = same_zone ? own_zone_interval : other_zone_interval;
-    return now - current.begin >= mean * current.length;
+    return is_over(now, current.begin, current.length, same_zone);
+}
+
+bool cold_target_trials::is_certainly_due(time_point now, incarnation_id node, bool same_zone) const
+{
+    const auto found = intervals_.find(node);
+    if (found == intervals_.end()) {
+        return false;
+    }
+    const auto& [begin, length] = found->second;
+    return is_over(now, begin, length > 0 ? length : max_length, same_zone);
 }
 
 void cold_target_trials::on_pick(time_point now, incarnation_id node)
--- a/src/dispatch/cold_target_trials.h
+++ b/src/dispatch/cold_target_trials.h
@@ -20,6 +20,8 @@
     /// True if the cold target should get the next request. The first call for a target, and each
     /// pick, begins a new interval of random length, since many nodes learn of a target at once.
     bool is_due(time_point now, incarnation_id node, bool same_zone, std::mt19937_64& random);
+    /// True if `is_due` would certainly return true. Changes nothing.
+    [[nodiscard]] bool is_certainly_due(time_point now, incarnation_id node, bool same_zone) const;
     /// A request is sent to the target.
     void on_pick(time_point now, incarnation_id node);
     /// Forgets targets that are not in `live`.
--- a/src/dispatch/retry_allowance.cpp
+++ b/src/dispatch/retry_allowance.cpp
@@ -10,6 +10,12 @@
 /// three such calls per request, the own retries and these calls together take at most four
 /// quarters of the allowance.
 constexpr double used_share = 0.25;
+
+/// Number of times, which are in order, since `begin`.
+double count_since(const std::deque<time_point>& times, time_point begin)
+{
+    return static_cast<double>(times.end() - std::lower_bound(times.begin(), times.end(), begin));
+}
 } // namespace
 
 void retry_allowance::drop_expired(time_point now)
@@ -28,13 +34,19 @@
     request_times_.push_back(now);
 }
 
-bool retry_allowance::try_spend(time_point now)
+double retry_allowance::left(time_point now) const
 {
-    drop_expired(now);
+    const auto begin = now - settings_.window;
     const double node_slack = settings_.slack / std::max<std::uint32_t>(settings_.nodes, 1);
     const double allowed =
-        used_share * (settings_.ratio * static_cast<double>(request_times_.size()) + node_slack);
-    if (static_cast<double>(retry_times_.size()) + 1 > allowed) {
+        used_share * (settings_.ratio * count_since(request_times_, begin) + node_slack);
+    return allowed - count_since(retry_times_, begin);
+}
+
+bool retry_allowance::try_spend(time_point now)
+{
+    drop_expired(now);
+    if (left(now) < 1) {
         return false;
     }
     retry_times_.push_back(now);
--- a/src/dispatch/retry_allowance.h
+++ b/src/dispatch/retry_allowance.h
@@ -30,6 +30,8 @@
     void on_request(time_point now);
     /// Takes one retry from the allowance. Returns false if none is left.
     bool try_spend(time_point now);
+    /// Number of retries that can be taken now; may be below 0 and need not be whole.
+    [[nodiscard]] double left(time_point now) const;
 
 private:
     void drop_expired(time_point now);
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -66,9 +66,9 @@
 
 } // namespace
 
-double target_picker::target_stats::slowdown(time_point now) const
+double target_picker::target_stats::slowdown(time_point now, bool is_cold) const
 {
-    return warming_up ? std::max(cold_slowdown, scale.factor(now)) : scale.factor(now);
+    return is_cold ? std::max(cold_slowdown, scale.factor(now)) : scale.factor(now);
 }
 
 const target_picker::target_stats* target_picker::find(incarnation_id node) const
@@ -121,14 +121,14 @@
 // Each of many nodes sees only a small part of a target's load. If each node assumed that an
 // unknown target is idle and fast, the nodes together would send all requests to that target. The
 // load and answer time of an unknown target are therefore assumed to be the means of the service.
-double target_picker::cost(time_point now, const pick_candidate& candidate,
-                           const service_averages& service) const
+pick_cost target_picker::cost(time_point now, const pick_candidate& candidate,
+                              const service_averages& service) const
 {
     const double slots = std::max<std::uint32_t>(candidate.slots, 1);
     double mean = service.mean_answer_ms;
     double load = service.other_requests_per_slot * slots;
-    double failure_ms = 0;
-    double slowdown = candidate.warming_up ? cold_slowdown : 1;
+    pick_cost result;
+    result.slowdown = candidate.warming_up ? cold_slowdown : 1;
     if (const auto* stats = find(candidate.node)) {
         mean = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : mean;
         if (stats->load_reported_at != time_point{}) {
@@ -138,10 +138,16 @@
                 load_report_weight(age, service.mean_answer_ms) * (stats->other_requests - load);
         }
         load += stats->own_in_flight;
-        slowdown = stats->slowdown(now);
-        failure_ms = failure_cost(now, *stats);
+        result.has_answers = stats->mean_answer_ms > 0;
+        result.slowdown = stats->slowdown(now, candidate.warming_up);
+        result.failure_ms = failure_cost(now, *stats);
+        const bool refuses = candidate.warming_up && now < stats->refused_until;
+        result.refusing_ms = refuses ? refusing_cost_ms : 0;
     }
-    return mean * slowdown * queueing_factor(load, slots) + failure_ms;
+    result.mean_answer_ms = mean;
+    result.load = load;
+    result.queueing = queueing_factor(load, slots);
+    return result;
 }
 
 // Answer times count only for a target that this node itself helps to fill. Those of a full zone
@@ -175,39 +181,43 @@
     }
     std::uniform_real_distribution<double> noise(1.0, 1.0 + jitter);
     const auto service = averages_over(candidates);
-    std::vector<zone_option> zones;
-    std::vector<const pick_candidate*> best; // of each zone
-    zone_request request{aim, traits.rank, false};
+    zone_choice choice{{}, {}, {aim, traits.rank, false}};
     for (const auto& candidate : candidates) {
-        const std::size_t at = zone_index(zones, candidate);
-        best.resize(zones.size());
         if (std::find(avoid.begin(), avoid.end(), candidate.node) != avoid.end()) {
-            request.refused_at_own = request.refused_at_own || candidate.same_zone;
+            zone_index(choice.zones, candidate);
+            choice.request.refused_at_own = choice.request.refused_at_own || candidate.same_zone;
             continue;
         }
-        double value = cost(now, candidate, service) * noise(random);
-        if (candidate.warming_up) {
-            value = trial_cost(now, candidate, value, random);
-        }
-        if (value <= 0) {
+        const auto parts = cost(now, candidate, service);
+        const double value = parts.answer_ms() * noise(random) + parts.refusing_ms;
+        if (candidate.warming_up && parts.refusing_ms <= 0 &&
+            trials_.is_due(now, candidate.node, candidate.same_zone, random)) {
             // A trial of a cold target is not left to the choice between zones.
             return note_pick(now, candidate, traits);
         }
-        if (best[at] == nullptr || value < *zones[at].expected_ms) {
-            best[at] = &candidate;
-            zones[at].expected_ms = value;
-        }
-        const double own_value = cost_of_own_requests(now, candidate, service);
-        zones[at].expected_from_own_ms =
-            std::min(zones[at].expected_from_own_ms.value_or(own_value), own_value);
+        add_option(now, choice, candidate, value, service);
     }
     auto& balance = balance_of(traits.service);
-    balance.update(now, zones, aim);
-    const auto chosen = balance.choose(zones, request, random);
+    balance.update(now, choice.zones, aim);
+    const auto chosen = balance.choose(choice.zones, choice.request, random);
     if (!chosen) {
         return std::nullopt;
     }
-    return note_pick(now, *best[*chosen], traits);
+    return note_pick(now, *choice.best[*chosen], traits);
+}
+
+void target_picker::add_option(time_point now, zone_choice& choice, const pick_candidate& candidate,
+                               double value, const service_averages& service) const
+{
+    const std::size_t at = zone_index(choice.zones, candidate);
+    choice.best.resize(choice.zones.size());
+    auto& zone = choice.zones[at];
+    if (choice.best[at] == nullptr || value < *zone.expected_ms) {
+        choice.best[at] = &candidate;
+        zone.expected_ms = value;
+    }
+    const double own_value = cost_of_own_requests(now, candidate, service);
+    zone.expected_from_own_ms = std::min(zone.expected_from_own_ms.value_or(own_value), own_value);
 }
 
 incarnation_id target_picker::note_pick(time_point now, const pick_candidate& target,
@@ -235,15 +245,6 @@
     return found == balances_.end() ? nullptr : &found->second;
 }
 
-double target_picker::trial_cost(time_point now, const pick_candidate& candidate,
-                                 double normal_cost, std::mt19937_64& random)
-{
-    if (now < stats_[candidate.node].refused_until) {
-        return normal_cost + refusing_cost_ms;
-    }
-    return trials_.is_due(now, candidate.node, candidate.same_zone, random) ? 0 : normal_cost;
-}
-
 void target_picker::on_work_percent(time_point now, incarnation_id node, std::uint32_t percent)
 {
     stats_[node].scale.set(now, percent);
@@ -272,7 +273,8 @@
     end_request(node);
     auto& stats = stats_[node];
     // The mean is that of a warm target at the usual speed.
-    const double ms = static_cast<double>(took.count()) / stats.slowdown(now);
+    const double ms = static_cast<double>(took.count()) / stats.slowdown(now, stats.warming_up);
+    stats.answered_at = now;
     stats.mean_answer_ms +=
         stats.mean_answer_ms > 0 ? sample_weight * (ms - stats.mean_answer_ms) : ms;
     stats.failure_share -= sample_weight * stats.failure_share;
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -26,6 +26,12 @@
 
 namespace bulrushgw::dispatch {
 
+enum class pick_cause : std::uint8_t {
+    lowest_cost,      ///< in the zone that gets most of the requests
+    trial,            ///< it warms up and is due to get a request
+    own_zone_overflow ///< another zone is faster by a wide margin
+};
+
 struct pick_candidate {
     incarnation_id node;
     std::uint32_t slots = 1;
@@ -35,6 +41,46 @@
     std::string_view zone = {};
 };
 
+/// The expected answer time of a candidate by part.
+struct pick_cost {
+    double mean_answer_ms = 0; ///< of this node's requests; of the service if it had none
+    bool has_answers = false;  ///< this node got an answer from the target
+    double slowdown = 1;       ///< because of a warm-up or a slow machine; a factor
+    double load = 0;           ///< running and waiting requests at the target
+    double queueing = 1;       ///< because of the load; a factor
+    double failure_ms = 0;     ///< because of failures
+    double refusing_ms = 0;    ///< because the target warms up and accepts nothing now
+    [[nodiscard]] double answer_ms() const
+    {
+        return mean_answer_ms * slowdown * queueing + failure_ms;
+    }
+};
+
+/// How `target_picker::pick` would decide on a request, without the random parts.
+struct pick_explanation {
+    struct candidate {
+        pick_cost cost;
+        double total_ms = 0;
+        std::uint32_t own_in_flight = 0;           ///< requests from this node
+        std::optional<milliseconds> answer_age;    ///< none: no answer so far
+        std::optional<milliseconds> load_age;      ///< none: no load was reported
+        std::optional<milliseconds> failure_age;   ///< none: no failure so far
+        std::optional<milliseconds> refusing_time; ///< it accepts nothing for this time
+        bool trial_due = false; ///< gets the next request, see `cold_target_trials`
+    };
+    struct zone {
+        std::string name;
+        bool own = false;
+        std::size_t best = 0;            ///< index of the candidate with the lowest cost
+        double share = 0;                ///< probability that the request goes there
+        std::optional<milliseconds> age; ///< of the figures of the zone; none: there are none
+    };
+    std::vector<candidate> candidates; ///< in the order given
+    std::vector<zone> zones;
+    std::size_t chosen = 0; ///< index of the candidate that most requests would get
+    pick_cause cause = pick_cause::lowest_cost;
+};
+
 /// What the choice between availability zones depends on besides the latency goal.
 struct pick_traits {
     std::string_view service; ///< zones are balanced for each service
@@ -59,6 +105,12 @@
     std::optional<incarnation_id> pick(time_point now, std::span<const pick_candidate> candidates,
                                        const std::vector<incarnation_id>& avoid, milliseconds aim,
                                        std::mt19937_64& random, const pick_traits& traits = {});
+    /// Tells which candidate a new request would get and why. Random parts are left out: the factor
+    /// on costs, the draw of a zone by its share, and the intervals of trials that are not drawn
+    /// yet. Changes no state and costs as much as a pick. None without candidates.
+    [[nodiscard]] std::optional<pick_explanation>
+    explain(time_point now, std::span<const pick_candidate> candidates, milliseconds aim,
+            const pick_traits& traits = {}) const;
     /// The node reported that work on the machine of its target takes `percent` of the usual time.
     void on_work_percent(time_point now, incarnation_id node, std::uint32_t percent);
     /// Notes a request sent to the node. Exactly one call of `on_answer`, `on_refusal`,
@@ -101,6 +153,7 @@
         double other_requests = 0;       ///< requests from other nodes as of the last load report
         time_point load_reported_at{};   ///< epoch: no report so far
         double mean_answer_ms = 0;       ///< 0: no answer so far
+        time_point answered_at{};        ///< epoch: no answer so far
         double failure_share = 0;        ///< exponential average of failed requests
         time_point last_failure{};
         std::string service; ///< as of the last pick
@@ -111,7 +164,7 @@
         work_scale scale;
 
         /// Duration of work as a multiple of that on a warm target at the usual speed.
-        [[nodiscard]] double slowdown(time_point now) const;
+        [[nodiscard]] double slowdown(time_point now, bool is_cold) const;
     };
 
     /// Means over the targets of one service. They are used for a target of which this node has no
@@ -122,12 +175,23 @@
         double other_requests_per_slot = 0;
     };
 
+    /// The zones of the candidates, and the best candidate of each.
+    struct zone_choice {
+        std::vector<zone_option> zones;
+        std::vector<const pick_candidate*> best;
+        zone_request request;
+    };
+
     [[nodiscard]] service_averages averages_over(std::span<const pick_candidate> candidates) const;
     [[nodiscard]] const target_stats* find(incarnation_id node) const;
-    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate,
-                              const service_averages& service) const;
-    [[nodiscard]] double trial_cost(time_point now, const pick_candidate& candidate,
-                                    double normal_cost, std::mt19937_64& random);
+    [[nodiscard]] pick_cost cost(time_point now, const pick_candidate& candidate,
+                                 const service_averages& service) const;
+    /// Adds a candidate with its cost to the choice between zones.
+    void add_option(time_point now, zone_choice& choice, const pick_candidate& candidate,
+                    double value, const service_averages& service) const;
+    [[nodiscard]] pick_explanation::candidate
+    explain_candidate(time_point now, const pick_candidate& candidate,
+                      const service_averages& service) const;
     /// Records that the target was picked.
     incarnation_id note_pick(time_point now, const pick_candidate& target,
                              const pick_traits& traits);
--- a/src/dispatch/time_spent.cpp
+++ b/src/dispatch/time_spent.cpp
@@ -22,7 +22,18 @@
     if (routes_.size() >= max_routes && !routes_.contains(route)) {
         routes_.clear();
     }
-    auto& times = routes_[route];
+    return add(routes_[route], left);
+}
+
+milliseconds time_spent::estimate(const std::string& route, milliseconds left) const
+{
+    const auto found = routes_.find(route);
+    auto times = found == routes_.end() ? route_times{} : found->second;
+    return add(times, left);
+}
+
+milliseconds time_spent::add(route_times& times, milliseconds left)
+{
     if (left > times.longest_limit) {
         // The transfer to the host takes some of the time, so the time limits of first attempts
         // differ a little. Only a limit that is longer by more than 5 % resets the share of first
--- a/src/dispatch/time_spent.h
+++ b/src/dispatch/time_spent.h
@@ -22,12 +22,17 @@
     /// the route. Returns 0 for a first attempt, or if too few requests arrive with about that
     /// limit.
     milliseconds observe(const std::string& route, milliseconds left);
+    /// Returns what `observe` would return, and records nothing.
+    [[nodiscard]] milliseconds estimate(const std::string& route, milliseconds left) const;
 
 private:
     struct route_times {
         milliseconds longest_limit{0};  ///< longest time limit of a request
         double first_attempt_share = 1; ///< share of recent requests with about `longest_limit`
     };
+
+    static milliseconds add(route_times& times, milliseconds left);
+
     std::map<std::string, route_times, std::less<>> routes_;
 };
 
--- a/src/dispatch/zone_balance.cpp
+++ b/src/dispatch/zone_balance.cpp
@@ -255,9 +255,8 @@
     }
 }
 
-std::optional<std::size_t> zone_balance::draw(std::span<const zone_option> zones,
-                                              const zone_request& request,
-                                              std::mt19937_64& random) const
+std::vector<double> zone_balance::draw_shares(std::span<const zone_option> zones,
+                                              const zone_request& request) const
 {
     double weight = std::exp2(-static_cast<double>(std::min(request.rank, max_rank)));
     if (static_cast<double>(request.aim.count()) > long_aim * mean_aim_ms_) {
@@ -266,18 +265,14 @@
     // A zone that needs to give away nearly everything gives away requests of all ranks.
     const double total = share();
     weight += (1 - weight) * total;
-    double drawn = std::uniform_real_distribution<double>(0, 1)(random);
+    std::vector<double> result(zones.size());
     for (std::size_t i = 0; i < zones.size(); ++i) {
         const auto* state = find(zones[i].zone);
-        if (zones[i].own || !zones[i].expected_ms || state == nullptr) {
-            continue;
-        }
-        drawn -= state->share * weight;
-        if (drawn < 0) {
-            return i;
+        if (!zones[i].own && zones[i].expected_ms && state != nullptr) {
+            result[i] = state->share * weight;
         }
     }
-    return std::nullopt;
+    return result;
 }
 
 bool zone_balance::is_known_worse(std::string_view zone, std::string_view than) const
@@ -292,6 +287,29 @@
 std::optional<std::size_t> zone_balance::choose(std::span<const zone_option> zones,
                                                 const zone_request& request,
                                                 std::mt19937_64& random) const
+{
+    const auto planned = plan(zones, request);
+    if (planned.drawn.empty()) {
+        return planned.usual;
+    }
+    double drawn = std::uniform_real_distribution<double>(0, 1)(random);
+    for (std::size_t i = 0; i < planned.drawn.size(); ++i) {
+        drawn -= planned.drawn[i];
+        if (drawn < 0) {
+            return i;
+        }
+    }
+    return planned.usual;
+}
+
+std::optional<time_point> zone_balance::observed_at(std::string_view zone) const
+{
+    const auto* state = find(zone);
+    return state != nullptr && state->observations > 0 ? std::optional{state->last_observed}
+                                                       : std::nullopt;
+}
+
+zone_plan zone_balance::plan(std::span<const zone_option> zones, const zone_request& request) const
 {
     std::optional<std::size_t> own;
     std::optional<std::size_t> best;
@@ -307,7 +325,7 @@
         }
     }
     if (!own || !best || zones[*best].cold) {
-        return own ? own : best;
+        return {own ? own : best, false, {}};
     }
     const double margin = std::max(static_cast<double>(settings_.cost.count()),
                                    overflow_margin * static_cast<double>(request.aim.count()));
@@ -315,10 +333,9 @@
         request.refused_at_own ? zones[*own].expected_ms : zones[*own].expected_from_own_ms;
     if (expected_own.value_or(0) > *zones[*best].expected_ms + margin &&
         !is_known_worse(zones[*best].zone, zones[*own].zone)) {
-        return best;
+        return {best, true, {}};
     }
-    const auto drawn = draw(zones, request, random);
-    return drawn ? drawn : own;
+    return {own, false, draw_shares(zones, request)};
 }
 
 // The first observations count alike.
--- a/src/dispatch/zone_balance.h
+++ b/src/dispatch/zone_balance.h
@@ -55,6 +55,14 @@
 };
 [[nodiscard]] const char* to_text(zone_cause cause);
 
+/// How `zone_balance` decides on a request.
+struct zone_plan {
+    std::optional<std::size_t> usual; ///< index of the zone of requests that are not drawn
+    bool overflows = false;           ///< `usual` is faster than the own zone by a wide margin
+    /// Probability with which a request is drawn to each zone; empty: there is no draw.
+    std::vector<double> drawn;
+};
+
 /// Not thread-safe.
 class zone_balance {
 public:
@@ -70,6 +78,12 @@
                                                     const zone_request& request,
                                                     std::mt19937_64& random) const;
 
+    /// The decision of `choose` before its random draw. Precondition: as for `choose`.
+    [[nodiscard]] zone_plan plan(std::span<const zone_option> zones,
+                                 const zone_request& request) const;
+    /// When the latest answer or refusal of the zone was observed; none: there is none.
+    [[nodiscard]] std::optional<time_point> observed_at(std::string_view zone) const;
+
     /// A target of `zone` answered. `aim`: time that was left until the latency goal when the
     /// request was sent; not positive: the goal was already missed. `load`: running and waiting
     /// requests of the target for each slot; negative if unknown.
@@ -129,9 +143,8 @@
                 double elapsed_s);
     /// More requests to `zone` than to `than` were refused or late.
     [[nodiscard]] bool is_known_worse(std::string_view zone, std::string_view than) const;
-    [[nodiscard]] std::optional<std::size_t> draw(std::span<const zone_option> zones,
-                                                  const zone_request& request,
-                                                  std::mt19937_64& random) const;
+    [[nodiscard]] std::vector<double> draw_shares(std::span<const zone_option> zones,
+                                                  const zone_request& request) const;
 
     zone_balance_settings settings_;
     std::vector<zone_state> zones_; ///< few; found by linear search
--- a/src/routing/route_index.cpp
+++ b/src/routing/route_index.cpp
@@ -58,6 +58,24 @@
     return nullptr;
 }
 
+std::vector<const destination*>
+eligible_destinations(const route& chosen_route,
+                      const std::function<bool(const destination&)>& is_usable)
+{
+    std::vector<const destination*> result;
+    for (const auto& item : chosen_route.destinations) {
+        if (is_usable(item)) {
+            result.push_back(&item);
+        }
+    }
+    if (result.empty()) {
+        for (const auto& item : chosen_route.destinations) {
+            result.push_back(&item);
+        }
+    }
+    return result;
+}
+
 const destination& choose_destination(const route& chosen_route, double point)
 {
     return choose_destination(chosen_route, point, [](const destination&) { return true; });
@@ -66,15 +84,7 @@
 const destination& choose_destination(const route& chosen_route, double point,
                                       const std::function<bool(const destination&)>& is_usable)
 {
-    std::vector<const destination*> usable;
-    for (const auto& item : chosen_route.destinations) {
-        if (is_usable(item)) {
-            usable.push_back(&item);
-        }
-    }
-    if (usable.empty()) {
-        return choose_destination(chosen_route, point);
-    }
+    const auto usable = eligible_destinations(chosen_route, is_usable);
     const std::uint64_t total = std::accumulate(
         usable.begin(), usable.end(), std::uint64_t{0},
         [](std::uint64_t sum, const destination* item) { return sum + item->weight; });
--- a/src/routing/route_index.h
+++ b/src/routing/route_index.h
@@ -33,6 +33,11 @@
 /// Chooses a destination by weight. `point` is uniformly distributed in [0, 1). Precondition: the
 /// route has a destination.
 const destination& choose_destination(const route& chosen_route, double point);
+/// The destinations among which the choice is: those that are usable, or all if none is. Valid as
+/// long as the route.
+std::vector<const destination*>
+eligible_destinations(const route& chosen_route,
+                      const std::function<bool(const destination&)>& is_usable);
 /// As above, among the destinations that are usable, or among all if none is.
 const destination& choose_destination(const route& chosen_route, double point,
                                       const std::function<bool(const destination&)>& is_usable);
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -234,3 +234,62 @@
     LONGS_EQUAL(0, picks(1300, 50)[2]);
     CHECK(picks(1500, 50)[2] > 10);
 }
+
+// Guards against an explanation that changes what is picked afterwards, and against one that
+// differs from the picks: another target, another share that leaves the zone.
+TEST(target_picker, explanation_agrees_with_picks_and_changes_nothing)
+{
+    std::vector<pick_candidate> zones{{incarnation_id{1}, 4, true, false, "own"},
+                                      {incarnation_id{2}, 4, true, false, "own"},
+                                      {incarnation_id{3}, 4, false, false, "other"},
+                                      {incarnation_id{4}, 4, true, true, "own"}};
+    target_picker undisturbed;
+    std::mt19937_64 other_random{3};
+    std::map<std::uint64_t, int> picks;
+    double leaving = 0;
+    for (long now = 1; now < 4000; now += 2) {
+        // Targets of the own zone are slow, and one of them is slower, so that some requests leave.
+        std::optional<pick_explanation> report;
+        for (int i = 0; i < 2; ++i) {
+            report = picker.explain(at(now), zones, aim);
+        }
+        const auto picked = picker.pick(at(now), zones, {}, aim, random);
+        CHECK(picked == undisturbed.pick(at(now), zones, {}, aim, other_random));
+        if (now > 2000) {
+            CHECK(report->chosen != 1);
+            CHECK(report->candidates[1].cost.mean_answer_ms >
+                  report->candidates[0].cost.mean_answer_ms);
+            ++picks[picked->value];
+            for (const auto& zone : report->zones) {
+                leaving += zone.own ? 0 : zone.share;
+            }
+        }
+        for (auto* each : {&picker, &undisturbed}) {
+            each->on_sent(*picked);
+            const long took = picked->value == 2 ? 600 : picked->value == 3 ? 50 : 190;
+            each->on_answer(at(now), *picked, milliseconds{took}, 4, aim);
+        }
+    }
+    CHECK(leaving > 0);
+    // The draws of some hundred requests scatter by less than a tenth of their number.
+    DOUBLES_EQUAL(leaving, picks[3], 100);
+}
+
+// Guards against costs whose parts do not tell why a target is avoided.
+TEST(target_picker, explanation_names_failures_and_refusals)
+{
+    answer(1, 60, 20);
+    answer(2, 60, 20);
+    candidates[1].warming_up = true;
+    picker.on_sent(incarnation_id{1});
+    picker.on_failure(at(10), incarnation_id{1});
+    picker.on_sent(incarnation_id{2});
+    picker.on_warm_up_refusal(at(10), incarnation_id{2}, 1, milliseconds{500});
+    const auto report = picker.explain(at(110), candidates, aim);
+    CHECK(report->candidates[0].cost.failure_ms > 0);
+    LONGS_EQUAL(100, report->candidates[0].failure_age->count());
+    CHECK(report->candidates[1].cost.refusing_ms > 0);
+    LONGS_EQUAL(400, report->candidates[1].refusing_time->count());
+    CHECK(!report->candidates[2].cost.has_answers);
+    CHECK(!report->candidates[2].load_age);
+}
