Serve explanations of dispatch decisions at the metrics address

Cause: an operator cannot ask who owns a key, why a target gets nothing, or which limit is in force. Change: GET /explain tells where a request would go now and why. The decisions for keys, for services without a usable target and after a refusal of the owner are const functions that return a step, which the entry takes for requests and reports for questions.

--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -652,24 +652,41 @@
     return true;
 }
 
+const segment* member::segment_of(const std::string& service, std::uint32_t key) const
+{
+    const auto found =
+        std::find_if(view_.segments.begin(), view_.segments.end(), [&](const segment& item) {
+            return item.service == service && item.first <= key && key <= item.last;
+        });
+    return found == view_.segments.end() ? nullptr : &*found;
+}
+
 key_owner member::owner_of(const std::string& service, std::uint32_t key) const
 {
     key_owner result;
-    for (const auto& item : view_.segments) {
-        if (item.service != service || key < item.first || item.last < key) {
-            continue;
-        }
-        result.node = item.owner;
-        result.moving = item.releasing;
-        for (const auto& node : view_.nodes) {
-            if (node.node == item.owner) {
-                result.address = node.address;
-                result.zone = node.zone;
-            }
+    const auto* found = segment_of(service, key);
+    if (found == nullptr) {
+        return result;
+    }
+    result.node = found->owner;
+    result.moving = found->releasing;
+    for (const auto& node : view_.nodes) {
+        if (node.node == found->owner) {
+            result.address = node.address;
+            result.zone = node.zone;
         }
-        break;
     }
     return result;
 }
 
+std::optional<key_hold> member::hold_of(const std::string& service, std::uint32_t key) const
+{
+    for (const auto& item : held_ranges_) {
+        if (item.service == service && item.first <= key && key <= item.last) {
+            return key_hold{item.served_until, item.granted, item.releasing};
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace bulrushgw::assignment
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -67,6 +67,13 @@
     bool moving = false; ///< the owner is releasing the key, and its next owner is not known yet
 };
 
+/// The hold of a key by the target on this host.
+struct key_hold {
+    time_point served_until; ///< the target is certain to hold the key until this time
+    fence granted;           ///< of the last confirmed grant
+    bool releasing = false;
+};
+
 /// Not thread-safe.
 class member {
 public:
@@ -130,6 +137,12 @@
     /// Length of the last lease that the leader gave.
     [[nodiscard]] milliseconds lease_length() const { return lease_length_; }
     [[nodiscard]] key_owner owner_of(const std::string& service, std::uint32_t key) const;
+    /// The segment of the key in the directory of this node; null if there is none. Valid until the
+    /// directory changes.
+    [[nodiscard]] const segment* segment_of(const std::string& service, std::uint32_t key) const;
+    /// The hold of the key by the target on this host; none: it has none.
+    [[nodiscard]] std::optional<key_hold> hold_of(const std::string& service,
+                                                  std::uint32_t key) const;
     [[nodiscard]] const directory& view() const { return view_; }
     [[nodiscard]] std::uint64_t term() const { return term_; }
     /// How often the leadership of the term was transferred, to the knowledge of this node.
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -22,8 +22,6 @@
 /// a key takes as long as the running requests that the move waits for. A takeover after a failure
 /// takes longer than a client should be kept waiting.
 constexpr int owner_wait_divisor = 3;
-/// Retry-after time for clients when no better estimate is known.
-constexpr milliseconds default_retry_after{150};
 /// Upper bound on the number of nodes to which a request is sent in turn if each of them refuses
 /// it.
 constexpr std::uint32_t max_tries = 4;
@@ -177,20 +175,14 @@
     request.arrived = now;
     const auto client_time_left =
         parse_number<std::int64_t>(net::find_header(headers, names.deadline).value_or(""));
-    milliseconds time = client_time_left
-                            ? milliseconds{std::max<std::int64_t>(*client_time_left, 0)}
-                            : default_timeout;
-    if (route->timeout.count() > 0) {
-        time = std::min(time, route->timeout);
-    }
-    request.deadline = now + time;
+    const auto client_time =
+        client_time_left ? std::optional{milliseconds{*client_time_left}} : std::nullopt;
     const auto already_spent =
-        client_time_left ? time_spent_.observe(route->name, milliseconds{*client_time_left})
-                         : milliseconds{0};
-    const auto aim =
-        route->aim.count() > 0 ? route->aim - already_spent : time / default_aim_divisor;
-    request.aim = now + std::clamp(aim, milliseconds{0}, time);
-    request.owner_wait_end = now + time / owner_wait_divisor;
+        client_time ? time_spent_.observe(route->name, *client_time) : milliseconds{0};
+    const auto limits = limits_of(*route, client_time, already_spent);
+    request.deadline = now + limits.deadline;
+    request.aim = now + limits.aim;
+    request.owner_wait_end = now + limits.owner_wait;
     const auto key =
         parse_number<std::uint32_t>(net::find_header(headers, names.shard_key).value_or(""));
     if (request.sharded && key && *key < assignment::key_count) {
@@ -211,7 +203,7 @@
             }
         };
     }
-    request.timer = loop_.after(time, [this, id] { on_deadline(id); });
+    request.timer = loop_.after(limits.deadline, [this, id] { on_deadline(id); });
     retry_allowances_[request.service].on_request(now);
     auto& stored = pending_.emplace(id, std::move(request)).first->second;
     if (stored.sharded && !stored.key) {
@@ -223,6 +215,22 @@
     dispatch(stored);
 }
 
+entry::time_limits entry::limits_of(const routing::route& route,
+                                    std::optional<milliseconds> client_time,
+                                    milliseconds already_spent)
+{
+    time_limits result;
+    result.deadline = client_time ? std::max(*client_time, milliseconds{0}) : default_timeout;
+    if (route.timeout.count() > 0) {
+        result.deadline = std::min(result.deadline, route.timeout);
+    }
+    const auto aim =
+        route.aim.count() > 0 ? route.aim - already_spent : result.deadline / default_aim_divisor;
+    result.aim = std::clamp(aim, milliseconds{0}, result.deadline);
+    result.owner_wait = result.deadline / owner_wait_divisor;
+    return result;
+}
+
 void entry::dispatch(pending_request& request)
 {
     request.waits_for_owner = false;
@@ -236,46 +244,30 @@
 
 void entry::dispatch_keyed(pending_request& request)
 {
-    const auto owner = hooks_.member().owner_of(request.service, *request.key);
-    const bool has_owner = owner.node && !owner.address.empty() && !owner.moving;
-    if (has_owner && avoids_owner(request, owner.zone)) {
+    take(request, step_for_key(request.route, request.service, *request.key));
+}
+
+void entry::take(pending_request& request, const step& next)
+{
+    switch (next.action) {
+    case explained_action::send:
+        send(request, next.owner.node, next.owner.address);
+        return;
+    case explained_action::wait:
+        wait_for_owner(request, next.cause, next.why);
+        return;
+    case explained_action::refuse:
+        refuse(request, next.why, next.retry_after, next.cause);
         return;
-    }
-    if (!has_owner && is_restricted(request.route)) {
-        if (const auto why = unservable_reason(request.route, request.service)) {
-            refuse_unservable(request, *why);
-            return;
-        }
-    }
-    if (!owner.node || owner.address.empty()) {
-        wait_for_owner(request, "the key has no owner");
-    }
-    else if (owner.moving) {
-        wait_for_owner(request, "the key is moving");
-    }
-    else {
-        send(request, owner.node, owner.address);
     }
 }
 
 void entry::dispatch_balanced(pending_request& request)
 {
     const auto& view = hooks_.member().view();
-    std::vector<dispatch::pick_candidate> candidates;
-    for (const auto& node : view.nodes) {
-        if (node.target.service == request.service &&
-            node.target.phase == assignment::target_phase::ready &&
-            !exclusion_of(request.route, node.zone)) {
-            candidates.push_back({node.node, node.target.slots, node.zone == settings_.zone,
-                                  node.target.warming_up, node.zone});
-        }
-    }
+    const auto candidates = candidates_for(request.route, request.service);
     if (candidates.empty()) {
-        if (const auto why = unservable_reason(request.route, request.service)) {
-            refuse_unservable(request, *why);
-            return;
-        }
-        wait_for_owner(request, "the service has no target");
+        take(request, step_without_target(request.route, request.service));
         return;
     }
     const auto now = loop_.now();
@@ -496,24 +488,8 @@
         count_warm_up_refusal(request, reply);
     }
     if (request.sharded) {
-        // Only the owner of the key can run the request. The node that refused the request may have
-        // lost the key or its target.
-        const bool no_room =
-            why == reason::overloaded || why == reason::target_refused || why == reason::warming_up;
-        if (no_room) {
-            refuse(request, why, reply.retry_after, "the owner has no room");
-        }
-        else if (why == reason::shut_down) {
-            // The owner could not hand over its keys, so no target serves the keys until the
-            // owner's lease ends.
-            refuse(request, why, default_retry_after, "the owner stops");
-        }
-        else if (why == reason::zone_evacuated) {
-            await_evacuation(request);
-        }
-        else {
-            wait_for_owner(request, "the owner does not serve the key");
-        }
+        take(request,
+             step_after_owner_refused(request.route, request.service, why, reply.retry_after));
         return;
     }
     request.avoid.push_back(request.node);
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -22,6 +22,7 @@
 #include "routing/evacuations.h"
 #include "routing/regions.h"
 #include "routing/route_index.h"
+#include "sidecar/explain.h"
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
 #include "sidecar/part_sender.h"
@@ -55,8 +56,9 @@
     std::uint64_t warm_up_refusals = 0;  ///< by nodes whose targets warm up
 };
 
-/// Implemented in two files: requests (entry.cpp), and the exclusion of targets by regions and
-/// evacuations (entry_targets.cpp). Not thread-safe: runs on one loop.
+/// Implemented in three files: requests (entry.cpp), the exclusion of targets by regions and
+/// evacuations (entry_targets.cpp), and explanations (entry_explain.cpp). Not thread-safe: runs on
+/// one loop.
 class entry {
 public:
     struct hooks {
@@ -107,6 +109,12 @@
     /// Dispatches requests that wait for an owner or a target again. Call at least every 50 ms.
     void on_tick();
 
+    /// Tells what would happen to a request now, without sending it, see docs/design/explain.md.
+    /// Changes no state. Throws `explain_failure` if no decision can be made on such a request.
+    /// `ask_gate` tells what the gate of this node would do with a request that goes to its target.
+    [[nodiscard]] explanation
+    explain(const explain_query& query,
+            const std::function<gate_explanation(const wire::forward&)>& ask_gate) const;
     [[nodiscard]] const entry_counters& counters() const { return counters_; }
     [[nodiscard]] std::size_t pending() const { return pending_.size(); }
     /// The metrics of the traffic to each availability zone.
@@ -141,6 +149,55 @@
         net::loop::timer_id timer = 0;
     };
 
+    /// Retry-after time for clients when no better estimate is known.
+    static constexpr milliseconds default_retry_after{150};
+
+    /// What happens to a request to which no choice by load applies.
+    struct step {
+        explained_action action = explained_action::wait;
+        request::reason why = request::reason::no_owner; ///< if it is refused, at once or later
+        const char* cause = "";
+        milliseconds retry_after = default_retry_after;
+        assignment::key_owner owner; ///< receiver, if the request is sent
+    };
+
+    /// Times that count from the arrival of a request.
+    struct time_limits {
+        milliseconds deadline{0};
+        milliseconds aim{0};
+        milliseconds owner_wait{0}; ///< longest wait for an owner or a target
+    };
+
+    [[nodiscard]] static time_limits limits_of(const routing::route& route,
+                                               std::optional<milliseconds> client_time,
+                                               milliseconds already_spent);
+    [[nodiscard]] step step_for_key(const routing::route& route, const std::string& service,
+                                    std::uint32_t key) const;
+    /// For a service without a target that may run the request.
+    [[nodiscard]] step step_without_target(const routing::route& route,
+                                           const std::string& service) const;
+    [[nodiscard]] step step_out_of_evacuated_zone(const routing::route& route,
+                                                  const std::string& service) const;
+    /// For a request that the owner of its key refused as not run.
+    [[nodiscard]] step step_after_owner_refused(const routing::route& route,
+                                                const std::string& service, request::reason why,
+                                                milliseconds retry_after) const;
+    [[nodiscard]] static step unservable_step(request::reason why);
+    /// Sends or refuses the request, or makes it wait.
+    void take(pending_request& request, const step& next);
+    /// The targets that may run the request, for the choice by load.
+    [[nodiscard]] std::vector<dispatch::pick_candidate>
+    candidates_for(const routing::route& route, const std::string& service) const;
+    /// True if a request of the route may go to the destination.
+    [[nodiscard]] bool is_usable(const routing::route& route,
+                                 const routing::destination& item) const;
+    void explain_owner(explanation& report, const routing::route& route) const;
+    void explain_candidates(explanation& report, const routing::route& route) const;
+    void explain_destinations(explanation& report, const routing::route& route) const;
+    void explain_limits(explanation& report, const routing::route& route) const;
+    /// Applies what the gate of this node told about the request.
+    void apply_gate(explanation& report, const routing::route& route) const;
+    void set_step(explanation& report, const step& next) const;
     void dispatch(pending_request& request);
     void dispatch_keyed(pending_request& request);
     void dispatch_balanced(pending_request& request);
@@ -159,9 +216,6 @@
     /// Why regions or evacuations exclude all targets of the service; none: they do not.
     [[nodiscard]] std::optional<request::reason>
     unservable_reason(const routing::route& route, const std::string& service) const;
-    void refuse_unservable(pending_request& request, request::reason why);
-    bool avoids_owner(pending_request& request, const std::string& zone);
-    void await_evacuation(pending_request& request);
     void on_not_run(pending_request& request, const wire::forward_reply& reply);
     void count_warm_up_refusal(pending_request& request, const wire::forward_reply& reply);
     void on_unknown_outcome(pending_request& request, request::reason why);
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -131,31 +131,38 @@
     }
 }
 
-bool gate::ends_too_late(const active_request& entry) const
+bool gate::ends_too_late(const wire::forward& request) const
 {
     return exit_time_ &&
-           loop_.now() + max_run_to_mean_ratio * queue_.expected(entry.request.route) > *exit_time_;
+           loop_.now() + max_run_to_mean_ratio * queue_.expected(request.route) > *exit_time_;
 }
 
 void gate::admit(dispatch::ticket id)
 {
     const auto& entry = active_.at(id);
     const auto now = loop_.now();
-    if (ends_too_late(entry)) {
+    if (ends_too_late(entry.request)) {
         refuse(id, reason::shut_down, milliseconds{0}, "the node stops");
         return;
     }
-    dispatch::waiting_request waiting;
-    waiting.id = id;
-    waiting.kind = entry.request.route;
-    waiting.rank = entry.request.worth;
-    waiting.aim = now + entry.request.aim;
-    waiting.deadline = entry.deadline;
-    waiting.has_alternative = entry.request.has_alternative;
+    auto waiting = waiting_for(id, entry.request, now, entry.deadline);
     send_due_check();
     apply(queue_.offer(now, std::move(waiting)));
 }
 
+dispatch::waiting_request gate::waiting_for(dispatch::ticket id, const wire::forward& request,
+                                            time_point now, time_point deadline)
+{
+    dispatch::waiting_request waiting;
+    waiting.id = id;
+    waiting.kind = request.route;
+    waiting.rank = request.worth;
+    waiting.aim = now + request.aim;
+    waiting.deadline = deadline;
+    waiting.has_alternative = request.has_alternative;
+    return waiting;
+}
+
 void gate::apply(const dispatch::slot_decisions& decisions)
 {
     for (const auto& refused : decisions.refuse) {
@@ -232,7 +239,7 @@
                "the target stopped accepting the request while it was queued");
         return;
     }
-    if (ends_too_late(entry)) {
+    if (ends_too_late(request)) {
         refuse(id, reason::shut_down, milliseconds{0}, "the node stops");
         return;
     }
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -27,6 +27,20 @@
 /// The node that sent a request, and the request's number, unique for that node.
 using request_key = std::pair<incarnation_id, std::uint64_t>;
 
+/// What the gate would do with a request now.
+struct gate_explanation {
+    enum class verdict : std::uint8_t { start, queue, refuse };
+    verdict result = verdict::start;
+    request::reason why = request::reason::none; ///< of a refusal
+    milliseconds retry_after{0};                 ///< of a refusal; 0: no estimate
+    std::uint32_t slots = 0;
+    std::size_t running = 0;
+    std::size_t queued = 0;
+    milliseconds expected_work{0};
+    /// Time until the limit of a cold target allows the next start; none: starts are not limited.
+    std::optional<milliseconds> next_start;
+};
+
 /// Not thread-safe: runs on one loop.
 class gate {
 public:
@@ -60,6 +74,9 @@
     /// The reason for which the request would be refused now, whatever its load; none if it may
     /// run.
     [[nodiscard]] std::optional<request::reason> refusal_for(const wire::forward& request) const;
+    /// Tells what `run` would do with the request now. Decides on a copy of the queue, so the cost
+    /// is that of one more request, and changes no state.
+    [[nodiscard]] gate_explanation explain(const wire::forward& request) const;
     /// Cancels the request: removes it from the queue, or closes its connection to the target.
     /// Unknown keys are ignored.
     void cancel(request_key key);
@@ -165,7 +182,11 @@
     [[nodiscard]] wire::forward_reply reply_for(const active_request& entry,
                                                 const net::http_response& answer);
     /// True if the answer may arrive only after the exit of the process.
-    [[nodiscard]] bool ends_too_late(const active_request& entry) const;
+    [[nodiscard]] bool ends_too_late(const wire::forward& request) const;
+    /// The request as `slot_queue` takes it.
+    [[nodiscard]] static dispatch::waiting_request waiting_for(dispatch::ticket id,
+                                                               const wire::forward& request,
+                                                               time_point now, time_point deadline);
     void refuse_evacuated(dispatch::ticket id);
     [[nodiscard]] static std::uint32_t key_of(const wire::forward& request);
 
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -318,6 +318,10 @@
     metrics_server_ = std::make_unique<net::http_server>(
         loop_, settings_.addresses.metrics,
         [this](const net::http_exchange& exchange) {
+            if (is_explain_target(exchange.request.path)) {
+                on_explain(exchange);
+                return;
+            }
             const auto& member = coordination_.member();
             sidecar_gauges gauges;
             gauges.manifest_version = routes_ ? routes_->content().version : 0;
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -54,6 +54,7 @@
     void on_forward(const wire::frame& frame, const wire::forward& request);
     /// Returns false if the message was certainly not sent.
     bool send(const std::string& address, incarnation_id to, const wire::body& content);
+    void on_explain(const net::http_exchange& exchange);
     void on_control(const net::http_exchange& exchange);
     void on_ready(const net::http_exchange& exchange);
     void on_manifest(const std::string& text);
