--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -165,6 +165,13 @@
          "Run a node on the deployment platform, beside a target. On SIGTERM, moves its keys to "
          "other targets and then stops.",
          run_sidecar_command},
+        {"explain", "", 0, 0,
+         with_node_flags({"path", "host", "key", "service", "deadline_ms", "body_bytes"}),
+         "Print where a sidecar would send a request now and why, without sending it. --node is "
+         "the "
+         "metrics address of the sidecar; --service selects one of the destinations of the route. "
+         "The exit code is 0 also if the request would be refused, and 1 for all errors.",
+         explain_request},
         {"rules check",
          "FILE",
          1,
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -10,6 +10,7 @@
 
 exit_code run_node_command(const invocation& call);
 exit_code run_sidecar_command(const invocation& call);
+exit_code explain_request(const invocation& call);
 exit_code rules_check(const invocation& call);
 exit_code rules_submit(const invocation& call);
 exit_code rules_show(const invocation& call);
--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -23,6 +23,12 @@
 DEFINE_string(subject, "", "only events whose subject or observer is this incarnation");
 DEFINE_string(kind, "", "only this kind of event");
 DEFINE_bool(switched_off, false, "confirms that the host is switched off");
+DEFINE_string(path, "", "path of the request");
+DEFINE_string(host, "", "Host header of the request");
+// Text, so that the sidecar judges it as it judges the header of a request.
+DEFINE_string(key, "", "shard key of the request");
+DEFINE_uint32(deadline_ms, 0, "time for which the client waits, in ms; default: not specified");
+DEFINE_uint32(body_bytes, 0, "size of the request's body");
 
 namespace bulrushgw::cli {
 
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -27,6 +27,11 @@
 DECLARE_string(subject);
 DECLARE_string(kind);
 DECLARE_bool(switched_off);
+DECLARE_string(path);
+DECLARE_string(host);
+DECLARE_string(key);
+DECLARE_uint32(deadline_ms);
+DECLARE_uint32(body_bytes);
 
 namespace bulrushgw::cli {
 
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -82,6 +82,9 @@
         {"status", "extra"},
         {"node"},
         {"rules", "check", "/does/not/exist"},
+        {"explain"},
+        {"explain", "--path=/a"},
+        {"explain", "--node=127.0.0.1:1"},
         {"hosts", "assert-ended", "00000000000000ab", "--operator=amina"}};
     for (const auto& arguments : wrong) {
         LONGS_EQUAL(2, call(arguments));
