--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -73,6 +73,8 @@
     }
     std::string state = is_set(candidate, "/full") ? "full" : "usable";
     state += is_set(candidate, "/warming_up") ? ", warms up" : "";
+    const auto refusing = ms_at(candidate, "/accepts_after_ms");
+    state += refusing == "-" ? "" : ", refuses for " + refusing;
     state += is_set(candidate, "/trial_due") ? ", trial is due" : "";
     return state;
 }
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -191,6 +191,7 @@
     /// True if a request of the route may go to the destination.
     [[nodiscard]] bool is_usable(const routing::route& route,
                                  const routing::destination& item) const;
+    void explain_sources(explanation& report, const routing::route& route) const;
     void explain_owner(explanation& report, const routing::route& route) const;
     void explain_candidates(explanation& report, const routing::route& route) const;
     void explain_destinations(explanation& report, const routing::route& route) const;
--- a/src/sidecar/entry_explain.cpp
+++ b/src/sidecar/entry_explain.cpp
@@ -219,30 +219,18 @@
     }
 }
 
-explanation
-entry::explain(const explain_query& query,
-               const std::function<gate_explanation(const wire::forward&)>& ask_gate) const
+// The route, and the versions and ages of what the decision is based on.
+void entry::explain_sources(explanation& report, const routing::route& route) const
 {
-    if (!routes_) {
-        throw explain_failure(status_unavailable, "no-manifest", "no manifest is known yet");
-    }
-    const auto* route = routes_->find(query.host, query.path);
-    if (route == nullptr) {
-        throw explain_failure(status_not_found, "no-route",
-                              "no route for host \"" + query.host + "\" and path \"" + query.path +
-                                  "\"");
-    }
     const auto now = loop_.now();
     const auto& member = hooks_.member();
     const auto age_of = [&](time_point then) {
         return std::chrono::duration_cast<milliseconds>(now - then);
     };
-    explanation report;
-    report.query = query;
     report.manifest_version = routes_->content().version;
-    report.route = route->name;
-    report.rank = route->rank;
-    report.idempotent = route->idempotent;
+    report.route = route.name;
+    report.rank = route.rank;
+    report.idempotent = route.idempotent;
     report.directory_term = member.view().term;
     report.directory_version = member.view().version;
     if (member.leader_heard() != time_point{}) {
@@ -252,6 +240,24 @@
     if (const auto confirmed = hooks_.evacuations().confirmed_at()) {
         report.evacuations_age = age_of(*confirmed);
     }
+}
+
+explanation
+entry::explain(const explain_query& query,
+               const std::function<gate_explanation(const wire::forward&)>& ask_gate) const
+{
+    if (!routes_) {
+        throw explain_failure(status_unavailable, "no-manifest", "no manifest is known yet");
+    }
+    const auto* route = routes_->find(query.host, query.path);
+    if (route == nullptr) {
+        throw explain_failure(status_not_found, "no-route",
+                              "no route for host \"" + query.host + "\" and path \"" + query.path +
+                                  "\"");
+    }
+    explanation report;
+    report.query = query;
+    explain_sources(report, *route);
     explain_destinations(report, *route);
     explain_limits(report, *route);
     if (report.sharded) {
--- a/tests/dispatch/retry_allowance_test.cpp
+++ b/tests/dispatch/retry_allowance_test.cpp
@@ -67,3 +67,24 @@
     CHECK(retries_at_callee > 0);
     CHECK(retries_at_callee <= 0.2 * requests + 50);
 }
+
+// Guards against a figure for operators that still counts retries and requests that left the
+// window.
+TEST(retry_allowance, expired_entries_do_not_count_in_what_is_left)
+{
+    retry_allowance allowance;
+    allowance.configure({0.5, 16, milliseconds{1000}, 1});
+    const time_point start(milliseconds{1});
+    DOUBLES_EQUAL(4, allowance.left(start), 1e-9);
+    for (int i = 0; i < 8; ++i) {
+        allowance.on_request(start);
+    }
+    DOUBLES_EQUAL(5, allowance.left(start), 1e-9);
+    CHECK(allowance.try_spend(start));
+    DOUBLES_EQUAL(4, allowance.left(start), 1e-9);
+    DOUBLES_EQUAL(4, allowance.left(start + milliseconds{1001}), 1e-9);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(allowance.try_spend(start));
+    }
+    DOUBLES_EQUAL(4, allowance.left(start + milliseconds{1001}), 1e-9);
+}
--- a/tests/dispatch/time_spent_test.cpp
+++ b/tests/dispatch/time_spent_test.cpp
@@ -45,3 +45,17 @@
     times.observe("long", milliseconds{5000});
     LONGS_EQUAL(0, times.observe("short", milliseconds{400}).count());
 }
+
+// Guards against an estimate that differs from what the next request gets, and against one that
+// counts as a request.
+TEST(time_spent, estimate_agrees_with_the_next_request)
+{
+    time_spent times;
+    std::mt19937 random(3);
+    for (int i = 0; i < 200; ++i) {
+        const milliseconds left{i % 4 == 0 ? 300 + random() % 600 : 1000};
+        const auto estimate = times.estimate("r", left);
+        LONGS_EQUAL(estimate.count(), times.estimate("r", left).count());
+        LONGS_EQUAL(estimate.count(), times.observe("r", left).count());
+    }
+}
