--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -12,6 +12,7 @@
 #include <tuple>
 #include <vector>
 
+#include "bench/dispatch_parties.h"
 #include "dispatch/retry_allowance.h"
 #include "dispatch/slot_queue.h"
 #include "dispatch/target_picker.h"
@@ -32,44 +33,6 @@
 constexpr std::array<std::string_view, availability_zones> zone_names{"a", "b", "c"};
 
 using callback = std::function<void()>;
-using outcome_callback = std::function<void(bool answered)>;
-
-struct request_state {
-    const load_kind* kind = nullptr;
-    std::size_t entry = 0;
-    time_point first_sent; ///< of the client's first attempt
-    time_point aim;
-    time_point deadline;
-    int returns = 0; ///< how often the client has returned after a refusal
-    std::uint32_t tries = 0;
-    std::vector<incarnation_id> avoid;
-    incarnation_id node; ///< to which the request was sent last
-    bool ended = false;
-    outcome_callback on_call_end; ///< only for calls of runs
-};
-using request_ptr = std::shared_ptr<request_state>;
-
-struct waiting_or_running {
-    request_ptr request;
-    time_point sent;
-    time_point started;
-};
-
-struct entry_node {
-    std::size_t zone = 0;
-    dispatch::target_picker picker;
-    dispatch::time_spent spent;
-    std::map<std::string, dispatch::retry_allowance> allowances;
-};
-
-struct model_target {
-    const load_service* service = nullptr;
-    std::size_t index = 0; ///< within the service
-    std::size_t zone = 0;
-    incarnation_id node;
-    dispatch::slot_queue queue{0};
-    std::map<dispatch::ticket, waiting_or_running> jobs;
-};
 
 class model {
 public:
@@ -91,7 +54,8 @@
     [[nodiscard]] double uniform();
     [[nodiscard]] const load_kind& kind_of(const std::string& name) const;
     [[nodiscard]] double strength(target_fault kind, const model_target& target) const;
-    [[nodiscard]] bool is_stopped(const model_target& target) const;
+    /// Time until the link of the target's host transfers again.
+    [[nodiscard]] boot_clock::duration silence_left(const model_target& target) const;
 
     // Clients.
     void schedule_arrival(const load_kind& kind);
@@ -104,13 +68,17 @@
     void on_refusal(const request_ptr& request, model_target& target, bool reached_target,
                     milliseconds retry_after);
 
+    void report_intake(const request_ptr& request, const model_target& target);
+
     // Targets.
+    void receive(const request_ptr& request, model_target& target);
     void admit(const request_ptr& request, model_target& target);
     void apply(model_target& target, const dispatch::slot_decisions& decisions);
     void start(model_target& target, dispatch::ticket id);
     void call(model_target& target, dispatch::ticket id, const nested_call& wanted, int done,
               milliseconds rest);
     void finish(model_target& target, dispatch::ticket id, bool answered);
+    void on_reply(const request_ptr& request, const model_target& target, bool answered, int load);
     void tick();
 
     const load_scenario& scenario_;
@@ -124,10 +92,11 @@
     std::vector<entry_node> entries_;
     std::vector<std::unique_ptr<model_target>> targets_;
     load_figures figures_;
+    silence_counts silences_;
 };
 
 model::model(const load_scenario& scenario, const decision_policy& policy, std::uint64_t seed)
-    : scenario_(scenario), policy_(policy), random_(seed)
+    : scenario_(scenario), policy_(policy), random_(seed), silences_(scenario)
 {
     for (const auto& service : scenario.services) {
         for (std::size_t i = 0; i < service.speeds.size(); ++i) {
@@ -137,13 +106,19 @@
             target->zone = targets_.size() % availability_zones;
             target->node = incarnation_id{targets_.size() + 1};
             target->queue = dispatch::slot_queue(service.slots, policy.queue);
-            entry_node entry;
-            entry.zone = target->zone;
-            entry.picker = dispatch::target_picker(policy.picks);
-            entries_.push_back(std::move(entry));
+            if (!service.link_mbps.empty()) {
+                target->link = body_link(service.link_mbps.at(i));
+            }
             targets_.push_back(std::move(target));
         }
     }
+    const std::size_t entries = scenario.entries > 0 ? scenario.entries : targets_.size();
+    for (std::size_t i = 0; i < entries; ++i) {
+        entry_node entry;
+        entry.zone = i % availability_zones;
+        entry.picker = dispatch::target_picker(policy.picks);
+        entries_.push_back(std::move(entry));
+    }
 }
 
 void model::after(boot_clock::duration delay, callback action)
@@ -168,19 +143,12 @@
 
 double model::strength(target_fault kind, const model_target& target) const
 {
-    for (const auto& fault : scenario_.faults) {
-        if (fault.kind == kind && fault.service == target.service->name &&
-            fault.target == target.index && now_ >= begin_ + fault.from &&
-            now_ < begin_ + fault.to) {
-            return fault.strength;
-        }
-    }
-    return 0;
+    return fault_strength(scenario_, kind, target.service->name, target.index, now_ - begin_);
 }
 
-bool model::is_stopped(const model_target& target) const
+boot_clock::duration model::silence_left(const model_target& target) const
 {
-    return strength(target_fault::stop, target) > 0;
+    return bench::silence_left(scenario_, target.service->name, target.index, now_ - begin_);
 }
 
 void model::schedule_arrival(const load_kind& kind)
@@ -206,6 +174,7 @@
     request->first_sent = first_sent;
     request->deadline = deadline;
     request->returns = returns;
+    request->body_bytes = random_body_bytes(kind, random_);
     request->on_call_end = std::move(on_call_end);
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - now_);
     const auto observed = entries_[entry].spent.observe(kind.name, left);
@@ -213,8 +182,10 @@
     request->aim = now_ + std::clamp(kind.aim - spent, milliseconds{0}, left);
     entries_[entry].allowances[kind.service].on_request(now_);
     after(left, [this, request] {
-        if (!request->ended) {
-            entries_[request->entry].picker.on_overdue(now_, request->node);
+        if (std::exchange(request->in_flight, false)) {
+            auto& picker = entries_[request->entry].picker;
+            picker.on_overdue(now_, sent_of(*request));
+            picker.on_cancelled(now_, sent_of(*request));
         }
         end(request, false, std::nullopt);
     });
@@ -263,15 +234,17 @@
     auto& entry = entries_[request->entry];
     std::vector<dispatch::pick_candidate> candidates;
     for (const auto& target : targets_) {
-        if (target->service->name == request->kind->service && !is_stopped(*target)) {
+        if (target->service->name == request->kind->service &&
+            strength(target_fault::stop, *target) <= 0) {
             candidates.push_back({target->node, target->service->slots, target->zone == entry.zone,
                                   false, zone_names.at(target->zone)});
         }
     }
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request->aim - now_));
-    const auto picked = entry.picker.pick(now_, candidates, request->avoid, aim, random_,
-                                          {request->kind->service, request->kind->rank});
+    const auto picked =
+        entry.picker.pick(now_, candidates, request->avoid, aim, random_,
+                          {request->kind->service, request->kind->rank, request->body_bytes});
     if (!picked) {
         const auto retry_ms = static_cast<double>(default_retry_after.count());
         const auto extra = milliseconds{std::lround(uniform() * retry_ms / 2)};
@@ -280,27 +253,31 @@
     }
     ++request->tries;
     request->node = *picked;
-    entry.picker.on_sent(*picked);
+    request->sent = now_;
+    request->in_flight = true;
+    entry.picker.on_sent(sent_of(*request));
     auto& target = **std::find_if(targets_.begin(), targets_.end(),
                                   [&](const auto& item) { return item->node == *picked; });
+    silences_.on_sent(now_ - begin_, target.service->name, target.index);
     auto& zone = figures_.zones[entry.zone];
     ++zone.sent;
     zone.sent_to_other += target.zone == entry.zone ? 0 : 1;
-    after(hop_delay, [this, request, &target] { admit(request, target); });
+    after(hop_delay + silence_left(target), [this, request, &target] { receive(request, target); });
 }
 
 void model::on_refusal(const request_ptr& request, model_target& target, bool reached_target,
                        milliseconds retry_after)
 {
+    if (!std::exchange(request->in_flight, false)) {
+        return;
+    }
     auto& entry = entries_[request->entry];
     const bool counts = reached_target && policy_.counts_target_refusals;
     const auto report =
         counts ? &dispatch::target_picker::on_target_refusal : &dispatch::target_picker::on_refusal;
-    (entry.picker.*report)(now_, target.node,
+    report_intake(request, target);
+    (entry.picker.*report)(now_, sent_of(*request),
                            static_cast<int>(target.queue.running() + target.queue.queued()));
-    if (request->ended) {
-        return;
-    }
     request->avoid.push_back(target.node);
     const bool may_repeat =
         !reached_target || entry.allowances[request->kind->service].try_spend(now_);
@@ -311,8 +288,33 @@
     dispatch(request);
 }
 
+// The target's host is told of the request. A body that cannot arrive in time is refused at once.
+void model::receive(const request_ptr& request, model_target& target)
+{
+    const auto arrival = request->body_bytes > 0 ? target.link.arrival(now_, request->body_bytes)
+                                                 : target.link.small_message_delay(now_);
+    if (now_ + arrival + request->kind->work > request->deadline) {
+        const auto wait =
+            std::chrono::duration_cast<milliseconds>(target.link.wait(now_)) + tick_interval;
+        after(hop_delay,
+              [this, request, &target, wait] { on_refusal(request, target, false, wait); });
+        return;
+    }
+    target.link.add(now_, request->body_bytes);
+    after(arrival, [this, request, &target] { admit(request, target); });
+}
+
+void model::report_intake(const request_ptr& request, const model_target& target)
+{
+    entries_[request->entry].picker.on_intake_wait(
+        now_, target.node, std::chrono::duration_cast<milliseconds>(target.link.wait(now_)));
+}
+
 void model::admit(const request_ptr& request, model_target& target)
 {
+    if (!request->in_flight) {
+        return;
+    }
     const dispatch::ticket id = next_ticket_++;
     target.jobs[id] = {request, now_, {}};
     apply(target, target.queue.offer(now_, {id, request->kind->name, request->kind->rank,
@@ -323,7 +325,7 @@
 {
     for (const auto& refused : decisions.refuse) {
         const auto job = target.jobs.extract(refused.id);
-        after(hop_delay,
+        after(hop_delay + silence_left(target),
               [this, request = job.mapped().request, &target, wait = refused.retry_after] {
                   on_refusal(request, target, false, wait);
               });
@@ -390,21 +392,40 @@
 {
     const auto job = target.jobs.extract(id);
     const auto& request = job.mapped().request;
-    auto& picker = entries_[request->entry].picker;
     const bool in_time = answered && now_ <= request->deadline;
-    if (in_time) {
-        picker.on_answer(
-            now_, target.node, std::chrono::duration_cast<milliseconds>(now_ - job.mapped().sent),
-            static_cast<int>(target.queue.running() + target.queue.queued()),
-            std::chrono::duration_cast<milliseconds>(request->aim - job.mapped().sent));
+    const int load = static_cast<int>(target.queue.running() + target.queue.queued());
+    const auto delay = silence_left(target);
+    if (delay > boot_clock::duration{}) {
+        after(delay, [this, request, &target, in_time, load] {
+            on_reply(request, target, in_time, load);
+        });
     }
     else {
-        picker.on_failure(now_, target.node);
+        on_reply(request, target, in_time, load);
     }
-    end(request, in_time, std::nullopt);
     apply(target, target.queue.finish(now_, id, in_time));
 }
 
+void model::on_reply(const request_ptr& request, const model_target& target, bool answered,
+                     int load)
+{
+    if (!std::exchange(request->in_flight, false)) {
+        return;
+    }
+    auto& picker = entries_[request->entry].picker;
+    const auto sent = sent_of(*request);
+    report_intake(request, target);
+    if (answered) {
+        picker.on_answer(now_, sent, std::chrono::duration_cast<milliseconds>(now_ - request->sent),
+                         load,
+                         std::chrono::duration_cast<milliseconds>(request->aim - request->sent));
+    }
+    else {
+        picker.on_failure(now_, sent);
+    }
+    end(request, answered, std::nullopt);
+}
+
 void model::tick()
 {
     for (const auto& target : targets_) {
@@ -436,33 +457,12 @@
         now_ = next.at;
         next.action();
     }
+    figures_.silence = silences_.figures();
     return std::move(figures_);
 }
 
 } // namespace
 
-double load_figures::worth_share() const
-{
-    return worth_owed > 0 ? worth_earned / worth_owed : 0;
-}
-
-double load_figures::served_share() const
-{
-    std::uint64_t asked = 0;
-    std::uint64_t served = 0;
-    for (const auto& [name, counts] : kinds) {
-        asked += counts.asked;
-        served += counts.in_aim + counts.late;
-    }
-    return asked > 0 ? static_cast<double>(served) / static_cast<double>(asked) : 0;
-}
-
-double load_figures::nines() const
-{
-    constexpr double best = 1e-6;
-    return -std::log10(std::max(best, 1 - served_share()));
-}
-
 load_figures play_load(const load_scenario& scenario, const decision_policy& policy,
                        std::uint64_t seed)
 {
--- a/bench/dispatch_scenario.h
+++ b/bench/dispatch_scenario.h
@@ -31,18 +31,23 @@
     milliseconds deadline{0};
     int client_retries = 0; ///< how often a client returns after a refusal
     std::vector<nested_call> calls;
+    std::size_t body_bytes = 0; ///< mean; 0: no body
 };
 
 struct load_service {
     std::string name;
     std::vector<double> speeds; ///< one target each
     std::uint32_t slots = 1;
+    std::vector<double> link_mbps = {}; ///< of the target's host; empty: unlimited
 };
 
 enum class target_fault {
     slow, ///< runs take `strength` times as long
     shed, ///< the target rejects this share of its requests itself
     stop, ///< the target takes no requests
+    /// The link of the target's host transfers nothing. What was sent meanwhile arrives at the end,
+    /// unless the request was cancelled.
+    silence,
 };
 
 struct fault_window {
@@ -59,6 +64,7 @@
     std::vector<load_service> services;
     std::vector<load_kind> kinds;
     std::vector<fault_window> faults;
+    std::size_t entries = 0; ///< hosts that receive requests of clients; 0: one for each target
     milliseconds length{30000};
 };
 
--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -76,20 +76,24 @@
     const auto refusing = ms_at(candidate, "/accepts_after_ms");
     state += refusing == "-" ? "" : ", refuses for " + refusing;
     state += is_set(candidate, "/trial_due") ? ", trial is due" : "";
+    state += is_set(candidate, "/avoided") ? ", does not answer" : "";
+    state += is_set(candidate, "/probe_due") ? ", probe is due" : "";
     return state;
 }
 
 void print_candidates(const invocation& call, const ordered_json& body)
 {
-    table rows({"HOST", "ZONE", "COST MS", "MEAN MS", "SLOWDOWN", "LOAD", "SLOTS", "QUEUEING",
-                "FAILURES MS", "OWN", "LOAD AGE MS", "STATE"});
+    table rows({"HOST", "ZONE", "COST MS", "MEAN MS", "SLOWDOWN", "UNANSWERED MS", "LOAD", "SLOTS",
+                "QUEUEING", "FAILURES MS", "BODY WAIT MS", "BODY MS", "OWN", "LOAD AGE MS",
+                "STATE"});
     for (const auto& item : body.at("candidates")) {
         rows.add({text_at(item, "/host"), text_at(item, "/zone"), text_at(item, "/cost_ms"),
                   text_at(item, "/cost/mean_answer_ms"), text_at(item, "/cost/slowdown"),
-                  text_at(item, "/cost/load"), text_at(item, "/slots"),
-                  text_at(item, "/cost/queueing"), text_at(item, "/cost/failure_ms"),
-                  text_at(item, "/own_in_flight"), text_at(item, "/age_ms/load"),
-                  candidate_state(item)});
+                  text_at(item, "/cost/unanswered_ms"), text_at(item, "/cost/load"),
+                  text_at(item, "/slots"), text_at(item, "/cost/queueing"),
+                  text_at(item, "/cost/failure_ms"), text_at(item, "/cost/intake_wait_ms"),
+                  text_at(item, "/cost/transfer_ms"), text_at(item, "/own_in_flight"),
+                  text_at(item, "/age_ms/load"), candidate_state(item)});
     }
     call.out << rows.text();
     if (text_at(body, "/candidates_left_out") != "0") {
--- a/src/dispatch/target_picker_explain.cpp
+++ b/src/dispatch/target_picker_explain.cpp
@@ -17,12 +17,16 @@
 
 pick_explanation::candidate target_picker::explain_candidate(time_point now,
                                                              const pick_candidate& candidate,
-                                                             const service_averages& service) const
+                                                             const service_averages& service,
+                                                             const zone_balance& balance,
+                                                             std::size_t body_bytes) const
 {
     pick_explanation::candidate result;
-    result.cost = cost(now, candidate, service);
+    result.cost = cost(now, candidate, service, body_bytes);
     result.total_ms = result.cost.answer_ms() + result.cost.refusing_ms;
     if (const auto* stats = find(candidate.node)) {
+        result.probe_due = settings_.unanswered.probes && result.cost.is_avoided() &&
+                           stats->probes.is_certainly_due(now) && may_probe(candidate, balance);
         result.own_in_flight = stats->own_in_flight;
         result.answer_age = age_of(now, stats->answered_at);
         result.load_age = age_of(now, stats->load_reported_at);
@@ -44,13 +48,15 @@
 {
     const auto service = averages_over(candidates);
     zone_choice choice{{}, {}, {aim, traits.rank, false}};
+    const auto known = balances_.find(traits.service);
+    auto balance = known == balances_.end() ? zone_balance(settings_.zones) : known->second;
     pick_explanation result;
     for (const auto& candidate : candidates) {
-        result.candidates.push_back(explain_candidate(now, candidate, service));
-        add_option(now, choice, candidate, result.candidates.back().total_ms, service);
+        result.candidates.push_back(
+            explain_candidate(now, candidate, service, balance, traits.body_bytes));
+        add_option(now, choice, candidate, result.candidates.back().total_ms, service,
+                   traits.body_bytes);
     }
-    const auto known = balances_.find(traits.service);
-    auto balance = known == balances_.end() ? zone_balance(settings_.zones) : known->second;
     balance.update(now, choice.zones, aim);
     const auto plan = balance.plan(choice.zones, choice.request);
     if (!plan.usual) {
@@ -71,11 +77,12 @@
                          [](const auto& a, const auto& b) { return a.share < b.share; });
     result.chosen = main->best;
     result.cause = plan.overflows ? pick_cause::own_zone_overflow : pick_cause::lowest_cost;
-    const auto trial = std::find_if(result.candidates.begin(), result.candidates.end(),
-                                    [](const auto& item) { return item.trial_due; });
-    if (trial != result.candidates.end()) {
-        result.chosen = static_cast<std::size_t>(trial - result.candidates.begin());
-        result.cause = pick_cause::trial;
+    const auto due =
+        std::find_if(result.candidates.begin(), result.candidates.end(),
+                     [](const auto& item) { return item.trial_due || item.probe_due; });
+    if (due != result.candidates.end()) {
+        result.chosen = static_cast<std::size_t>(due - result.candidates.begin());
+        result.cause = due->trial_due ? pick_cause::trial : pick_cause::probe;
     }
     return result;
 }
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -83,14 +83,24 @@
 entry::entry(net::loop& loop, entry_settings settings, const platform_protocol& protocol,
              std::uint64_t seed, hooks callbacks)
     : loop_(loop), settings_(std::move(settings)), protocol_(protocol), random_(seed),
-      hooks_(std::move(callbacks)), picker_({settings_.zones}),
-      parts_({[this](const std::string& address, incarnation_id to, const wire::body& content) {
-                  return hooks_.send(address, to, content);
-              },
-              [this](std::uint64_t number) { return body_of(number); }})
+      hooks_(std::move(callbacks)), picker_({settings_.zones}), parts_(make_part_sender())
 {
 }
 
+part_sender entry::make_part_sender()
+{
+    part_sender::hooks hooks;
+    hooks.now = [this] { return loop_.now(); };
+    hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
+        return hooks_.send(address, to, content);
+    };
+    hooks.body_of = [this](std::uint64_t number) { return body_of(number); };
+    hooks.call_on_rate_after = [this](milliseconds time) {
+        loop_.after(time, [this] { parts_.on_rate(); });
+    };
+    return {settings_.link_mbps, std::move(hooks)};
+}
+
 void entry::set_retry_limits(const dispatch::allowance_settings& retries)
 {
     settings_.retries = retries;
@@ -180,6 +190,7 @@
     const auto already_spent =
         client_time ? time_spent_.observe(route->name, *client_time) : milliseconds{0};
     const auto limits = limits_of(*route, client_time, already_spent);
+    request.client_deadline = now + limits.client_deadline;
     request.deadline = now + limits.deadline;
     request.aim = now + limits.aim;
     request.owner_wait_end = now + limits.owner_wait;
@@ -220,10 +231,10 @@
                                     milliseconds already_spent)
 {
     time_limits result;
-    result.deadline = client_time ? std::max(*client_time, milliseconds{0}) : default_timeout;
-    if (route.timeout.count() > 0) {
-        result.deadline = std::min(result.deadline, route.timeout);
-    }
+    result.client_deadline =
+        client_time ? std::max(*client_time, milliseconds{0}) : default_timeout;
+    result.deadline = route.timeout.count() > 0 ? std::min(result.client_deadline, route.timeout)
+                                                : result.client_deadline;
     const auto aim =
         route.aim.count() > 0 ? route.aim - already_spent : result.deadline / default_aim_divisor;
     result.aim = std::clamp(aim, milliseconds{0}, result.deadline);
@@ -274,7 +285,7 @@
     const auto aim =
         std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(request.aim - now));
     const auto picked = picker_.pick(now, candidates, request.avoid, aim, random_,
-                                     {request.service, request.route.rank});
+                                     {request.service, request.route.rank, request.body->size()});
     if (!picked && request.warm_up_refusals > 0) {
         refuse(request, reason::warming_up, request.warm_up_wait, "all targets refused");
         return;
@@ -293,6 +304,11 @@
     send(request, *picked, node->address);
 }
 
+dispatch::sent_request entry::sent_of(const pending_request& request)
+{
+    return {request.node, request.sent, request.body->size()};
+}
+
 wire::forward entry::message_for(const pending_request& request) const
 {
     const auto now = loop_.now();
@@ -338,7 +354,7 @@
     ++request.tries;
     ++request.sends;
     requests_by_number_[request.number] = id;
-    picker_.on_sent(node);
+    picker_.on_sent(sent_of(request));
     wire::forward message = message_for(request);
     const std::string& body = *request.body;
     const auto self = hooks_.self();
@@ -402,7 +418,8 @@
                          found->second.number == reply.number && found->second.node == from &&
                          found->second.request_id == reply.request_id;
     if (!matches) {
-        ++counters_.foreign_replies;
+        // The host of a target also replies to a cancellation after which nobody waits.
+        counters_.foreign_replies += detail::is_cancellation_reply(reply) ? 0 : 1;
         return nullptr;
     }
     requests_by_number_.erase(number);
@@ -425,6 +442,10 @@
 void entry::on_reply(incarnation_id from, const wire::forward_reply& reply)
 {
     successive_timeouts_.erase(from);
+    if (pending_request* cancelled = find_cancelled(from, reply)) {
+        on_reply_after_cancellation(*cancelled, reply);
+        return;
+    }
     pending_request* request = find_in_flight(from, reply);
     if (request == nullptr) {
         return;
@@ -432,15 +453,17 @@
     request->in_flight = false;
     parts_.stop(request->number);
     const auto now = loop_.now();
+    const auto sent = sent_of(*request);
     picker_.on_work_percent(now, from, reply.work_percent);
+    picker_.on_intake_wait(now, from, reply.intake_wait);
     switch (reply.outcome) {
     case wire::forward_outcome::answered:
         if (reply.status >= min_failure_status) {
-            picker_.on_failure(now, from);
+            picker_.on_failure(now, sent);
         }
         else {
             picker_.on_answer(
-                now, from, std::chrono::duration_cast<milliseconds>(now - request->sent),
+                now, sent, std::chrono::duration_cast<milliseconds>(now - request->sent),
                 static_cast<int>(reply.load),
                 std::chrono::duration_cast<milliseconds>(request->aim - request->sent));
         }
@@ -454,19 +477,19 @@
     case wire::forward_outcome::not_run:
     case wire::forward_outcome::not_owner:
         if (request::reason_of(reply.reason, reason::target_refused) == reason::target_refused) {
-            picker_.on_target_refusal(now, from, static_cast<int>(reply.load));
+            picker_.on_target_refusal(now, sent, static_cast<int>(reply.load));
         }
         else if (request::reason_of(reply.reason, reason::none) == reason::warming_up) {
-            picker_.on_warm_up_refusal(now, from, static_cast<int>(reply.load), reply.retry_after);
+            picker_.on_warm_up_refusal(now, sent, static_cast<int>(reply.load), reply.retry_after);
         }
         else {
-            picker_.on_refusal(now, from, static_cast<int>(reply.load));
+            picker_.on_refusal(now, sent, static_cast<int>(reply.load));
         }
         --request->sends;
         on_not_run(*request, reply);
         return;
     case wire::forward_outcome::unknown:
-        picker_.on_failure(now, from);
+        picker_.on_failure(now, sent);
         on_unknown_outcome(*request, request::reason_of(reply.reason, reason::connection_lost));
         return;
     }
@@ -538,7 +561,8 @@
 {
     std::vector<std::uint64_t> affected;
     for (const auto& [id, request] : pending_) {
-        if (request.in_flight && request.address == address && request.node != hooks_.self()) {
+        const bool awaits_reply = request.in_flight || request.is_cancelled;
+        if (awaits_reply && request.address == address && request.node != hooks_.self()) {
             affected.push_back(id);
         }
     }
@@ -584,7 +608,7 @@
         log("repeat", request, {{"cause", "the connection lost data"}, {"sends", request.sends}});
         request.in_flight = false;
         requests_by_number_.erase(request.number);
-        picker_.on_end(request.node);
+        picker_.on_end(sent_of(request));
         dispatch(request);
     }
 }
@@ -630,11 +654,15 @@
     auto& request = found->second;
     ++counters_.timed_out;
     count_timeout(request);
-    if (request.in_flight) {
-        picker_.on_overdue(loop_.now(), request.node);
+    const bool was_in_flight = request.in_flight;
+    if (was_in_flight) {
+        picker_.on_overdue(loop_.now(), sent_of(request));
     }
     cancel_sent(request);
-    if (request.sends > 0) {
+    if (was_in_flight && can_await_cancellation(request)) {
+        await_cancellation(request);
+    }
+    else if (request.sends > 0) {
         fail(request, 504, reason::deadline_sent);
     }
     else {
@@ -644,16 +672,19 @@
 
 void entry::cancel_sent(pending_request& request)
 {
+    if (std::exchange(request.is_cancelled, false)) {
+        requests_by_number_.erase(request.number);
+    }
     if (!request.in_flight) {
         return;
     }
     request.in_flight = false;
     stop_parts(request);
     requests_by_number_.erase(request.number);
-    picker_.on_end(request.node);
+    picker_.on_cancelled(loop_.now(), sent_of(request));
     const auto self = hooks_.self();
     if (request.node == self) {
-        hooks_.cancel_locally({self, request.number});
+        request.sends -= hooks_.cancel_locally({self, request.number}) ? 1 : 0;
     }
     else {
         hooks_.send(request.address, request.node, wire::cancel{request.number});
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -40,6 +40,7 @@
     /// See `assignment::timing::evacuation_grace`.
     milliseconds evacuation_grace = assignment::timing{}.evacuation_grace;
     dispatch::zone_balance_settings zones;
+    double link_mbps = 100; ///< speed of this host's link in each direction, in Mbit/s
 };
 
 struct entry_counters {
@@ -48,6 +49,9 @@
     std::uint64_t refused = 0;
     std::uint64_t unknown = 0;
     std::uint64_t timed_out = 0;
+    /// Refused after the timeout of their route, because a reply to the cancellation said that they
+    /// had not run; part of `timed_out` and of `refused`.
+    std::uint64_t cancelled_not_run = 0;
     std::uint64_t abandoned = 0; ///< clients that disconnected before the answer
     std::uint64_t retries = 0;
     std::uint64_t foreign_replies = 0;   ///< replies that match no request in flight
@@ -56,9 +60,16 @@
     std::uint64_t warm_up_refusals = 0;  ///< by nodes whose targets warm up
 };
 
-/// Implemented in three files: requests (entry.cpp), the exclusion of targets by regions and
-/// evacuations (entry_targets.cpp), and explanations (entry_explain.cpp). Not thread-safe: runs on
-/// one loop.
+namespace detail {
+
+/// True if the reply says that a cancelled request has not run and never will.
+bool is_cancellation_reply(const wire::forward_reply& reply);
+
+} // namespace detail
+
+/// Implemented in four files: requests (entry.cpp), the exclusion of targets by regions and
+/// evacuations (entry_targets.cpp), the replies to cancellations (entry_cancellation.cpp), and
+/// explanations (entry_explain.cpp). Not thread-safe: runs on one loop.
 class entry {
 public:
     struct hooks {
@@ -67,9 +78,10 @@
         std::function<const routing::evacuations&()> evacuations;
         /// Returns false if the message was certainly not sent.
         std::function<bool(const std::string& address, incarnation_id to, const wire::body&)> send;
-        /// Run or cancel a request at the target on this host.
+        /// Run or cancel a request at the target on this host, see `forward_intake::run_local` and
+        /// `forward_intake::cancel`.
         std::function<void(request_key, wire::forward, gate::completion)> run_locally;
-        std::function<void(request_key)> cancel_locally;
+        std::function<bool(request_key)> cancel_locally;
         std::function<void(const std::string& service, std::uint32_t key)> on_keyed_request;
         /// The peer at `address` did not answer in time, see `peer_check::suspect`.
         std::function<void(const std::string& address, const std::string& cause)> suspect;
@@ -95,6 +107,11 @@
     void on_request(net::http_exchange exchange);
     /// A reply that matches no request in flight is counted and dropped.
     void on_reply(incarnation_id from, const wire::forward_reply& reply);
+    /// The target's host takes more of a body. Ignored if it is for no request in flight.
+    void on_credit(incarnation_id from, const wire::forward_credit& credit)
+    {
+        parts_.on_credit(from, credit.number, credit.bytes);
+    }
     /// The connection to `address` broke. If `unsent_since` has a value, the frames of that time
     /// and later were not sent. Without a value, all frames were sent.
     void on_disconnect(const std::string& address, std::optional<time_point> unsent_since);
@@ -133,6 +150,7 @@
         time_point arrived;
         time_point aim; ///< latency goal: an answer after this time is worth less
         time_point deadline;
+        time_point client_deadline;         ///< not before `deadline`, which the route may bound
         time_point owner_wait_end;          ///< end of the wait for an owner or a target
         std::uint32_t sends = 0;            ///< attempts that may have reached a target
         std::uint32_t tries = 0;            ///< all attempts
@@ -141,6 +159,7 @@
         milliseconds warm_up_wait{0}; ///< least time until one of these targets accepts a request
         bool waits_for_owner = false; ///< waits for an owner or a target
         bool in_flight = false;       ///< sent, no reply yet
+        bool is_cancelled = false;    ///< the reply to its cancellation is awaited
         std::uint64_t number = 0;     ///< of the last message that was sent for the request
         incarnation_id node;          ///< receiver of that message
         std::string address;          ///< of `node`
@@ -163,6 +182,7 @@
 
     /// Times that count from the arrival of a request.
     struct time_limits {
+        milliseconds client_deadline{0}; ///< not before `deadline`, which the route may bound
         milliseconds deadline{0};
         milliseconds aim{0};
         milliseconds owner_wait{0}; ///< longest wait for an owner or a target
@@ -227,12 +247,23 @@
     void fail(pending_request& request, int status, request::reason why);
     void end(std::uint64_t id, net::http_response response);
     void cancel_sent(pending_request& request);
+    /// Whether a reply to the cancellation can tell that the request has not run, while its client
+    /// still waits. Precondition: the request was in flight and has been cancelled.
+    [[nodiscard]] bool can_await_cancellation(const pending_request& request) const;
+    void await_cancellation(pending_request& request);
+    void on_cancellation_timeout(std::uint64_t id);
+    /// Returns the request whose cancellation the reply can answer, or null.
+    pending_request* find_cancelled(incarnation_id from, const wire::forward_reply& reply);
+    void on_reply_after_cancellation(pending_request& request, const wire::forward_reply& reply);
     /// Sends no more parts of the body. A request with unsent parts has not run.
     void stop_parts(pending_request& request);
     [[nodiscard]] const std::string* body_of(std::uint64_t number) const;
+    [[nodiscard]] part_sender make_part_sender();
     void count_timeout(const pending_request& request);
     /// Takes one retry from the service's allowance, if the request may be retried.
     bool try_spend_retry(pending_request& request);
+    /// The last attempt, as the picker knows it.
+    [[nodiscard]] static dispatch::sent_request sent_of(const pending_request& request);
     /// The message without the body.
     [[nodiscard]] wire::forward message_for(const pending_request& request) const;
     /// A plain-text response that this node generates itself.
--- a/src/sidecar/entry_explain.cpp
+++ b/src/sidecar/entry_explain.cpp
@@ -68,6 +68,8 @@
         return "lowest cost in the zone that gets most of such requests";
     case dispatch::pick_cause::trial:
         return "the target warms up and is due to get a request";
+    case dispatch::pick_cause::probe:
+        return "the target does not answer and is due to get a request";
     case dispatch::pick_cause::own_zone_overflow:
         return "lowest cost; the own zone is much slower";
     }
@@ -118,8 +120,8 @@
 {
     const auto& view = hooks_.member().view();
     const auto candidates = candidates_for(route, report.service);
-    const auto picked =
-        picker_.explain(loop_.now(), candidates, report.limits.aim, {report.service, route.rank});
+    const auto picked = picker_.explain(loop_.now(), candidates, report.limits.aim,
+                                        {report.service, route.rank, report.query.body_bytes});
     for (const auto& node : view.nodes) {
         if (node.target.service != report.service) {
             continue;
--- a/src/sidecar/explain.cpp
+++ b/src/sidecar/explain.cpp
@@ -114,14 +114,19 @@
     result["cost"] = {{"mean_answer_ms", rounded(cost.mean_answer_ms)},
                       {"mean_is_of_service", !cost.has_answers},
                       {"slowdown", rounded(cost.slowdown)},
+                      {"unanswered_ms", rounded(cost.unanswered_ms)},
                       {"load", rounded(cost.load)},
                       {"queueing", rounded(cost.queueing)},
                       {"failure_ms", rounded(cost.failure_ms)},
+                      {"intake_wait_ms", rounded(cost.intake_wait_ms)},
+                      {"transfer_ms", rounded(cost.transfer_ms)},
                       {"refusing_ms", rounded(cost.refusing_ms)}};
     result["full"] = cost.load >= candidate.node.slots;
     result["own_in_flight"] = figures.own_in_flight;
     result["accepts_after_ms"] = to_json(figures.refusing_time);
     result["trial_due"] = figures.trial_due;
+    result["avoided"] = cost.is_avoided();
+    result["probe_due"] = figures.probe_due;
     result["age_ms"] = {{"answer", to_json(figures.answer_age)},
                         {"load", to_json(figures.load_age)},
                         {"failure", to_json(figures.failure_age)}};
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -28,17 +28,6 @@
 constexpr milliseconds idle_margin{1000};
 /// Descriptors reserved for files, peers, the target and the store; clients get the others.
 constexpr std::size_t reserved_descriptors = 500;
-/// Minimum time from the stop signal to the exit. Clients continue to send new requests until two
-/// of their readiness checks have failed.
-constexpr milliseconds min_stop_time{2500};
-/// A stopping node that received no request for this time has no clients left.
-constexpr milliseconds stop_idle_time{300};
-/// Time reserved for the exit itself before the platform kills the process.
-constexpr milliseconds stop_margin{500};
-/// A stopping node accepts new requests for the grace time divided by this. Clients that have no
-/// other node send requests until the exit, but accepted requests must be answered before the
-/// platform kills the process.
-constexpr int stop_accept_divisor = 2;
 /// Time for a last message to be sent before its connection is reset.
 constexpr milliseconds reset_delay{30};
 /// Time for the last answers to be sent before the exit.
@@ -181,18 +170,24 @@
     hooks.run_later = [this](request_key key, wire::forward request, gate::completion done) {
         gate_.run_later(key, std::move(request), std::move(done));
     };
-    hooks.cancel = [this](request_key key) { gate_.cancel(key); };
+    hooks.cancel = [this](request_key key) { return gate_.cancel(key); };
     hooks.expected_refusal = [this](const wire::forward& request) {
         return gate_.refusal_for(request);
     };
     hooks.load = [this] { return gate_.load(); };
+    hooks.expected_work = [this](const wire::forward& request) {
+        return gate_.expected_work(request);
+    };
     hooks.send = [this](const std::string& address, incarnation_id to, const wire::body& content) {
-        send(address, to, content);
+        return send(address, to, content);
+    };
+    hooks.call_on_rate_after = [this](milliseconds time) {
+        loop_.after(time, [this] { intake_.on_rate(); });
     };
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
-    return {budget_, std::move(hooks)};
+    return {budget_, settings_.link_mbps, std::move(hooks)};
 }
 
 coordination process::make_coordination()
@@ -238,6 +233,7 @@
     values.regions = routing::zone_regions(settings_.regions);
     values.evacuation_grace = settings_.times.evacuation_grace;
     values.zones = settings_.zone_traffic;
+    values.link_mbps = settings_.link_mbps;
     entry::hooks hooks;
     hooks.self = [this] { return self_; };
     hooks.member = [this]() -> const assignment::member& { return coordination_.member(); };
@@ -253,7 +249,7 @@
     hooks.on_keyed_request = [this](const std::string& service, std::uint32_t key) {
         coordination_.on_keyed_request(service, key);
     };
-    hooks.cancel_locally = [this](request_key key) { intake_.cancel(key); };
+    hooks.cancel_locally = [this](request_key key) { return intake_.cancel(key); };
     hooks.log = [this](std::string_view event, const journal::fields& details) {
         log(event, details);
     };
@@ -286,6 +282,7 @@
     log("connection_reset", {{"address", address}, {"cause", cause}});
     transport_->reset(address);
     entry_.on_connection_reset(address);
+    intake_.on_connection_lost(address);
 }
 
 void process::listen()
@@ -294,6 +291,7 @@
         loop_, settings_.addresses.inner, [this](const wire::frame& frame) { on_frame(frame); },
         [this](const std::string& address, std::optional<time_point> unsent_since) {
             entry_.on_disconnect(address, unsent_since);
+            intake_.on_connection_lost(address);
         },
         make_peer_limits(protocol_, budget_, settings_.memory_mb * bytes_per_mb));
     transport_->set_flow_hooks([this](const std::string& address) { entry_.on_drained(address); },
@@ -408,6 +406,11 @@
                   {"refused", total.refused - logged_counters_.refused},
                   {"unknown", total.unknown - logged_counters_.unknown}});
     logged_counters_ = total;
+    const auto over_budget = transport_->counters().frames_over_budget;
+    if (const auto before = std::exchange(logged_over_budget_, over_budget); over_budget > before) {
+        log("frames_over_budget",
+            {{"frames", over_budget - before}, {"used_kb", budget_->used() / 1024}});
+    }
     refusals_.log_changes(
         *request_server_, *budget_,
         [this](std::string_view event, const journal::fields& details) { log(event, details); });
@@ -453,11 +456,14 @@
     else if (const auto* request = std::get_if<wire::forward>(&frame.content)) {
         on_forward(frame, *request);
     }
+    else if (const auto* credit = std::get_if<wire::forward_credit>(&frame.content)) {
+        entry_.on_credit(frame.from, *credit);
+    }
     else if (const auto* reply = std::get_if<wire::forward_reply>(&frame.content)) {
         entry_.on_reply(frame.from, *reply);
     }
     else if (const auto* cancel = std::get_if<wire::cancel>(&frame.content)) {
-        intake_.cancel({frame.from, cancel->number});
+        intake_.on_cancel(frame, *cancel);
     }
     else if (const auto* report = std::get_if<assignment::report>(&frame.content)) {
         coordination_.on_report(frame, *report);
@@ -509,6 +515,7 @@
         // The request is addressed to an earlier incarnation of this host. The current incarnation
         // has not run it.
         auto reply = refusal_of(request, request::reason::no_target);
+        reply.intake_wait = intake_.schedule().wait(loop_.now());
         // The sender expects the reply from the incarnation to which it sent the request.
         transport_->send(
             frame.reply_address,
@@ -557,7 +564,7 @@
 void process::on_ready(const net::http_exchange& exchange)
 {
     // The manifest may have come from a peer before the orders of evacuation are known.
-    const bool ready = routes_ && !stopping_since_ && coordination_.member().view().term != 0 &&
+    const bool ready = routes_ && !stop_.is_stopping() && coordination_.member().view().term != 0 &&
                        coordination_.evacuations().version() != 0 &&
                        exchange.request.path == protocol_.ready_path;
     exchange.respond(json_response(ready ? status_ok : status_unavailable, "{}"));
@@ -718,21 +725,22 @@
         log("superseded", {{"term", coordination_.member().term()}});
         loop_.stop();
     }
-    if (stopping_since_) {
+    if (stop_.is_stopping()) {
         finish_when_idle();
     }
 }
 
-// Begins a planned stop.
+// Begins a planned stop, or extends it if the platform repeats its signal.
 void process::on_signal()
 {
-    if (stopping_since_) {
-        return;
+    const bool is_repeated = stop_.is_stopping();
+    stop_.on_signal(loop_.now(), settings_.bounds.grace);
+    gate_.stop_at(stop_.exit_limit());
+    log(is_repeated ? "stop_repeated" : "stopping",
+        {{"pending", entry_.pending()}, {"running", gate_.active()}});
+    if (!is_repeated) {
+        coordination_.leave();
     }
-    stopping_since_ = loop_.now();
-    log("stopping", {{"pending", entry_.pending()}, {"running", gate_.active()}});
-    gate_.stop_at(*stopping_since_ + settings_.bounds.grace - stop_margin);
-    coordination_.leave();
 }
 
 // Reloads the settings. Only the bounds take effect, except `sidecar_bounds::longest_hold`, because
@@ -761,25 +769,20 @@
     loop_.run_until([] { return false; }, final_write_time);
 }
 
-// Ends a planned stop once the node is idle, or at the latest `stop_margin` before the platform
-// kills the process.
+// Ends a planned stop once the node is idle, or at the latest shortly before the platform kills the
+// process.
 void process::finish_when_idle()
 {
     const auto now = loop_.now();
-    const auto elapsed = now - *stopping_since_;
-    if (elapsed >= settings_.bounds.grace / stop_accept_divisor) {
-        entry_.close();
-    }
-    const bool idle = entry_.pending() == 0 && gate_.active() == 0 && intake_.incomplete() == 0 &&
-                      now - last_request_ >= stop_idle_time &&
-                      coordination_.member().holds_no_keys(now);
-    if (elapsed >= min_stop_time && idle && !closing_since_) {
+    const stop_progress progress{entry_.pending() == 0 && gate_.active() == 0 &&
+                                     intake_.incomplete() == 0 &&
+                                     coordination_.member().holds_no_keys(now),
+                                 last_request_};
+    if (stop_.is_closed(now, progress)) {
         // Requests that arrive from now on are refused instead of being aborted by the exit.
-        closing_since_ = now;
         entry_.close();
     }
-    const bool closed = closing_since_ && idle && now - *closing_since_ >= stop_idle_time;
-    if (closed || elapsed >= settings_.bounds.grace - stop_margin) {
+    if (stop_.is_over(now, progress)) {
         log("stopped", {{"pending", entry_.pending()}, {"running", gate_.active()}});
         loop_.stop();
     }
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -21,6 +21,7 @@
 #include "sidecar/gate.h"
 #include "sidecar/journal.h"
 #include "sidecar/peer_check.h"
+#include "sidecar/planned_stop.h"
 #include "sidecar/protocol.h"
 #include "sidecar/settings.h"
 #include "sidecar/sidecar_metrics.h"
@@ -111,20 +112,19 @@
     std::uint64_t notified_changes_ = 0; ///< `target_watch::changes` at the last notification
     bool notified_accepts_ = false;      ///< `target_watch::accepts` at the last notification
     bool notified_warming_up_ = false;   ///< `warm_up_state::is_warming_up` at that time
-    std::optional<time_point> stopping_since_;
-    /// Time at which this stopping node was found idle and began to refuse new requests.
-    std::optional<time_point> closing_since_;
+    planned_stop stop_;
     time_point last_request_{};
     time_point next_pull_{}; ///< earliest time for the next `wire::rules_pull`
     bool first_check_sent_ = false;
     bool check_under_way_ = false;
     time_point next_check_{}; ///< earliest time for the next health check of the target
     refusal_report refusals_;
-    entry_counters logged_counters_;  ///< as of the last "state" log line
-    std::uint64_t errors_ = 0;        ///< exceptions from handlers, in total
-    std::uint64_t recent_errors_ = 0; ///< since `error_window_start_`
-    bool logged_evacuated_ = false;   ///< `gate::is_evacuated` as last logged
-    bool counts_as_cold_ = false;     ///< `warm_up_state::is_cold` as told to the gate
+    entry_counters logged_counters_;       ///< as of the last "state" log line
+    std::uint64_t logged_over_budget_ = 0; ///< `peer_counters::frames_over_budget` at that time
+    std::uint64_t errors_ = 0;             ///< exceptions from handlers, in total
+    std::uint64_t recent_errors_ = 0;      ///< since `error_window_start_`
+    bool logged_evacuated_ = false;        ///< `gate::is_evacuated` as last logged
+    bool counts_as_cold_ = false;          ///< `warm_up_state::is_cold` as told to the gate
     time_point error_window_start_{};
 };
 
--- a/src/sidecar/sidecar_metrics.cpp
+++ b/src/sidecar/sidecar_metrics.cpp
@@ -53,6 +53,7 @@
     write_metric(out, "requests_refused_total", "counter", requests.refused);
     write_metric(out, "requests_unknown_total", "counter", requests.unknown);
     write_metric(out, "requests_timed_out_total", "counter", requests.timed_out);
+    write_metric(out, "requests_cancelled_not_run_total", "counter", requests.cancelled_not_run);
     write_metric(out, "requests_abandoned_total", "counter", requests.abandoned);
     write_metric(out, "requests_ignored_total", "counter", gauges.requests_ignored);
     write_metric(out, "request_repeats_total", "counter", requests.retries);
@@ -95,6 +96,15 @@
     write_metric(out, "bodies_dropped_total", "counter", counters.dropped);
     write_metric(out, "bodies_invalid_total", "counter", counters.invalid);
     write_metric(out, "bodies_incomplete", "gauge", intake.incomplete());
+    const auto& schedule = intake.schedule();
+    write_metric(out, "bodies_late_total", "counter", counters.late);
+    write_metric(out, "bodies_crowded_total", "counter", counters.crowded);
+    write_metric(out, "bodies_waiting", "gauge", schedule.waiting());
+    write_metric(out, "body_bytes_credited_total", "counter", schedule.counters().bytes_credited);
+    write_metric(out, "body_bytes_arrived_total", "counter", schedule.counters().bytes_arrived);
+    write_metric(out, "body_credit_returned_bytes_total", "counter",
+                 schedule.counters().bytes_returned);
+    write_metric(out, "intake_cancelled_not_run_total", "counter", counters.cancelled_not_run);
     return out.str();
 }
 
@@ -103,6 +113,7 @@
     std::ostringstream out;
     write_metric(out, "peer_bytes_sent_total", "counter", counters.bytes_sent);
     write_metric(out, "peer_connections_over_budget_total", "counter", counters.over_budget);
+    write_metric(out, "peer_frames_over_budget_total", "counter", counters.frames_over_budget);
     write_metric(out, "peer_unfinished_closed_total", "counter", counters.unfinished_closed);
     const auto write_by_type = [&](const char* name, std::uint64_t net::frame_count::*member) {
         out << "# TYPE bulrushgw_" << name << " counter\n";
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -293,3 +293,161 @@
     CHECK(!report->candidates[2].cost.has_answers);
     CHECK(!report->candidates[2].load_age);
 }
+
+// Guards against an explanation that leaves out what a silent target or a body costs, and against
+// one that announces a probe that does not follow, or none before a probe.
+TEST(target_picker, explanation_names_silence_bodies_and_probes)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    picker.on_sent({incarnation_id{1}, at(1000)});
+    picker.on_sent({incarnation_id{1}, at(1010)});
+    picker.on_intake_wait(at(1900), incarnation_id{2}, milliseconds{400});
+    const auto report = picker.explain(at(2000), candidates, aim, {"", 0, 60000});
+    const auto& silent = report->candidates[0];
+    const auto& other = report->candidates[1];
+    CHECK(silent.cost.is_avoided());
+    DOUBLES_EQUAL(1000, silent.cost.unanswered_ms, 0.001);
+    CHECK(silent.total_ms > 1000);
+    CHECK(!other.cost.is_avoided());
+    DOUBLES_EQUAL(360, other.cost.intake_wait_ms, 0.001);
+    CHECK(other.cost.transfer_ms > 0);
+    DOUBLES_EQUAL(0, silent.cost.intake_wait_ms, 0.001);
+    LONGS_EQUAL(1, report->chosen);
+    int probes = 0;
+    for (long now = 2000; now < 20000; now += 10) {
+        const auto expected = picker.explain(at(now), candidates, aim);
+        const bool probe = expected->cause == pick_cause::probe;
+        CHECK(expected->candidates[0].probe_due == probe);
+        LONGS_EQUAL(probe ? 0 : 1, expected->chosen);
+        CHECK(picker.pick(at(now), candidates, {}, aim, random) ==
+              candidates[expected->chosen].node);
+        probes += probe ? 1 : 0;
+    }
+    CHECK(probes >= 3);
+}
+
+namespace {
+
+/// Plays a host that sends a request each 20 ms to four targets, of which one is silent at times.
+class silent_target_play {
+public:
+    /// Returns the number of requests sent to the silent target in a period. It answers after 80 ms
+    /// if `silent_ms` has no value, and otherwise after `silent_ms`, or never at 1,000 or above.
+    int run(long from, long until, std::optional<long> silent_ms)
+    {
+        int sent = 0;
+        for (long now = from; now < until; now += 20) {
+            end_requests(now);
+            const auto node = picker_.pick(at(now), candidates_, {}, aim, random_);
+            CHECK(node.has_value());
+            const bool silent = silent_ms && (all_silent || node->value == 1);
+            sent += node->value == 1 ? 1 : 0;
+            picker_.on_sent({*node, at(now)});
+            requests_.emplace(now + std::min(silent ? *silent_ms : 80, deadline),
+                              std::pair{*node, now});
+        }
+        return sent;
+    }
+    bool all_silent = false;
+
+private:
+    void end_requests(long now)
+    {
+        while (!requests_.empty() && requests_.begin()->first <= now) {
+            const auto [end, request] = *requests_.begin();
+            requests_.erase(requests_.begin());
+            const sent_request sent{request.first, at(request.second)};
+            if (end - request.second < deadline) {
+                picker_.on_answer(at(end), sent, milliseconds{end - request.second}, 1);
+                continue;
+            }
+            picker_.on_overdue(at(end), sent);
+            picker_.on_cancelled(at(end), sent);
+        }
+    }
+
+    static constexpr long deadline = 1000;
+    target_picker picker_;
+    std::mt19937_64 random_{5};
+    std::vector<pick_candidate> candidates_{{incarnation_id{1}, 9, true},
+                                            {incarnation_id{2}, 9, true},
+                                            {incarnation_id{3}, 9, true},
+                                            {incarnation_id{4}, 9, true}};
+    /// End of each request in ms, with its node and time of sending.
+    std::multimap<long, std::pair<incarnation_id, long>> requests_;
+};
+
+} // namespace
+
+// Guards against sending requests to a target that answers none until their deadlines, against many
+// probes, and against a target that stays unused after it recovered.
+TEST(target_picker, silent_target_is_avoided_probed_and_used_again)
+{
+    silent_target_play play;
+    CHECK(play.run(10000, 14000, {}) >= 30);
+    // Before the first deadline.
+    CHECK(play.run(14000, 15000, 5000) <= 10);
+    CHECK(play.run(15000, 24000, 5000) <= 9);
+    play.run(24000, 30000, {});
+    CHECK(play.run(30000, 34000, {}) >= 30);
+}
+
+// Guards against answers that a silent target gives late and that keep its mean high after it
+// recovered.
+TEST(target_picker, target_that_answered_late_is_used_again)
+{
+    silent_target_play play;
+    play.run(10000, 14000, {});
+    play.run(14000, 17000, 5000);
+    play.run(17000, 20000, 900);
+    play.run(20000, 26000, {});
+    CHECK(play.run(26000, 30000, {}) >= 30);
+}
+
+// Guards against a selection without candidates, and against spread that is lost, while no target
+// answers because this host is disconnected.
+TEST(target_picker, while_no_target_answers_all_are_still_used)
+{
+    silent_target_play play;
+    play.run(10000, 14000, {});
+    play.all_silent = true;
+    const int sent = play.run(14000, 24000, 5000);
+    CHECK(sent >= 50 && sent <= 200);
+    play.run(24000, 30000, {});
+    CHECK(play.run(30000, 34000, {}) >= 30);
+}
+
+// Guards against uploads to a host that reports a backlog of bodies, and against avoiding that host
+// for short requests, which do not wait there.
+TEST(target_picker, bodies_avoid_a_host_with_a_backlog_and_other_requests_do_not)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    picker.on_intake_wait(at(1000), incarnation_id{2}, milliseconds{400});
+    const pick_traits upload{"", 0, 60000};
+    int uploads = 0;
+    for (int i = 0; i < 50; ++i) {
+        uploads += picker.pick(at(1100), candidates, {}, aim, random, upload)->value == 2 ? 1 : 0;
+    }
+    LONGS_EQUAL(0, uploads);
+    CHECK(picks(1100, 50)[2] > 10);
+}
+
+// Guards against a target that counts as slow for short requests because uploads to it wait for the
+// link of its host.
+TEST(target_picker, transfer_of_bodies_does_not_count_as_answer_time_of_other_requests)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    for (long now = 1000; now < 11000; now += 500) {
+        picker.on_intake_wait(at(now), incarnation_id{2}, milliseconds{200});
+        const sent_request upload{incarnation_id{2}, at(now), 60000};
+        picker.on_sent(upload);
+        picker.on_answer(at(now + 400), upload, milliseconds{400}, 0);
+    }
+    CHECK(picks(12000, 50)[2] > 10);
+}
--- a/tests/sidecar/explain_test.cpp
+++ b/tests/sidecar/explain_test.cpp
@@ -71,7 +71,7 @@
         hooks.run_locally = [this](request_key, const wire::forward&, const gate::completion&) {
             receivers.push_back(self);
         };
-        hooks.cancel_locally = [](request_key) {};
+        hooks.cancel_locally = [](request_key) { return false; };
         hooks.on_keyed_request = [](const std::string&, std::uint32_t) {};
         hooks.suspect = [](const std::string&, const std::string&) {};
         hooks.log = [](std::string_view, const journal::fields&) {};
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -1,126 +1,15 @@
-#include "sidecar/gate.h"
+#include "tests/sidecar/gate_fixture.h"
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
-#include <CppUTest/TestHarness.h>
-
 using namespace bulrushgw;
 using namespace bulrushgw::sidecar;
+using namespace bulrushgw::sidecar::test;
 
-namespace {
-
-constexpr milliseconds wait_limit{3000};
-constexpr const char* service = "s";
-
-platform_protocol protocol_for_tests()
-{
-    platform_protocol result;
-    result.names.request_id = "x-id";
-    result.names.deadline = "x-left";
-    result.names.answer_seal = "x-seal";
-    result.names.expected_target = "x-target";
-    result.names.not_run = "x-not-run";
-    result.names.target_id = "x-target-id";
-    result.names.load = "x-load";
-    result.parse_load = [](std::string_view) { return target_load{1, 0, 2, 300}; };
-    return result;
-}
-
-wire::forward request_for(std::uint64_t number)
-{
-    wire::forward result;
-    result.number = number;
-    result.service = service;
-    result.route = "r";
-    result.request_id = "r-" + std::to_string(number);
-    result.deadline = milliseconds{2000};
-    result.aim = milliseconds{1000};
-    result.method = "GET";
-    result.path = "/";
-    return result;
-}
-
-} // namespace
-
-// A gate and a target with two slots, which answers after `work`.
-TEST_GROUP(gate)
-{
-    net::loop loop;
-    platform_protocol protocol = protocol_for_tests();
-    milliseconds work{20};
-    bool hold_covers = true;
-    std::vector<std::string> arrived;
-    /// Replaces the target's normal answer, if set.
-    std::function<void(const net::http_exchange&)> answer_override;
-    std::unique_ptr<net::http_server> target;
-    std::unique_ptr<target_watch> watch;
-    std::unique_ptr<gate> tested_gate;
-    std::vector<wire::forward_reply> replies;
-
-    void setup() override
-    {
-        target = std::make_unique<net::http_server>(
-            loop, net::endpoint{"127.0.0.1", 0}, [this](const net::http_exchange& exchange) {
-                const std::string id(
-                    net::find_header(exchange.request.headers, "x-id").value_or(""));
-                arrived.push_back(id);
-                if (answer_override) {
-                    answer_override(exchange);
-                    return;
-                }
-                loop.after(work, [exchange, id] {
-                    exchange.respond({200, {{"x-id", id}, {"x-seal", "s"}}, "ok"});
-                });
-            });
-        const auto address = net::to_string(target->address());
-        watch = std::make_unique<target_watch>(target_watch_settings{milliseconds{2000}}, service,
-                                               address);
-        gate::hooks hooks;
-        hooks.may_serve = [](const std::string&, std::uint32_t) {
-            return assignment::serve_verdict::serve;
-        };
-        hooks.covers_work = [this](const std::string&, std::uint32_t, milliseconds) {
-            return hold_covers;
-        };
-        hooks.on_target_changed = [] {};
-        hooks.on_failure = [](const wire::forward&, request::reason, const std::string&) {};
-        tested_gate =
-            std::make_unique<gate>(loop, target->address(), protocol, *watch, std::move(hooks));
-        heartbeat beat;
-        beat.target = {"t1", 1, service, 2, assignment::target_phase::ready};
-        beat.address = address;
-        beat.sequence = 1;
-        CHECK(watch->on_heartbeat(loop.now(), beat));
-        watch->on_health(loop.now(), {"t1", 2, true});
-        tested_gate->on_target();
-    }
-    void teardown() override
-    {
-        tested_gate.reset();
-        target.reset();
-    }
-
-    void run(std::uint64_t number)
-    {
-        tested_gate->run({incarnation_id{9}, number}, request_for(number),
-                         [this](const wire::forward_reply& reply) { replies.push_back(reply); });
-    }
-    void run_for_key(std::uint64_t number)
-    {
-        auto request = request_for(number);
-        request.key = "5";
-        tested_gate->run({incarnation_id{9}, number}, request,
-                         [this](const wire::forward_reply& reply) { replies.push_back(reply); });
-    }
-    void wait_for(std::size_t count)
-    {
-        CHECK(loop.run_until([&] { return replies.size() >= count; }, wait_limit));
-    }
-};
+TEST_GROUP_BASE(gate, gate_fixture){};
 
 // Guards against running more requests at once than the target has slots, and against failing to
 // pass on answers with the target's mark.
@@ -370,35 +259,88 @@
     LONGS_EQUAL(2, bodies.size());
 }
 
-// Guards against an explanation that differs from what happens to the next request, and against
-// one that changes the queue.
-TEST(gate, explanation_agrees_with_the_next_request_and_changes_nothing)
+// Guards against a cancelled request that is reported as not run although the target got it, or
+// still gets it because the cancellation overtook it, and against one that is not reported.
+TEST(gate, cancellation_tells_whether_the_request_was_sent)
 {
-    using verdict = gate_explanation::verdict;
-    std::vector<verdict> expected;
-    for (std::uint64_t i = 1; i <= 60; ++i) {
-        const auto before = tested_gate->explain(request_for(i));
-        CHECK(before.result == tested_gate->explain(request_for(i)).result);
-        const auto running = tested_gate->running();
-        const auto queued = tested_gate->queued();
-        const auto answers = replies.size();
-        LONGS_EQUAL(before.running, running);
-        run(i);
-        const auto actual = tested_gate->running() > running ? verdict::start
-                            : tested_gate->queued() > queued ? verdict::queue
-                                                             : verdict::refuse;
-        CHECK(before.result == actual);
-        if (before.result == verdict::refuse) {
-            CHECK(replies.size() > answers);
-            STRCMP_EQUAL(std::string(request::to_text(before.why)).c_str(),
-                         replies.back().reason.c_str());
-            LONGS_EQUAL(before.retry_after.count(), replies.back().retry_after.count());
-        }
-        expected.push_back(actual);
+    const auto cancel = [&](std::uint64_t number) {
+        return tested_gate->cancel({incarnation_id{9}, number});
+    };
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        run(number);
+    }
+    CHECK(cancel(3)); // queued
+    CHECK(cancel(2)); // no connection yet
+    CHECK(loop.run_until([&] { return arrived.size() == 1; }, wait_limit));
+    CHECK_FALSE(cancel(1));
+    CHECK_FALSE(cancel(1));
+    run(4);
+    wait_for(1);
+    CHECK_FALSE(cancel(4)); // answered
+    CHECK(cancel(5));       // unknown
+    run(5);
+    LONGS_EQUAL(0, tested_gate->active());
+    run(6);
+    wait_for(2);
+    CHECK(arrived == std::vector<std::string>({"r-1", "r-4", "r-6"}));
+}
+
+// Guards against a request that waits for the grant of its key although its time limit is over.
+TEST(gate, time_limit_bounds_the_wait_for_a_grant)
+{
+    ownership = assignment::serve_verdict::pending;
+    run_with_deadline(1, milliseconds{0}, "5");
+    LONGS_EQUAL(1, replies.size());
+    CHECK(replies[0].outcome == wire::forward_outcome::not_owner);
+}
+
+// Guards against a request that waits for longer than its time limit for the renewal of its hold,
+// and then still runs.
+TEST(gate, time_limit_bounds_the_wait_for_a_renewal)
+{
+    hold_covers = false;
+    run_with_deadline(1, milliseconds{100}, "5");
+    LONGS_EQUAL(1, tested_gate->renewal_waits());
+    loop.after(milliseconds{120}, [this] { hold_covers = true; });
+    wait_for(1);
+    CHECK(replies[0].outcome == wire::forward_outcome::not_owner);
+}
+
+// Guards against a request that waits for a slot beyond its time limit while no other request ends.
+TEST(gate, time_limit_bounds_the_wait_for_a_slot)
+{
+    answer_override = [](const net::http_exchange&) {};
+    run_with_deadline(1, milliseconds{60000});
+    run_with_deadline(2, milliseconds{60000});
+    CHECK(loop.run_until([&] { return arrived.size() == 2; }, wait_limit));
+    run_with_deadline(3, milliseconds{300});
+    LONGS_EQUAL(1, tested_gate->queued());
+    loop.after(milliseconds{300}, [this] { tested_gate->on_tick(); });
+    wait_for(1);
+    STRCMP_EQUAL("r-3", replies[0].request_id.c_str());
+    CHECK(replies[0].outcome == wire::forward_outcome::not_run);
+    cancel_until(2);
+}
+
+// Guards against a request that is reported as possibly run although it never got a connection to
+// the target before its time limit, and against a target that is taken for lost because of that.
+TEST(gate, request_without_a_connection_in_time_has_not_run)
+{
+    constexpr std::uint64_t connections = 64;
+    answer_override = [](const net::http_exchange&) {};
+    beat_with_slots(connections + 10);
+    tested_gate->on_target();
+    for (std::uint64_t number = 1; number <= connections; ++number) {
+        run_with_deadline(number, milliseconds{60000});
+    }
+    for (std::uint64_t number = connections + 1; number <= connections + 5; ++number) {
+        run_with_deadline(number, milliseconds{50});
+    }
+    wait_for(5);
+    for (const auto& reply : replies) {
+        CHECK(reply.outcome == wire::forward_outcome::not_run);
     }
-    CHECK(expected.front() == verdict::start);
-    CHECK(expected.back() == verdict::refuse);
-    wait_for(60);
-    tested_gate->refuse_from(loop.now());
-    CHECK(tested_gate->explain(request_for(99)).why == request::reason::zone_evacuated);
+    CHECK(watch->accepts(loop.now()));
+    LONGS_EQUAL(connections, tested_gate->running());
+    cancel_until(connections);
 }
