--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -5,12 +5,15 @@
 /// record with that term to the store. The keys of a service are divided into segments, which are
 /// ranges of keys with at most one owner each.
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "assignment/directory_log.h"
@@ -18,6 +21,7 @@
 #include "assignment/planner.h"
 #include "assignment/relay_plan.h"
 #include "assignment/types.h"
+#include "assignment/work_average.h"
 
 namespace bulrushgw::assignment {
 
@@ -56,9 +60,10 @@
 
 } // namespace detail
 
-/// Implemented in five files: reports and members (leader.cpp), the validity of terms
+/// Implemented in six files: reports and members (leader.cpp), the validity of terms
 /// (leader_term.cpp), their transfer to other nodes (leader_transfer.cpp), the keys
-/// (leader_keys.cpp) and the evacuation of zones (leader_evacuation.cpp). Not thread-safe.
+/// (leader_keys.cpp), their moves for load balancing (leader_balance.cpp) and the evacuation of
+/// zones (leader_evacuation.cpp). Not thread-safe.
 class leader {
 public:
     /// Precondition: the store has accepted the claim of the term.
@@ -157,6 +162,17 @@
         milliseconds longest_lease{0}; ///< upper bound on the lengths of all leases that may run
     };
     [[nodiscard]] summary summarize(time_point now) const;
+    /// Keys that began to move for load balancing in one round.
+    struct balance_round {
+        std::string service;
+        std::array<std::size_t, move_cause_names.size()> moves{}; ///< by cause
+        std::size_t ranges = 0;                                   ///< that are released separately
+        double share_in_motion = 0; ///< of the service's load, after the begin of the round
+    };
+    /// Returns the rounds since the last call.
+    std::vector<balance_round> take_balance_rounds() { return std::exchange(balance_rounds_, {}); }
+    /// Highest share of the load of a service whose keys are moving or have no owner.
+    [[nodiscard]] double highest_share_in_motion() const;
     /// Number of keys that targets in evacuated zones own and other targets can own.
     [[nodiscard]] std::size_t keys_to_evacuate() const;
 
@@ -164,6 +180,7 @@
     struct member_state {
         report last_report;
         time_point last_report_at;
+        work_average work;          ///< of the target
         time_point term_acked_at;   ///< latest time at which the member knew of this term
         time_point lease_end_bound; ///< latest possible end of its lease, on the leader's clock
         /// Latest possible end of the holds that earlier processes of its host granted, on the
@@ -181,6 +198,11 @@
         std::uint32_t first = 0;
         std::uint32_t last = 0;
         owner_candidate to;
+
+        [[nodiscard]] bool is_for(const segment& item) const
+        {
+            return service == item.service && first == item.first && last == item.last;
+        }
     };
     /// Pace at which keys leave the evacuated zones.
     struct evacuation_pace {
@@ -188,6 +210,11 @@
         bool whole_segments = false; ///< false: a round releases a part of each segment
         time_point next_round{};
     };
+    /// Pace of the rounds of moves for load balancing in one service.
+    struct balance_pace {
+        time_point last_round{};
+        bool has_new_target = false; ///< a target became ready since the last round
+    };
 
     void supersede(incarnation_id old, incarnation_id next);
     void accept_holdings(incarnation_id from, const report& body);
@@ -203,7 +230,12 @@
     void begin_evacuation(time_point now, const std::string& service);
     void find_services_elsewhere();
     void assign_free(time_point now, const std::string& service);
+    [[nodiscard]] std::vector<segment> segments_after_moves(const std::string& service) const;
+    [[nodiscard]] double full_load(const std::string& service,
+                                   std::span<const owner_candidate> owners) const;
     void balance(time_point now, const std::string& service);
+    [[nodiscard]] keys_in_motion moving_keys(const std::string& service) const;
+    [[nodiscard]] double share_in_motion(const std::string& service) const;
     void split_at(const std::string& service, std::uint32_t first, std::uint32_t last);
     /// Returns the target that a planned move assigns the keys of the segment to, and removes these
     /// keys from the move; none: no move is planned for them.
@@ -271,6 +303,7 @@
     /// Sharded services with a target outside of the evacuated zones that can own keys.
     std::set<std::string> services_elsewhere_;
     std::map<std::string, evacuation_pace> evacuation_paces_; ///< by service, while keys must move
+    std::map<std::string, balance_pace> balance_paces_;       ///< by service
     std::map<std::string, double> cold_rates_;                ///< see `set_cold_rates`
     std::map<incarnation_id, member_state> members_;
     /// The node of each host in `members_`.
@@ -278,6 +311,7 @@
     std::set<incarnation_id> superseded_;
     std::map<std::string, key_load_table> loads_;
     std::vector<planned_move> planned_moves_;
+    std::vector<balance_round> balance_rounds_;     ///< since the last `take_balance_rounds`
     std::map<std::string, time_point> accepted_at_; ///< first report of each host in this term
     time_point store_confirmed_;
     std::uint64_t transfers_ = 0; ///< how often the leadership of this term was transferred
@@ -294,7 +328,7 @@
     fence last_merge_fence_; ///< newest fence at the last merge
     time_point next_merge_;
     time_point last_decay_;
-    time_point next_balance_;
+    time_point balancing_from_; ///< no keys are moved for load balancing before this time
     bool is_first_leader_ = false;
     time_point first_assignment_at_{}; ///< if there was no earlier leader, no keys are assigned
                                        ///< before this time
--- a/src/dispatch/target_picker.cpp
+++ b/src/dispatch/target_picker.cpp
@@ -1,7 +1,7 @@
 #include "dispatch/target_picker.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace bulrushgw::dispatch {
 
@@ -60,16 +60,18 @@
             choice.request.refused_at_own = choice.request.refused_at_own || candidate.same_zone;
             continue;
         }
-        const auto parts = cost(now, candidate, service, traits.body_bytes);
+        auto* stats = find_in(stats_, candidate.node);
+        const auto parts = cost(now, candidate, stats, service, traits.body_bytes);
         const double value = parts.answer_ms() * noise(random) + parts.refusing_ms;
         const bool trial = candidate.warming_up && parts.refusing_ms <= 0 &&
                            trials_.is_due(now, candidate.node, candidate.same_zone, random);
-        const bool probe = is_probe_due(now, candidate, parts, balance, random);
+        const bool probe =
+            stats != nullptr && is_probe_due(now, candidate, *stats, parts, balance, random);
         if (trial || (probe && avoid.empty())) {
             // A trial of a cold target and a probe are not left to the choice between zones.
             return note_pick(now, candidate, traits, random);
         }
-        add_option(now, choice, candidate, value, service, traits.body_bytes);
+        add_option(now, choice, candidate, stats, value, service, traits.body_bytes);
     }
     balance.update(now, choice.zones, aim);
     const auto chosen = balance.choose(choice.zones, choice.request, random);
@@ -80,8 +82,8 @@
 }
 
 void target_picker::add_option(time_point now, zone_choice& choice, const pick_candidate& candidate,
-                               double value, const service_averages& service,
-                               std::size_t body_bytes) const
+                               const target_stats* stats, double value,
+                               const service_averages& service, std::size_t body_bytes) const
 {
     const std::size_t at = zone_index(choice.zones, candidate);
     choice.best.resize(choice.zones.size());
@@ -90,7 +92,7 @@
         choice.best[at] = &candidate;
         zone.expected_ms = value;
     }
-    const double own_value = cost_of_own_requests(now, candidate, service, body_bytes);
+    const double own_value = cost_of_own_requests(now, candidate, stats, service, body_bytes);
     zone.expected_from_own_ms = std::min(zone.expected_from_own_ms.value_or(own_value), own_value);
 }
 
@@ -100,15 +102,18 @@
 }
 
 bool target_picker::is_probe_due(time_point now, const pick_candidate& candidate,
-                                 const pick_cost& parts, const zone_balance& balance,
-                                 std::mt19937_64& random)
+                                 target_stats& stats, const pick_cost& parts,
+                                 const zone_balance& balance, std::mt19937_64& random)
 {
-    const auto found = stats_.find(candidate.node);
-    if (found == stats_.end() || !settings_.unanswered.probes) {
+    if (stats.unanswered.is_empty() && !stats.probes.is_avoided()) {
         return false;
     }
-    const bool is_due = found->second.probes.update(now, parts.is_avoided(), random);
-    return is_due && may_probe(candidate, balance);
+    const bool was_avoided = stats.probes.is_avoided();
+    const bool is_due = stats.probes.update(now, parts.is_avoided(), random);
+    if (stats.probes.is_avoided() != was_avoided) {
+        note_change(candidate.node, stats, parts.unanswered_ms, parts.usual_ms());
+    }
+    return settings_.unanswered.probes && is_due && may_probe(candidate, balance);
 }
 
 incarnation_id target_picker::note_pick(time_point now, const pick_candidate& target,
@@ -157,14 +162,19 @@
     stats_[node].bodies.on_intake_wait(now, wait);
 }
 
-target_picker::target_stats& target_picker::end_request(const sent_request& request)
+void target_picker::remove_in_flight(target_stats& stats, const sent_request& request)
 {
-    auto& stats = stats_[request.node];
     if (stats.own_in_flight > 0) {
         --stats.own_in_flight;
     }
-    stats.unanswered.on_end(request.sent);
     stats.bodies.on_end(request.body_bytes);
+}
+
+target_picker::target_stats& target_picker::end_request(const sent_request& request)
+{
+    auto& stats = stats_[request.node];
+    remove_in_flight(stats, request);
+    stats.unanswered.on_end(request.sent);
     return stats;
 }
 
@@ -201,8 +211,7 @@
     const double extra_ms = stats.unanswered.extra_ms(request.sent).value_or(0);
     // The mean is that of a warm target at the usual speed.
     const double ms = static_cast<double>(took.count()) / stats.slowdown(now, stats.warming_up);
-    const bool still_silent = stats.unanswered.missed() > 0 &&
-                              unanswered_requests::is_late(ms - extra_ms, stats.mean_answer_ms) &&
+    const bool still_silent = stats.unanswered.is_as_late(ms - extra_ms, stats.mean_answer_ms) &&
                               stats.unanswered.on_missed(now, request.sent, stats.mean_answer_ms);
     end_request(request);
     stats.answered_at = now;
@@ -271,11 +280,8 @@
 
 void target_picker::on_overdue(time_point now, const sent_request& request)
 {
-    const auto found = stats_.find(request.node);
-    if (found == stats_.end()) {
-        return;
-    }
-    auto& stats = found->second;
+    auto& stats = stats_[request.node];
+    stats.overdue = true;
     const auto extra_ms = stats.unanswered.extra_ms(request.sent);
     if (settings_.unanswered.counts_ended && extra_ms) {
         if (stats.unanswered.missed() == 0) {
@@ -288,6 +294,10 @@
             add_failure(now, stats);
         }
         observe_missed(now, stats, request.sent);
+        ++(stats.probes.is_avoided() ? missed_at_avoided_ : missed_at_used_);
+    }
+    else {
+        stats.unanswered.on_end(request.sent);
     }
     if (auto* balance = balance_of(stats)) {
         balance->on_refusal(now, stats.zone, -1);
@@ -297,10 +307,16 @@
 void target_picker::on_cancelled(time_point now, const sent_request& request)
 {
     auto& stats = stats_[request.node];
+    remove_in_flight(stats, request);
+    // Requests may have been sent at the same time as one that was removed at its deadline.
+    if (std::exchange(stats.overdue, false)) {
+        return;
+    }
     if (settings_.unanswered.counts_ended && stats.unanswered.extra_ms(request.sent)) {
         observe_missed(now, stats, request.sent);
+        return;
     }
-    end_request(request);
+    stats.unanswered.on_end(request.sent);
 }
 
 void target_picker::on_end(const sent_request& request)
--- a/src/dispatch/target_picker_cost.cpp
+++ b/src/dispatch/target_picker_cost.cpp
@@ -51,12 +51,6 @@
     return is_cold ? std::max(cold_slowdown, scale.factor(now)) : scale.factor(now);
 }
 
-const target_picker::target_stats* target_picker::find(incarnation_id node) const
-{
-    const auto found = stats_.find(node);
-    return found == stats_.end() ? nullptr : &found->second;
-}
-
 target_picker::service_averages
 target_picker::averages_over(std::span<const pick_candidate> candidates) const
 {
@@ -64,7 +58,7 @@
     double targets_with_answers = 0;
     double targets_with_load = 0;
     for (const auto& candidate : candidates) {
-        const auto* stats = find(candidate.node);
+        const auto* stats = find_in(stats_, candidate.node);
         if (stats == nullptr) {
             continue;
         }
@@ -102,14 +96,15 @@
 // unknown target is idle and fast, the nodes together would send all requests to that target. The
 // load and answer time of an unknown target are therefore assumed to be the means of the service.
 pick_cost target_picker::cost(time_point now, const pick_candidate& candidate,
-                              const service_averages& service, std::size_t body_bytes) const
+                              const target_stats* stats, const service_averages& service,
+                              std::size_t body_bytes) const
 {
     const double slots = std::max<std::uint32_t>(candidate.slots, 1);
     double load = service.other_requests_per_slot * slots;
     pick_cost result;
     result.mean_answer_ms = service.mean_answer_ms;
     result.slowdown = candidate.warming_up ? cold_slowdown : 1;
-    if (const auto* stats = find(candidate.node)) {
+    if (stats != nullptr) {
         if (stats->load_reported_at != time_point{}) {
             const auto age =
                 std::chrono::duration_cast<milliseconds>(now - stats->load_reported_at);
@@ -120,7 +115,9 @@
         result.has_answers = stats->mean_answer_ms > 0;
         result.mean_answer_ms = result.has_answers ? stats->mean_answer_ms : service.mean_answer_ms;
         result.slowdown = stats->slowdown(now, candidate.warming_up);
-        result.unanswered_ms = shown_ms(now, *stats, result.usual_ms());
+        if (!stats->unanswered.is_empty()) {
+            result.unanswered_ms = shown_ms(now, *stats, result.usual_ms());
+        }
         result.failure_ms = failure_cost(now, *stats);
         if (settings_.counts_bodies) {
             result.intake_wait_ms = stats->bodies.wait_ms(now, body_bytes);
@@ -138,11 +135,11 @@
 // are known to all nodes at about the same time, and are no reason for all of them to leave it at
 // once. Those that a node with few requests knows are means of few answers.
 double target_picker::cost_of_own_requests(time_point now, const pick_candidate& candidate,
+                                           const target_stats* stats,
                                            const service_averages& service,
                                            std::size_t body_bytes) const
 {
     const std::uint32_t slots = std::max<std::uint32_t>(candidate.slots, 1);
-    const auto* stats = find(candidate.node);
     if (stats == nullptr) {
         return service.shortest_answer_ms;
     }
@@ -150,9 +147,12 @@
     if (stats->own_in_flight >= std::max(min_in_flight, slots / 3)) {
         mean = std::max(mean, std::min(stats->mean_answer_ms, service.mean_answer_ms));
     }
-    const double usual = stats->mean_answer_ms > 0 ? stats->mean_answer_ms : service.mean_answer_ms;
-    mean =
-        std::max(mean, shown_ms(now, *stats, usual * stats->slowdown(now, candidate.warming_up)));
+    if (!stats->unanswered.is_empty()) {
+        const double usual =
+            stats->mean_answer_ms > 0 ? stats->mean_answer_ms : service.mean_answer_ms;
+        mean = std::max(mean,
+                        shown_ms(now, *stats, usual * stats->slowdown(now, candidate.warming_up)));
+    }
     const double body_ms = settings_.counts_bodies ? stats->bodies.own_wait_ms(body_bytes) : 0;
     return mean * queueing_factor(stats->own_in_flight, slots) + failure_cost(now, *stats) +
            body_ms;
--- a/src/dispatch/target_picker_explain.cpp
+++ b/src/dispatch/target_picker_explain.cpp
@@ -22,9 +22,10 @@
                                                              std::size_t body_bytes) const
 {
     pick_explanation::candidate result;
-    result.cost = cost(now, candidate, service, body_bytes);
+    const auto* stats = find_in(stats_, candidate.node);
+    result.cost = cost(now, candidate, stats, service, body_bytes);
     result.total_ms = result.cost.answer_ms() + result.cost.refusing_ms;
-    if (const auto* stats = find(candidate.node)) {
+    if (stats != nullptr) {
         result.probe_due = settings_.unanswered.probes && result.cost.is_avoided() &&
                            stats->probes.is_certainly_due(now) && may_probe(candidate, balance);
         result.own_in_flight = stats->own_in_flight;
@@ -54,8 +55,8 @@
     for (const auto& candidate : candidates) {
         result.candidates.push_back(
             explain_candidate(now, candidate, service, balance, traits.body_bytes));
-        add_option(now, choice, candidate, result.candidates.back().total_ms, service,
-                   traits.body_bytes);
+        add_option(now, choice, candidate, find_in(stats_, candidate.node),
+                   result.candidates.back().total_ms, service, traits.body_bytes);
     }
     balance.update(now, choice.zones, aim);
     const auto plan = balance.plan(choice.zones, choice.request);
