--- a/src/dispatch/probe_schedule.h
+++ b/src/dispatch/probe_schedule.h
@@ -18,6 +18,12 @@
     bool update(time_point now, bool avoided, std::mt19937_64& random);
     /// The target gets a request; a probe if it is avoided.
     void on_pick(time_point now, std::mt19937_64& random);
+    /// True if `update` would certainly return true for a target that is still avoided. Changes
+    /// nothing.
+    [[nodiscard]] bool is_certainly_due(time_point now) const
+    {
+        return is_avoided() && now >= next_probe_;
+    }
     [[nodiscard]] bool is_avoided() const { return interval_.count() > 0; }
 
 private:
--- a/src/dispatch/target_picker.h
+++ b/src/dispatch/target_picker.h
@@ -11,6 +11,8 @@
 /// and gets a probe now and then, see `probe_schedule`. The body of a request adds the time until
 /// it has arrived, see `body_transfer`.
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -32,6 +34,13 @@
 
 namespace bulrushgw::dispatch {
 
+enum class pick_cause : std::uint8_t {
+    lowest_cost,      ///< in the zone that gets most of the requests
+    trial,            ///< it warms up and is due to get a request
+    probe,            ///< it is avoided because it does not answer, and is due to get a request
+    own_zone_overflow ///< another zone is faster by a wide margin
+};
+
 struct pick_candidate {
     incarnation_id node;
     std::uint32_t slots = 1;
@@ -41,6 +50,56 @@
     std::string_view zone = {};
 };
 
+/// The expected answer time of a candidate by part.
+struct pick_cost {
+    double mean_answer_ms = 0; ///< of this node's requests; of the service if it had none
+    bool has_answers = false;  ///< this node got an answer from the target that counts in the mean
+    double slowdown = 1;       ///< because of a warm-up or a slow machine; a factor
+    double unanswered_ms = 0;  ///< least answer time by requests without an answer; 0: none shown
+    double load = 0;           ///< running and waiting requests at the target
+    double queueing = 1;       ///< because of the load; a factor
+    double failure_ms = 0;     ///< because of failures
+    double intake_wait_ms = 0; ///< until the target's host lets the body be sent
+    double transfer_ms = 0;    ///< of the body
+    double refusing_ms = 0;    ///< because the target warms up and accepts nothing now
+    /// Expected time of an answer at an idle target that answers.
+    [[nodiscard]] double usual_ms() const { return mean_answer_ms * slowdown; }
+    /// True if requests without an answer show much more than the usual time.
+    [[nodiscard]] bool is_avoided() const;
+    /// All parts but `refusing_ms`.
+    [[nodiscard]] double answer_ms() const
+    {
+        const double mean = std::max(mean_answer_ms, unanswered_ms / slowdown);
+        return mean * slowdown * queueing + (failure_ms + (intake_wait_ms + transfer_ms));
+    }
+};
+
+/// How `target_picker::pick` would decide on a request, without the random parts.
+struct pick_explanation {
+    struct candidate {
+        pick_cost cost;
+        double total_ms = 0;
+        std::uint32_t own_in_flight = 0;           ///< requests from this node
+        std::optional<milliseconds> answer_age;    ///< none: no answer so far
+        std::optional<milliseconds> load_age;      ///< none: no load was reported
+        std::optional<milliseconds> failure_age;   ///< none: no failure so far
+        std::optional<milliseconds> refusing_time; ///< it accepts nothing for this time
+        bool trial_due = false; ///< gets the next request, see `cold_target_trials`
+        bool probe_due = false; ///< gets the next request, see `probe_schedule`
+    };
+    struct zone {
+        std::string name;
+        bool own = false;
+        std::size_t best = 0;            ///< index of the candidate with the lowest cost
+        double share = 0;                ///< probability that the request goes there
+        std::optional<milliseconds> age; ///< of the figures of the zone; none: there are none
+    };
+    std::vector<candidate> candidates; ///< in the order given
+    std::vector<zone> zones;
+    std::size_t chosen = 0; ///< index of the candidate that most requests would get
+    pick_cause cause = pick_cause::lowest_cost;
+};
+
 /// What the choice between availability zones depends on besides the latency goal.
 struct pick_traits {
     std::string_view service; ///< zones are balanced for each service
@@ -90,7 +149,9 @@
     std::size_t avoided_targets = 0;
 };
 
-/// Not thread-safe.
+/// Implemented in four files: picks and observations (target_picker.cpp), the costs
+/// (target_picker_cost.cpp), explanations (target_picker_explain.cpp), and reports of avoided
+/// targets (target_picker_reports.cpp). Not thread-safe.
 class target_picker {
 public:
     explicit target_picker(pick_settings settings = {}) : settings_(settings) {}
@@ -101,6 +162,13 @@
     std::optional<incarnation_id> pick(time_point now, std::span<const pick_candidate> candidates,
                                        const std::vector<incarnation_id>& avoid, milliseconds aim,
                                        std::mt19937_64& random, const pick_traits& traits = {});
+    /// Tells which candidate a new request would get and why. Random parts are left out: the factor
+    /// on costs, the draw of a zone by its share, and the intervals of trials and
+    /// probes that are not drawn yet. Changes no state and costs as much as a pick. None without
+    /// candidates.
+    [[nodiscard]] std::optional<pick_explanation>
+    explain(time_point now, std::span<const pick_candidate> candidates, milliseconds aim,
+            const pick_traits& traits = {}) const;
     /// The node reported that work on the machine of its target takes `percent` of the usual time.
     void on_work_percent(time_point now, incarnation_id node, std::uint32_t percent);
     /// The node reported that it would let a body of 64 KiB be sent after `wait`.
@@ -156,6 +224,7 @@
         double other_requests = 0;       ///< requests from other nodes as of the last load report
         time_point load_reported_at{};   ///< epoch: no report so far
         double mean_answer_ms = 0;       ///< 0: no answer so far
+        time_point answered_at{};        ///< epoch: no answer so far
         double failure_share = 0;        ///< exponential average of failed requests
         time_point last_failure{};
         /// Failure share before requests were missed. Once a request sent later is answered, the
@@ -173,7 +242,7 @@
         body_transfer bodies;
 
         /// Duration of work as a multiple of that on a warm target at the usual speed.
-        [[nodiscard]] double slowdown(time_point now) const;
+        [[nodiscard]] double slowdown(time_point now, bool is_cold) const;
     };
 
     /// Means over the targets of one service. They are used for a target of which this node has no
@@ -184,27 +253,49 @@
         double other_requests_per_slot = 0;
     };
 
-    [[nodiscard]] service_averages averages_over(std::span<const pick_candidate> candidates);
+    /// The zones of the candidates, and the best candidate of each.
+    struct zone_choice {
+        std::vector<zone_option> zones;
+        std::vector<const pick_candidate*> best;
+        zone_request request;
+    };
+
+    [[nodiscard]] service_averages averages_over(std::span<const pick_candidate> candidates) const;
     /// The statistics of the node, or null.
-    [[nodiscard]] target_stats* find(incarnation_id node);
-    [[nodiscard]] double cost(time_point now, const pick_candidate& candidate,
-                              const target_stats* stats, const service_averages& service,
-                              std::size_t body_bytes) const;
+    template <typename Map>
+    [[nodiscard]] static auto* find_in(Map& stats, incarnation_id node)
+    {
+        const auto found = stats.find(node);
+        return found == stats.end() ? nullptr : &found->second;
+    }
+    [[nodiscard]] pick_cost cost(time_point now, const pick_candidate& candidate,
+                                 const target_stats* stats, const service_averages& service,
+                                 std::size_t body_bytes) const;
+    /// Adds a candidate with its cost to the choice between zones.
+    void add_option(time_point now, zone_choice& choice, const pick_candidate& candidate,
+                    const target_stats* stats, double value, const service_averages& service,
+                    std::size_t body_bytes) const;
+    [[nodiscard]] pick_explanation::candidate explain_candidate(time_point now,
+                                                                const pick_candidate& candidate,
+                                                                const service_averages& service,
+                                                                const zone_balance& balance,
+                                                                std::size_t body_bytes) const;
     /// Expected time until the body has arrived, in ms.
     [[nodiscard]] double body_ms(time_point now, const target_stats& stats,
                                  std::size_t bytes) const;
     /// Updates the means of the target after an answer that took `ms` at the usual speed.
     void record_answer_time(target_stats& stats, double ms, double extra_ms,
                             std::size_t body_bytes);
-    [[nodiscard]] double trial_cost(time_point now, const pick_candidate& candidate,
-                                    double normal_cost, std::mt19937_64& random);
     /// Records that the target was picked.
     incarnation_id note_pick(time_point now, const pick_candidate& target,
                              const pick_traits& traits, std::mt19937_64& random);
     /// True if the target is avoided because it does not answer and should get the request.
     [[nodiscard]] bool is_probe_due(time_point now, const pick_candidate& candidate,
-                                    target_stats& stats, const service_averages& service,
+                                    target_stats& stats, const pick_cost& parts,
                                     const zone_balance& balance, std::mt19937_64& random);
+    /// True if probes of the target are in a zone that gets requests.
+    [[nodiscard]] static bool may_probe(const pick_candidate& candidate,
+                                        const zone_balance& balance);
     /// Lower bound of the target's answer time by its unanswered requests, in ms.
     [[nodiscard]] double shown_ms(time_point now, const target_stats& stats, double usual_ms) const;
     /// Counts the time that a request waited without an answer.
--- a/tests/dispatch/target_picker_test.cpp
+++ b/tests/dispatch/target_picker_test.cpp
@@ -235,6 +235,99 @@
     CHECK(picks(1500, 50)[2] > 10);
 }
 
+// Guards against an explanation that changes what is picked afterwards, and against one that
+// differs from the picks: another target, another share that leaves the zone.
+TEST(target_picker, explanation_agrees_with_picks_and_changes_nothing)
+{
+    std::vector<pick_candidate> zones{{incarnation_id{1}, 4, true, false, "own"},
+                                      {incarnation_id{2}, 4, true, false, "own"},
+                                      {incarnation_id{3}, 4, false, false, "other"},
+                                      {incarnation_id{4}, 4, true, true, "own"}};
+    target_picker undisturbed;
+    std::mt19937_64 other_random{3};
+    std::map<std::uint64_t, int> picks;
+    double leaving = 0;
+    for (long now = 1; now < 4000; now += 2) {
+        // Targets of the own zone are slow, and one of them is slower, so that some requests leave.
+        std::optional<pick_explanation> report;
+        for (int i = 0; i < 2; ++i) {
+            report = picker.explain(at(now), zones, aim);
+        }
+        const auto picked = picker.pick(at(now), zones, {}, aim, random);
+        CHECK(picked == undisturbed.pick(at(now), zones, {}, aim, other_random));
+        if (now > 2000) {
+            CHECK(report->chosen != 1);
+            CHECK(report->candidates[1].cost.mean_answer_ms >
+                  report->candidates[0].cost.mean_answer_ms);
+            ++picks[picked->value];
+            for (const auto& zone : report->zones) {
+                leaving += zone.own ? 0 : zone.share;
+            }
+        }
+        for (auto* each : {&picker, &undisturbed}) {
+            each->on_sent(*picked);
+            const long took = picked->value == 2 ? 600 : picked->value == 3 ? 50 : 190;
+            each->on_answer(at(now), *picked, milliseconds{took}, 4, aim);
+        }
+    }
+    CHECK(leaving > 0);
+    // The draws of some hundred requests scatter by less than a tenth of their number.
+    DOUBLES_EQUAL(leaving, picks[3], 100);
+}
+
+// Guards against costs whose parts do not tell why a target is avoided.
+TEST(target_picker, explanation_names_failures_and_refusals)
+{
+    answer(1, 60, 20);
+    answer(2, 60, 20);
+    candidates[1].warming_up = true;
+    picker.on_sent(incarnation_id{1});
+    picker.on_failure(at(10), incarnation_id{1});
+    picker.on_sent(incarnation_id{2});
+    picker.on_warm_up_refusal(at(10), incarnation_id{2}, 1, milliseconds{500});
+    const auto report = picker.explain(at(110), candidates, aim);
+    CHECK(report->candidates[0].cost.failure_ms > 0);
+    LONGS_EQUAL(100, report->candidates[0].failure_age->count());
+    CHECK(report->candidates[1].cost.refusing_ms > 0);
+    LONGS_EQUAL(400, report->candidates[1].refusing_time->count());
+    CHECK(!report->candidates[2].cost.has_answers);
+    CHECK(!report->candidates[2].load_age);
+}
+
+// Guards against an explanation that leaves out what a silent target or a body costs, and against
+// one that announces a probe that does not follow, or none before a probe.
+TEST(target_picker, explanation_names_silence_bodies_and_probes)
+{
+    candidates = {{incarnation_id{1}, 6, true}, {incarnation_id{2}, 6, true}};
+    answer(1, 50, 20, 0);
+    answer(2, 50, 20, 0);
+    picker.on_sent({incarnation_id{1}, at(1000)});
+    picker.on_sent({incarnation_id{1}, at(1010)});
+    picker.on_intake_wait(at(1900), incarnation_id{2}, milliseconds{400});
+    const auto report = picker.explain(at(2000), candidates, aim, {"", 0, 60000});
+    const auto& silent = report->candidates[0];
+    const auto& other = report->candidates[1];
+    CHECK(silent.cost.is_avoided());
+    DOUBLES_EQUAL(1000, silent.cost.unanswered_ms, 0.001);
+    CHECK(silent.total_ms > 1000);
+    CHECK(!other.cost.is_avoided());
+    DOUBLES_EQUAL(360, other.cost.intake_wait_ms, 0.001);
+    CHECK(other.cost.transfer_ms > 0);
+    DOUBLES_EQUAL(0, silent.cost.intake_wait_ms, 0.001);
+    LONGS_EQUAL(1, report->chosen);
+    int probes = 0;
+    for (long now = 2000; now < 20000; now += 10) {
+        const auto expected = picker.explain(at(now), candidates, aim);
+        const bool probe = expected->cause == pick_cause::probe;
+        CHECK(expected->candidates[0].probe_due == probe);
+        LONGS_EQUAL(probe ? 0 : 1, expected->chosen);
+        CHECK(picker.pick(at(now), candidates, {}, aim, random) ==
+              candidates[expected->chosen].node);
+        probes += probe ? 1 : 0;
+    }
+    CHECK(probes >= 3);
+}
+
 namespace {
 
 /// Plays a host that sends a request each 20 ms to four targets, of which one is silent at times.
