Learn the loads before keys move after a transfer of a term

Cause: a leader that takes a term over knows no loads, and moved up to a tenth of the keys by their number alone at once.

Change: it waits 500 ms, as after a claim.

Result: sidecar and assignment tests pass. The effect on a transfer was not measured.

--- a/src/assignment/leader.cpp
+++ b/src/assignment/leader.cpp
@@ -14,8 +14,6 @@
 constexpr milliseconds max_first_assignment_delay{5000};
 /// Decay visits all keys, so it does not run for each report.
 constexpr milliseconds decay_interval{500};
-/// Time for which a new leader learns the loads before it moves keys.
-constexpr milliseconds load_learning_time{500};
 /// Minimum interval between two pushes of the directory. Many changes occur together when hosts are
 /// lost or moved, and each push costs a message per member.
 constexpr milliseconds push_interval{50};
--- a/src/assignment/leader.h
+++ b/src/assignment/leader.h
@@ -177,6 +177,9 @@
     [[nodiscard]] std::size_t keys_to_evacuate() const;
 
 private:
+    /// Time for which a new leader learns the loads before it moves keys.
+    static constexpr milliseconds load_learning_time{500};
+
     struct member_state {
         report last_report;
         time_point last_report_at;
--- a/src/assignment/leader_transfer.cpp
+++ b/src/assignment/leader_transfer.cpp
@@ -28,7 +28,7 @@
     : times_(times), self_(std::move(self)), lengths_(times), store_confirmed_(store_confirmed),
       transfers_(transfer.transfers), recorded_(with_valid_lease(transfer.recorded)),
       beat_(transfer.beat), fence_count_(transfer.fence_count), next_merge_(now), last_decay_(now),
-      balancing_from_(now)
+      balancing_from_(now + load_learning_time)
 {
     for (const auto& written : transfer.unresolved) {
         unresolved_writes_.push_back(with_valid_lease(written));
