Keep the size of bodies that need no credit in one constant

Cause: the choice of a target and the sender of parts each had the limit of 8 KiB.

Change: both use dispatch::direct_body_bytes.

Result: the entry and part_sender tests pass.

--- a/src/dispatch/body_transfer.h
+++ b/src/dispatch/body_transfer.h
@@ -11,7 +11,9 @@
 
 namespace bulrushgw::dispatch {
 
-/// Bodies up to this size are sent with their request, without waiting for the target's host.
+/// Bodies up to this size are sent with their request. Larger ones wait for the credit of the
+/// target's host: 83 hosts that each send one body of 60,000 bytes at the same time occupy a link
+/// of 10 Mbit/s for 4 s.
 inline constexpr std::size_t direct_body_bytes = std::size_t{8} * 1024;
 
 /// The bodies that this host sends to one target. Not thread-safe.
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "dispatch/body_transfer.h"
+
 namespace bulrushgw::sidecar {
 
 namespace {
@@ -368,7 +370,7 @@
             });
         return;
     }
-    const bool in_parts = body.size() > max_single_frame_body_bytes;
+    const bool in_parts = body.size() > dispatch::direct_body_bytes;
     if (in_parts) {
         message.body_bytes = body.size();
     }
--- a/src/sidecar/entry_explain.cpp
+++ b/src/sidecar/entry_explain.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "dispatch/body_transfer.h"
 #include "sidecar/client_limits.h"
 
 namespace bulrushgw::sidecar {
@@ -198,7 +199,7 @@
     const auto& content = routes_->content();
     limits.max_body_bytes =
         content.limits.body_bytes > 0 ? content.limits.body_bytes : default_body_bytes;
-    limits.body_in_parts = query.body_bytes > max_single_frame_body_bytes;
+    limits.body_in_parts = query.body_bytes > dispatch::direct_body_bytes;
     if (const auto* service = routes_->find_service(report.service)) {
         limits.cold_requests_per_s = service->cold_requests_per_s;
         report.sharded = service->sharded;
--- a/src/sidecar/part_sender.h
+++ b/src/sidecar/part_sender.h
@@ -19,10 +19,6 @@
 /// Largest size of a part. On a link of 10 Mbit/s, the slowest of a deployment, another frame waits
 /// 50 ms for a part in front of it.
 inline constexpr std::size_t body_part_bytes = std::size_t{64} * 1024;
-/// Bodies up to this size travel in one frame with their request. Larger ones wait for the credit
-/// of the target's host: 83 hosts that each send one body of 60,000 bytes at the same time occupy a
-/// link of 10 Mbit/s for 4 s.
-inline constexpr std::size_t max_single_frame_body_bytes = std::size_t{8} * 1024;
 /// Parts that are queued on a connection before its present write has ended.
 inline constexpr std::size_t max_queued_parts = 2;
 
