Keep the ports of the test of explain below the ephemeral ones

The store could not listen on port 35440, which lay in the range of the ephemeral ports (32768 to 60999): a connection of another process had it.

Change: the test uses ports from 31000 to 32609.

--- a/tests/process/explain_test.sh
+++ b/tests/process/explain_test.sh
@@ -14,7 +14,8 @@
 trap finish EXIT
 fail() { echo "explain test: $1"; tail -n 5 "$work"/*; exit 1; }
 
-base=$((31000 + ($$ % 200) * 40))
+# Below the ephemeral ports, which connections of other processes may occupy.
+base=$((31000 + ($$ % 40) * 40))
 port() { echo "127.0.0.1:$((base + $1 * 10 + $2))"; }
 
 cat >"$work/manifest.json" <<JSON
