--- a/tests/assignment/leader_test.cpp
+++ b/tests/assignment/leader_test.cpp
@@ -1,5 +1,6 @@
 #include "assignment/leader.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
     time_point now{milliseconds{100000}};
     leader tested{{}, {self, "h1", "a1"}, start()};
     std::uint64_t sequence = 0;
+    std::uint64_t reported_version = 0; ///< of the directory, in each report
 
     static term_start start()
     {
@@ -60,6 +62,7 @@
         body.leaving = leaving;
         body.released = std::move(released);
         body.process_age = age;
+        body.directory_version = reported_version;
         return tested.on_report(now, node, body);
     }
 
@@ -148,3 +151,48 @@
     advance(milliseconds{50});
     LONGS_EQUAL(1, segments_of(self).size());
 }
+
+// Guards against a member that has lost one directory change and gets no others while the directory
+// changes all the time: it cannot apply any of them, and has no lease until then.
+TEST(leader, lost_change_is_sent_again_while_the_directory_changes)
+{
+    reported_version = tested.view().version;
+    report_of(owner, "h7");
+    bool is_sent_again = false;
+    for (int i = 0; i < 20; ++i) {
+        report_of(incarnation_id{9}, "h9", i % 2 == 0);
+        advance(milliseconds{50});
+        tested.take_changes(now);
+        if (i % 5 == 4) {
+            is_sent_again = is_sent_again || !report_of(owner, "h7").content.empty();
+        }
+    }
+    CHECK(tested.view().version > reported_version + 5);
+    CHECK(is_sent_again);
+}
+
+// Guards against moves by the number of keys alone: the next leader of a transferred term knows no
+// loads at first.
+TEST(leader, leader_after_a_transfer_learns_the_loads_before_keys_move)
+{
+    const incarnation_id joined{9};
+    report_of(joined, "h9");
+    advance(milliseconds{50});
+    leadership_transfer transfer;
+    transfer.term = term;
+    transfer.content = tested.change_since(0);
+    transfer.recorded.members = {{self, "h1", "a1"}, {owner, "h7", "a7"}, {joined, "h9", "a9"}};
+    for (const auto& record : tested.view().nodes) {
+        transfer.members.push_back({record, true, true, false, false});
+    }
+    leader next({}, {self, "h1", "a1"}, transfer, now, now);
+    next.set_sharded({"s"});
+    const auto moving = [&] {
+        return std::count_if(next.view().segments.begin(), next.view().segments.end(),
+                             [](const segment& item) { return item.releasing; });
+    };
+    next.on_tick(now + milliseconds{450});
+    LONGS_EQUAL(0, moving());
+    next.on_tick(now + milliseconds{550});
+    CHECK(moving() > 0);
+}
