Show that one long time budget breaks off the requests of other clients

Cause: a frame with a deadline above 24 hours is encoded and sent, and refused as malformed by its receiver, which closes the connection. All other requests in flight on it are answered with 502, and their answers are dropped.

--- a/review/standins-2/callers_main.cpp
+++ b/review/standins-2/callers_main.cpp
@@ -18,9 +18,12 @@
 #include <gflags/gflags.h>
 
 DEFINE_int32(port, 0, "port of the sidecar's address for requests, on loopback");
-DEFINE_int32(ready_port, 0, "port of the sidecar's ready address");
+DEFINE_int32(ready_port, 0, "port of the sidecar's ready address; 0: it is not asked");
 DEFINE_string(host, "h.example", "host header");
 DEFINE_string(path, "/", "path of each request");
+DEFINE_string(method, "POST", "method of each request; only POST has a body");
+DEFINE_string(prefix, "o", "begin of the request ids");
+DEFINE_int64(deadline_ms, 2000, "time budget of each request");
 DEFINE_int32(clients, 8, "number of clients");
 DEFINE_int32(pause_ms, 300, "pause of a client between two tries");
 DEFINE_int32(seconds, 10, "time of the tries");
@@ -77,12 +80,14 @@
 
 void run_client(int number)
 {
+    const std::string body = FLAGS_method == "POST" ? "ok" : "";
     for (int i = 0; elapsed_ms() < FLAGS_seconds * 1000; ++i) {
-        const std::string id = "o" + std::to_string(number) + "-" + std::to_string(i);
-        const auto answer =
-            ask(FLAGS_port, "POST " + FLAGS_path + " HTTP/1.1\r\nHost: " + FLAGS_host +
-                                "\r\nRequest-Id: " + id +
-                                "\r\nDeadline-Ms: 2000\r\nContent-Length: 2\r\n\r\nok");
+        const std::string id = FLAGS_prefix + std::to_string(number) + "-" + std::to_string(i);
+        const auto answer = ask(
+            FLAGS_port,
+            FLAGS_method + " " + FLAGS_path + " HTTP/1.1\r\nHost: " + FLAGS_host +
+                "\r\nRequest-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(FLAGS_deadline_ms) +
+                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         note(tries, id, answer, answer.starts_with("HTTP/1.1 "));
         std::this_thread::sleep_for(std::chrono::milliseconds{FLAGS_pause_ms});
     }
@@ -128,7 +133,9 @@
     for (int i = 0; i < FLAGS_clients; ++i) {
         threads.emplace_back(run_client, i);
     }
-    threads.emplace_back(check_readiness);
+    if (FLAGS_ready_port != 0) {
+        threads.emplace_back(check_readiness);
+    }
     for (auto& item : threads) {
         item.join();
     }
