Show that a new lifetime of an endpoint is given keys under the old generation

Cause: the sidecar renews grants at the address of its endpoint until a heartbeat, an answer or refused channels show that another lifetime runs there.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,7 +11,9 @@
     target/libbulrushgw_common.a)
 read -r -a system <<<"$(pkg-config --libs gflags libxxhash) -lh2o-evloop -lhttp_parser -lssl -lcrypto -lz -lpthread"
 g++ "${flags[@]}" -c standins/platform_model.cpp -o "$out/platform_model.o"
-g++ "${flags[@]}" review/standins-2/deployment_main.cpp "$out/platform_model.o" "${libraries[@]}" "${system[@]}" -o "$out/deployment"
+for program in deployment replaced; do
+    g++ "${flags[@]}" "review/standins-2/${program}_main.cpp" "$out/platform_model.o" "${libraries[@]}" "${system[@]}" -o "$out/$program"
+done
 for program in slow_reader trickle callers flood; do
     g++ "${flags[@]}" "review/standins-2/${program}_main.cpp" "${system[@]}" -o "$out/$program"
 done
