Deliver the answers of clients that read slowly before a planned stop ends

Cause: a request counted as done when its answer had been handed to the HTTP server. Idle and exit asked the entry, the gate and the intake, none of which knows what has been written. Requests that the kernel had received and nobody had read turned the close into a reset, which drops the send buffer, too. Ruled out: the time reserved for runs (all had ended 5 s before) and the limit on slow readers (60 s).

Change: http_server::undelivered counts the connections with an answer that is not delivered; a node is not idle until there is none, nor while a reply to another node is unwritten. http_server::finish, which takes the place of stop_accepting, answers what was read, refuses incomplete uploads with 503 and closes each connection in order. The exit waits 300 ms for that, inside the margin before the platform kills the process. bulrushgw node ends its connections in the same way.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -93,7 +93,8 @@
     /// disconnected, or closed its sending side, by the time at which the request is read.
     bool ignore_abandoned_requests = false;
     /// Returns the headers to add to the error responses that the server sends without calling
-    /// the handler: 400, 408, 413, 417, 431, and 503 while memory is low. May be empty.
+    /// the handler: 400, 408, 413, 417, 431, and 503 while memory is low or after `finish`. May be
+    /// empty.
     std::function<header_list(int status)> refusal_headers;
     /// Counts what clients make the process hold: connections, heads, bodies, requests until their
     /// response, and responses until they are written. Null: unlimited.
@@ -116,6 +117,7 @@
     std::uint64_t bodies_too_slow = 0;     ///< status 408
     std::uint64_t memory_refused = 0;      ///< status 503 because memory was low
     std::uint64_t memory_closed = 0;       ///< connections closed because memory was low
+    std::uint64_t stop_refused = 0;        ///< status 503 because of `http_server::finish`
     std::uint64_t slow_readers = 0;        ///< connections whose clients did not read in time
     std::uint64_t connections_refused = 0; ///< new connections above the limit
 };
@@ -134,9 +136,15 @@
     http_server(http_server&&) = delete;
     http_server& operator=(http_server&&) = delete;
 
-    /// Stops accepting connections. Requests in progress continue, and each connection is closed
-    /// after its next response.
-    void stop_accepting();
+    /// Stops accepting connections and reading from them. Each connection is closed once all
+    /// requests that were read from it have their response, see `undelivered`. A request whose body
+    /// is incomplete is refused with status 503.
+    void finish();
+    /// Number of connections on which a request was read and its response is not delivered: the
+    /// request waits or runs, its response is being written, the client has not acknowledged all
+    /// bytes, or the connection cannot be closed yet without a reset. Asks the kernel for each open
+    /// connection.
+    [[nodiscard]] std::size_t undelivered() const;
     /// Sets the time for a client to send a request, which is `request_timeout` by default. A
     /// connection that is idle for longer is closed. The time for a client to read a response
     /// remains `request_timeout`.
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <utility>
 
+#include "net/sockets.h"
+
 // Reading, time limits and the end of a connection. `http_connection_responses.cpp` has the rest.
 
 namespace bulrushgw::net::detail {
@@ -64,7 +66,7 @@
     else if (lingering_) {
         discard_input();
     }
-    else if (may_parse()) {
+    else if (may_read()) {
         read_input();
     }
     else {
@@ -75,7 +77,7 @@
 void http_connection::read_input()
 {
     auto& buffer = context_->read_buffer;
-    for (int i = 0; i < max_reads_per_iteration && !closed_ && may_parse(); ++i) {
+    for (int i = 0; i < max_reads_per_iteration && !closed_ && may_read(); ++i) {
         const auto size =
             recv(h2o_socket_get_fd(socket_), buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -182,6 +184,7 @@
     bool has_changed = true;
     while (has_changed && !closed_) {
         has_changed = parse_input();
+        end_partial_request();
         has_changed = (!closed_ && start_requests()) || has_changed;
         has_changed = (!closed_ && send_answers()) || has_changed;
     }
@@ -211,7 +214,7 @@
     if (input_ended_) {
         return;
     }
-    if (lingering_ || may_parse()) {
+    if (lingering_ || may_read()) {
         unread_input_ = false;
     }
     if (!unread_input_) {
@@ -304,6 +307,63 @@
     refuse(status_unavailable, "memory is low", context_->counters.memory_refused);
 }
 
+// Ends the request of which only a part was read when the connection stopped reading.
+void http_connection::end_partial_request()
+{
+    if (closed_ || !finishing_ || refused_ || closing_ || !input_.empty()) {
+        return;
+    }
+    if (parser_.current_state() == http_message_parser::state::body) {
+        refuse(status_unavailable, "the server stops", context_->counters.stop_refused);
+    }
+    else if (parser_.current_state() == http_message_parser::state::head) {
+        parser_.abandon();
+        partial_charge_.reset();
+        refused_ = true;
+    }
+}
+
+bool http_connection::is_finished() const
+{
+    return finishing_ && pipeline_.is_empty() && input_.empty();
+}
+
+void http_connection::finish()
+{
+    if (closed_ || finishing_) {
+        return;
+    }
+    finishing_ = true;
+    const auto keep = shared_from_this();
+    pump();
+    close_if_finished();
+}
+
+void http_connection::close_if_finished()
+{
+    if (!closed_ && !writing_ && !closing_ && is_finished() && unparsed_.empty()) {
+        closing_ = true;
+        close_after_writing();
+    }
+}
+
+bool http_connection::has_undelivered()
+{
+    if (closed_) {
+        return false;
+    }
+    if (writing_ || lingering_ || !pipeline_.is_empty() || !unparsed_.empty()) {
+        return true;
+    }
+    may_be_unacknowledged_ = may_be_unacknowledged_ && is_unacknowledged();
+    return may_be_unacknowledged_;
+}
+
+bool http_connection::is_unacknowledged() const
+{
+    return unacknowledged_bytes(h2o_socket_get_fd(socket_)) > 0;
+}
+
 void http_connection::accept_request()
 {
     auto parsed = parser_.take();
@@ -369,7 +429,9 @@
         return;
     }
     if (lingering_) {
-        if (now >= linger_end_) {
+        const bool is_being_read =
+            finishing_ && is_unacknowledged() && now - writing_since_ <= limits.request_timeout;
+        if (now >= linger_end_ && !is_being_read) {
             close();
         }
         return;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -42,8 +42,7 @@
     milliseconds idle_timeout;
     http_server_counters counters;
     std::uint64_t abandoned_requests = 0;
-    bool stopping = false; ///< each connection is closed after its next response
-    bool closed = false;   ///< the server is destroyed: `on_cancel` is not called any more
+    bool closed = false; ///< the server is destroyed: `on_cancel` is not called any more
     std::vector<char> read_buffer;
     /// Changes a charge, if necessary by closing other connections than `requester`. Returns false
     /// if there is no room.
@@ -76,6 +75,12 @@
     void check_times(time_point now);
     /// Refuses the unfinished request, to free its memory.
     void refuse_unfinished();
+    /// Reads nothing more from the socket, and closes the connection once the requests that were
+    /// read are answered and their responses are delivered.
+    void finish();
+    /// True if a request was read and its response is not delivered, see
+    /// `http_server::undelivered`.
+    [[nodiscard]] bool has_undelivered();
 
     /// Bytes of the request that is being read; 0 if there is none.
     [[nodiscard]] std::size_t unfinished_bytes() const { return partial_charge_.bytes(); }
@@ -130,8 +135,14 @@
     bool reserve_copy(slot& entry);
     void cancel_requests();
     void close_after_writing();
+    void end_partial_request();
+    void close_if_finished();
+    [[nodiscard]] bool is_unacknowledged() const;
     void update_reading();
     [[nodiscard]] bool may_parse() const;
+    [[nodiscard]] bool may_read() const { return may_parse() && !finishing_; }
+    /// True if no request that was read is left to answer after `finish`.
+    [[nodiscard]] bool is_finished() const;
     [[nodiscard]] bool client_left() const;
 
     static void on_socket_readable(h2o_socket_t* socket, const char* failure);
@@ -155,10 +166,12 @@
     time_point linger_end_;
     bool pumping_ = false;
     bool closed_ = false;
-    bool refused_ = false; ///< no further request is read
+    bool refused_ = false;   ///< no further request is read
+    bool finishing_ = false; ///< nothing is read from the socket any more, see `finish`
     bool writing_ = false;
-    bool closing_ = false;   ///< closed after the current write
-    bool lingering_ = false; ///< the last response was written; input is discarded
+    bool may_be_unacknowledged_ = false; ///< since the last write
+    bool closing_ = false;               ///< closed after the current write
+    bool lingering_ = false;             ///< the last response was written; input is discarded
     bool input_ended_ = false;
     bool unread_input_ = false; ///< the socket has input that is not read for now
     bool continue_due_ = false; ///< "100 Continue" is sent when the responses ahead were sent
--- a/src/net/http_connection_responses.cpp
+++ b/src/net/http_connection_responses.cpp
@@ -163,7 +163,7 @@
     }
     while (const auto answer = pipeline_.take_answer()) {
         auto answered = std::move(slots_.extract(answer->request).mapped());
-        const bool closes = answer->closes || (context_->stopping && !pipeline_.has_started());
+        const bool closes = answer->closes || is_finished();
         if (!answered.is_dropped) {
             add_output(answered, closes);
         }
@@ -213,6 +213,7 @@
         buffers.push_back(h2o_iovec_init(text.data(), text.size()));
     }
     writing_ = true;
+    may_be_unacknowledged_ = true;
     writing_since_ = context_->event_loop.now();
     h2o_socket_write(socket_, buffers.data(), buffers.size(), on_socket_written);
 }
@@ -246,6 +247,7 @@
     else {
         pipeline_.on_sent();
         pump();
+        close_if_finished();
     }
 }
 
@@ -254,7 +256,8 @@
     char byte = 0;
     const bool has_input = unread_input_ || !unparsed_.empty() ||
                            recv(h2o_socket_get_fd(socket_), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-    if (!has_input) {
+    // The process may exit next, and input that arrives after that resets the connection.
+    if (!has_input && !(finishing_ && is_unacknowledged())) {
         close();
         return;
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -258,10 +258,20 @@
     state_->close();
 }
 
-void http_server::stop_accepting()
+void http_server::finish()
 {
-    state_->context->stopping = true;
     state_->listener.reset();
+    const auto all = state_->connections;
+    for (const auto& [key, connection] : all) {
+        connection->finish();
+    }
+}
+
+std::size_t http_server::undelivered() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(state_->connections.begin(), state_->connections.end(),
+                      [](const auto& item) { return item.second->has_undelivered(); }));
 }
 
 void http_server::set_idle_timeout(milliseconds time)
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -73,8 +73,9 @@
         h2o_socket_t* socket = nullptr;
         std::string queued_bytes; ///< frames that wait for the current write to end
         std::uint64_t queued_frames = 0;
-        memory_charge charge;     ///< of `queued_bytes` and `write_buffer`
-        std::string write_buffer; ///< h2o keeps a pointer to its bytes until the write ends
+        bool has_unsent_reply = false; ///< among the frames that are queued or being written
+        memory_charge charge;          ///< of `queued_bytes` and `write_buffer`
+        std::string write_buffer;      ///< h2o keeps a pointer to its bytes until the write ends
         std::optional<detail::stream_compressor> compressor;
         std::uint64_t write_buffer_frames = 0;
         bool is_flush_deferred = false;
@@ -274,6 +275,7 @@
     counters.frames_lost += std::exchange(conn.write_buffer_frames, 0);
     conn.queued_bytes = {};
     conn.write_buffer = {};
+    conn.has_unsent_reply = false;
     conn.charge.reset();
     conn.current_phase = phase::broken;
     conn.timer = event_loop.after(limits.reconnect_delay,
@@ -327,6 +329,7 @@
     self.counters.bytes_sent += conn.write_buffer.size();
     self.counters.frames_sent += std::exchange(conn.write_buffer_frames, 0);
     clear_buffer(conn.write_buffer);
+    conn.has_unsent_reply = conn.has_unsent_reply && !conn.queued_bytes.empty();
     conn.charge.try_resize(conn.queued_bytes.size());
     self.flush(conn);
     self.report_drained(conn);
@@ -390,12 +393,20 @@
         ++self.counters.frames_refused;
         return false;
     }
+    conn->has_unsent_reply =
+        conn->has_unsent_reply || std::holds_alternative<wire::forward_reply>(frame.content);
     auto& count = self.counters.queued.at(frame.content.index());
     ++count.frames;
     count.bytes += bytes.size();
     return true;
 }
 
+bool peer_transport::has_unsent_replies() const
+{
+    return std::any_of(state_->connections.begin(), state_->connections.end(),
+                       [](const auto& item) { return item.second->has_unsent_reply; });
+}
+
 void peer_transport::reset(const std::string& address)
 {
     const auto found = state_->connections.find(address);
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -120,6 +120,8 @@
     /// budget is full, there is no connection, the frame is above the limits, or `address` is not
     /// "IP:port". The frames of one loop iteration are sent in one write.
     bool send(const std::string& address, const wire::frame& frame);
+    /// True while a `forward_reply` waits to be written to a connection that is not broken.
+    [[nodiscard]] bool has_unsent_replies() const;
     /// Closes the outgoing connection to `address`, if it is established. Callers use it when
     /// frames no longer reach the peer, although TCP reports no failure. The disconnect hook is not
     /// called, because the peer may still reply to frames that it received before.
--- a/src/net/request_pipeline.cpp
+++ b/src/net/request_pipeline.cpp
@@ -90,10 +90,4 @@
                                                  held_bytes_ + partial_bytes < limits_.max_bytes));
 }
 
-bool request_pipeline::has_started() const
-{
-    return std::any_of(entries_.begin(), entries_.end(),
-                       [](const entry& item) { return item.current_stage != stage::waiting; });
-}
-
 } // namespace bulrushgw::net::detail
--- a/src/net/request_pipeline.h
+++ b/src/net/request_pipeline.h
@@ -57,8 +57,6 @@
     [[nodiscard]] bool may_read(std::size_t partial_bytes) const;
     [[nodiscard]] bool is_empty() const { return entries_.empty(); }
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
-    /// True if a request is running or has a response that waits for its turn.
-    [[nodiscard]] bool has_started() const;
 
 private:
     enum class stage { waiting, running, answered };
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -2,8 +2,10 @@
 
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <unistd.h>
 #include <utility>
 
@@ -44,6 +46,12 @@
 
 } // namespace
 
+std::size_t unacknowledged_bytes(int fd)
+{
+    int bytes = 0;
+    return ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 listener::listener(loop& loop, const endpoint& address, acceptor on_accept)
     : address_(address), on_accept_(std::move(on_accept))
 {
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -3,6 +3,7 @@
 /// Listening sockets and socket addresses, shared by the HTTP server and the
 /// peer transport. Not thread-safe.
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 #include <sys/socket.h>
@@ -24,6 +25,10 @@
 /// Throws `address_error` when `address.ip` is not an IP address.
 socket_address to_socket_address(const endpoint& address);
 
+/// Bytes that were written to the socket and that the peer has not acknowledged; 0 if the kernel
+/// does not tell.
+std::size_t unacknowledged_bytes(int fd);
+
 /// Accepts connections and passes each socket to a callback, which becomes its owner.
 class listener {
 public:
--- a/src/node/process_stop.cpp
+++ b/src/node/process_stop.cpp
@@ -8,7 +8,8 @@
 // If the ranges can't be handed over within this time because the store is down, the incarnation
 // is ended through its witnesses instead.
 constexpr milliseconds leave_timeout{10000};
-// How long requests in flight may take to finish after the grace period that follows the hand-over.
+// How long requests in flight may take to finish, and clients to read their responses, after the
+// grace period that follows the hand-over.
 constexpr milliseconds finish_timeout{5000};
 constexpr milliseconds idle_poll_interval{20};
 // Nodes with an outdated placement may keep sending requests for a short time after the hand-over.
@@ -53,16 +54,16 @@
     }
     left_ = true;
     gateway_.drain_target();
-    loop_.after(grace_after_leave, [this] {
-        client_server_->stop_accepting();
-        finish_when_idle();
-    });
+    loop_.after(grace_after_leave, [this] { finish_when_idle(); });
     loop_.after(grace_after_leave + finish_timeout, [this] { loop_.stop(); });
 }
 
 void process::finish_when_idle()
 {
-    if (gateway_.pending() == 0 && entry_.pending() == 0) {
+    // The clients' connections are closed in order: an exit with unread input on them would reset
+    // them, and drop responses that are not read yet.
+    client_server_->finish();
+    if (gateway_.pending() == 0 && entry_.pending() == 0 && client_server_->connections() == 0) {
         all_requests_finished_ = true;
         loop_.stop();
         return;
--- a/src/sidecar/client_limits.cpp
+++ b/src/sidecar/client_limits.cpp
@@ -39,13 +39,14 @@
     std::uint64_t net::http_server_counters::*count;
 };
 
-constexpr std::array<cause, 9> causes{{
+constexpr std::array<cause, 10> causes{{
     {"malformed", &net::http_server_counters::malformed},
     {"head_too_large", &net::http_server_counters::heads_too_large},
     {"body_too_large", &net::http_server_counters::bodies_too_large},
     {"head_too_slow", &net::http_server_counters::heads_too_slow},
     {"body_too_slow", &net::http_server_counters::bodies_too_slow},
     {"memory_refused", &net::http_server_counters::memory_refused},
+    {"stop_refused", &net::http_server_counters::stop_refused},
     {"memory_closed", &net::http_server_counters::memory_closed},
     {"slow_reader", &net::http_server_counters::slow_readers},
     {"connection_limit", &net::http_server_counters::connections_refused},
--- a/src/sidecar/planned_stop.h
+++ b/src/sidecar/planned_stop.h
@@ -11,7 +11,8 @@
 
 /// What a stopping node still has to do.
 struct stop_progress {
-    bool is_idle = false; ///< no request is pending or running, and the target holds no keys
+    /// No request is pending, running or without its whole answer, and the target holds no keys.
+    bool is_idle = false;
     time_point last_request{};
 };
 
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/process.h"
 
 #include <algorithm>
+#include <array>
 #include <unistd.h>
 #include <utility>
 
@@ -30,8 +31,9 @@
 constexpr std::size_t reserved_descriptors = 500;
 /// Time for a last message to be sent before its connection is reset.
 constexpr milliseconds reset_delay{30};
-/// Time for the last answers to be sent before the exit.
-constexpr milliseconds final_write_time{50};
+/// Time for the last answers to be delivered before the exit. It is below the margin that
+/// `planned_stop` leaves until the platform kills the process.
+constexpr milliseconds max_delivery_time{300};
 /// Minimum time between two requests to peers for the text of a manifest.
 constexpr milliseconds min_pull_interval{200};
 constexpr milliseconds journal_interval{200};
@@ -366,7 +368,7 @@
     store_.watch_manifest();
     coordination_.on_tick();
     loop_.run();
-    answer_pending();
+    deliver_answers();
     journal_.flush(loop_.now());
     return recent_errors_ > max_recent_errors ? exit_failure : 0;
 }
@@ -727,7 +729,7 @@
         log("superseded", {{"term", coordination_.member().term()}});
         loop_.stop();
     }
-    if (stop_.is_stopping()) {
+    if (stop_.is_stopping() && !exiting_) {
         finish_when_idle();
     }
 }
@@ -763,12 +765,37 @@
     }
 }
 
-// Answers all pending requests before the exit, so that clients learn their outcome.
-void process::answer_pending()
+// Answers all pending requests before the exit, so that clients learn their outcome, and closes all
+// connections in order: the exit resets a connection whose input is not read, which drops answers
+// that the client has not read yet.
+void process::deliver_answers()
 {
+    exiting_ = true;
+    const std::array servers{request_server_.get(), ready_server_.get(), control_server_.get(),
+                             metrics_server_.get()};
     entry_.close();
+    for (auto* server : servers) {
+        server->finish();
+    }
     entry_.answer_all_pending();
-    loop_.run_until([] { return false; }, final_write_time);
+    const bool delivered = loop_.run_until(
+        [&] {
+            return !transport_->has_unsent_replies() &&
+                   std::all_of(servers.begin(), servers.end(),
+                               [](const auto* server) { return server->connections() == 0; });
+        },
+        max_delivery_time);
+    if (!delivered) {
+        log("answers_undelivered", {{"connections", request_server_->undelivered()},
+                                    {"replies", transport_->has_unsent_replies()}});
+    }
+}
+
+bool process::is_idle() const
+{
+    return entry_.pending() == 0 && gate_.active() == 0 && intake_.incomplete() == 0 &&
+           coordination_.member().holds_no_keys(loop_.now()) && !transport_->has_unsent_replies() &&
+           request_server_->undelivered() == 0;
 }
 
 // Ends a planned stop once the node is idle, or at the latest shortly before the platform kills the
@@ -776,16 +803,15 @@
 void process::finish_when_idle()
 {
     const auto now = loop_.now();
-    const stop_progress progress{entry_.pending() == 0 && gate_.active() == 0 &&
-                                     intake_.incomplete() == 0 &&
-                                     coordination_.member().holds_no_keys(now),
-                                 last_request_};
+    const stop_progress progress{is_idle(), last_request_};
     if (stop_.is_closed(now, progress)) {
         // Requests that arrive from now on are refused instead of being aborted by the exit.
         entry_.close();
     }
     if (stop_.is_over(now, progress)) {
-        log("stopped", {{"pending", entry_.pending()}, {"running", gate_.active()}});
+        log("stopped", {{"pending", entry_.pending()},
+                        {"running", gate_.active()},
+                        {"undelivered", request_server_->undelivered()}});
         loop_.stop();
     }
 }
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -79,8 +79,11 @@
     void on_hangup();
     void on_error(const std::exception& failure);
     void reset_connection(const std::string& address, const std::string& cause);
-    void answer_pending();
+    void deliver_answers();
     void finish_when_idle();
+    /// True if no request is pending, running or without its whole answer, and the target holds no
+    /// keys.
+    [[nodiscard]] bool is_idle() const;
     void log_state();
     void log_traffic();
     void log(std::string_view event, const journal::fields& details);
@@ -113,6 +116,7 @@
     bool notified_accepts_ = false;      ///< `target_watch::accepts` at the last notification
     bool notified_warming_up_ = false;   ///< `warm_up_state::is_warming_up` at that time
     planned_stop stop_;
+    bool exiting_ = false; ///< only answers are still delivered, see `deliver_answers`
     time_point last_request_{};
     time_point next_pull_{}; ///< earliest time for the next `wire::rules_pull`
     bool first_check_sent_ = false;
--- a/standins/platform_model.cpp
+++ b/standins/platform_model.cpp
@@ -19,6 +19,8 @@
 constexpr int ok = 200;
 constexpr milliseconds heartbeat_interval{300};
 constexpr std::size_t max_answer_bytes = 4096;
+/// Bound on the size of an answer that a request asks for with the header `Answer-Bytes`.
+constexpr std::size_t max_asked_bytes = std::size_t{512} * 1024;
 const std::string evacuation_prefix = "evacuate/";
 constexpr const char* heartbeat_path = "/v1/Instances.Heartbeat/";
 
@@ -410,7 +412,11 @@
     history_.cut_runs += completed ? 0 : 1;
     std::string body = completed ? "done " + id : "";
     if (completed) {
-        body.resize(std::max(body.size(), settings_.answer_bytes), '.');
+        const std::string asked(
+            net::find_header(exchange.request.headers, "Answer-Bytes").value_or("0"));
+        const std::size_t asked_bytes =
+            std::min<std::size_t>(std::strtoul(asked.c_str(), nullptr, 10), max_asked_bytes);
+        body.resize(std::max({body.size(), settings_.answer_bytes, asked_bytes}), '.');
     }
     exchange.respond(answer(completed ? ok : failed, std::move(body),
                             {{"Request-Id", id},
--- a/standins/soak_main.cpp
+++ b/standins/soak_main.cpp
@@ -18,6 +18,7 @@
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
+#include "standins/slow_reader.h"
 #include "standins/soak_host.h"
 
 DEFINE_uint64(seed, 1, "seed of the injected faults");
@@ -39,6 +40,11 @@
 
 /// Time between two requests to each host.
 constexpr milliseconds request_interval{30};
+/// Time between two clients that pipeline requests and read the answers slowly. The last answers of
+/// such a client are written after more time than an idle host needs for a planned stop.
+constexpr milliseconds slow_reader_interval{1000};
+/// Upper bound on the time that such a client takes.
+constexpr milliseconds slow_reader_time{8000};
 constexpr milliseconds request_deadline{800};
 /// Limit of requests in flight to one host. Without it, requests to a host that does not
 /// answer would pile up and outlast the fault.
@@ -72,18 +78,20 @@
     const double cold_s = FLAGS_warm_up_ms / ms_per_s;
     json rules = json::array();
     const auto add = [&](const std::string& name, const std::string& kind,
-                         const std::string& prefix, const std::string& service) {
+                         const std::string& prefix, const std::string& service,
+                         int timeout_ms = 700) {
         rules.push_back(
             {{"name", name},
              {"routeType", kind},
              {"targetLatencyMs", 300},
              {"priority", 1},
              {"match", {{"prefix", prefix}}},
-             {"action", {{"service", service}, {"timeoutMs", 700}, {"maxAttempts", 2}}}});
+             {"action", {{"service", service}, {"timeoutMs", timeout_ms}, {"maxAttempts", 2}}}});
     };
     add("read", "safe", "/read/", "ladder");
     add("write", "unsafe", "/write/", "ladder");
     add("desk", "unsafe", "/desk/", "desk");
+    add("slow", "safe", "/slow/", "desk", 12000);
     for (int i = 1; i < version; ++i) {
         add("new" + std::to_string(i), "safe", "/new" + std::to_string(i) + "/", "desk");
     }
@@ -167,6 +175,8 @@
             return report();
         }
         const auto send_timer = loop_.every(request_interval, [this] { send_all(); });
+        const auto reader_timer = loop_.every(
+            slow_reader_interval, [this] { start_slow_reader(reader_random_() % hosts_.size()); });
         const auto end = loop_.now() + std::chrono::seconds{FLAGS_seconds};
         inject_faults_until(end);
         loop_.run_until([this, end] { return loop_.now() >= end; },
@@ -174,7 +184,9 @@
         end_faults();
         loop_.run_until([] { return false; }, settle_time);
         check_recovery();
+        loop_.cancel(reader_timer);
         loop_.cancel(send_timer);
+        check_planned_stops();
         loop_.run_until([] { return false; }, request_deadline * 2);
         return report();
     }
@@ -271,6 +283,41 @@
         }
     }
 
+    void start_slow_reader(std::size_t number)
+    {
+        standin::slow_reader_settings settings;
+        settings.address = hosts_[number]->requests();
+        settings.path = "/slow/x";
+        settings.id_prefix = "r-slow-" + std::to_string(next_request_++) + "-";
+        try {
+            const auto id = next_reader_++;
+            readers_[id] = std::make_unique<standin::slow_reader>(
+                loop_, settings, [this, id, number] { on_slow_reader_end(id, number); });
+        }
+        catch (const std::runtime_error&) {
+            // The host does not run.
+            readers_.erase(next_reader_ - 1);
+        }
+    }
+
+    /// A planned stop must not cut off answers that a client has not read yet.
+    void on_slow_reader_end(std::uint64_t id, std::size_t host_index)
+    {
+        const auto reader = std::move(readers_.at(id));
+        readers_.erase(id);
+        const auto sent = reader->sent();
+        const auto stop = stop_begins_.find(host_index);
+        const bool planned = stop != stop_begins_.end() && stop->second > sent &&
+                             sent - last_fault_end_ > fault_free_time;
+        for (std::size_t i = 0; planned && i < reader->settings().requests; ++i) {
+            const auto request = reader->id_of(i);
+            if (target_history_.runs.contains(request) && !reader->answers().contains(request)) {
+                add_violation("the answer to " + request + " was cut off by a planned stop of " +
+                              "host " + std::to_string(host_index));
+            }
+        }
+    }
+
     bool await_service(milliseconds limit)
     {
         const auto end = loop_.now() + limit;
@@ -353,9 +400,7 @@
             after(duration, [&host] { host.signal(SIGCONT); });
             break;
         case 4:
-            stopping_hosts_.insert(number);
-            host.signal(SIGTERM);
-            restart_after_exit(number);
+            begin_planned_stop(number);
             break;
         case 5:
             host.signal(SIGHUP);
@@ -414,6 +459,28 @@
         }
     }
 
+    void begin_planned_stop(std::size_t number)
+    {
+        stopping_hosts_.insert(number);
+        stop_begins_[number] = loop_.now();
+        hosts_[number]->signal(SIGTERM);
+        restart_after_exit(number);
+    }
+
+    /// Two hosts stop one shortly after the other, without faults, while clients read slowly. Their
+    /// requests are the only ones, so the hosts are idle but for the answers.
+    void check_planned_stops()
+    {
+        loop_.run_until([this] { return readers_.empty(); }, slow_reader_time);
+        for (const std::size_t number : {std::size_t{0}, hosts_.size() - 1}) {
+            start_slow_reader(number);
+            loop_.run_until([] { return false; }, milliseconds{500});
+            begin_planned_stop(number);
+        }
+        loop_.run_until([this] { return readers_.empty() && stopping_hosts_.empty(); },
+                        slow_reader_time);
+    }
+
     void restart_after_exit(std::size_t number)
     {
         after(milliseconds{50}, [this, number] {
@@ -501,6 +568,7 @@
             std::cout << " " << status << ":" << count;
         }
         std::cout << " violations=" << client_results_.violations.size() << std::endl;
+        readers_.clear();
         hosts_.clear();
         if (client_results_.violations.empty() && FLAGS_keep.empty()) {
             std::filesystem::remove_all(directory_);
@@ -523,6 +591,10 @@
     std::vector<std::unique_ptr<net::http_client>> clients_;
     std::vector<std::size_t> in_flight_;
     std::set<std::size_t> stopping_hosts_;
+    std::map<std::size_t, time_point> stop_begins_; ///< latest planned stop of each host
+    std::mt19937_64 reader_random_{FLAGS_seed + 2};
+    std::map<std::uint64_t, std::unique_ptr<standin::slow_reader>> readers_;
+    std::uint64_t next_reader_ = 1;
     time_point last_fault_end_{};
     client_results client_results_;
     std::uint64_t next_request_ = 1;
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -16,6 +16,7 @@
 DEFINE_int32(late_heartbeat_ms, 1500, "delay of the last heartbeat of a target that leaves");
 DEFINE_int32(execution_ms, 20, "time that a target takes for a request");
 DEFINE_uint32(answer_bytes, 0, "minimum size of the body of an answer");
+DEFINE_string(runs, "", "file to which the ids of the requests that ran are written at the end");
 
 namespace {
 
@@ -80,6 +81,12 @@
     loop.on_hangup([&] { targets.front()->leave(milliseconds{FLAGS_late_heartbeat_ms}); });
     std::cout << "listening on " << FLAGS_store << std::endl;
     loop.run();
+    if (!FLAGS_runs.empty()) {
+        std::ofstream out(FLAGS_runs);
+        for (const auto& [id, runs] : history.runs) {
+            out << id << "\n";
+        }
+    }
     std::uint64_t repeated = 0;
     for (const auto& [id, runs] : history.runs) {
         repeated += runs > 1 ? 1 : 0;
--- a/tests/net/http_pipeline_test.cpp
+++ b/tests/net/http_pipeline_test.cpp
@@ -173,6 +173,73 @@
     LONGS_EQUAL(2, exchanges.size());
 }
 
+// Guards against a stop that cuts off requests which were read, and against one that goes on to
+// read requests: all that were read are answered, then the connection is closed.
+TEST(http_connections, finish_answers_what_was_read_and_closes)
+{
+    serve_ahead(1);
+    CHECK(client->send(get("/0") + get("/1") + get("/2") + get("/3") + "GET /part"));
+    CHECK(await_exchanges(2));
+    LONGS_EQUAL(1, server->undelivered());
+    server->finish();
+    run_briefly();
+    CHECK(client->send(get("/late")));
+    for (std::size_t i = 0; i < 4; ++i) {
+        CHECK(await_exchanges(i + 1));
+        LONGS_EQUAL(1, server->undelivered());
+        exchanges[i].respond({200, {}, "answer" + std::to_string(i)});
+    }
+    CHECK(await_end());
+    CHECK(received.find("answer3") != std::string::npos);
+    const auto closing = received.find("connection: close");
+    CHECK(closing > received.find("answer2") && closing < received.find("answer3"));
+    client.reset();
+    CHECK(loop.run_until([&] { return server->connections() == 0; }, wait_limit));
+    LONGS_EQUAL(4, exchanges.size());
+    LONGS_EQUAL(0, server->undelivered());
+}
+
+// Guards against a stop that calls an answer delivered while most of it waits for a client that
+// reads slowly, and against a reset by input that nobody reads.
+TEST(http_connections, finish_delivers_an_answer_that_is_read_slowly)
+{
+    serve();
+    CHECK(client->send(get("/0")));
+    CHECK(await_exchanges(1));
+    const std::string body(8'000'000, 'b');
+    exchanges[0].respond({200, {}, body});
+    run_briefly();
+    LONGS_EQUAL(1, server->undelivered());
+    server->finish();
+    CHECK(client->send(get("/late")));
+    CHECK(await_end());
+    CHECK(received.ends_with(body));
+    client.reset();
+    CHECK(loop.run_until([&] { return server->connections() == 0; }, wait_limit));
+}
+
+// Guards against an upload that waits for its deadline although the server stops.
+TEST(http_connections, finish_refuses_an_incomplete_body_and_closes_idle_connections)
+{
+    serve();
+    test::raw_client idle(server->address());
+    CHECK(client->send("POST / HTTP/1.1\r\ncontent-length: 10\r\n\r\nhalf"));
+    CHECK(loop.run_until([&] { return server->connections() == 2; }, wait_limit));
+    run_briefly();
+    server->finish();
+    CHECK(await_end());
+    CHECK(received.starts_with("HTTP/1.1 503 "));
+    CHECK(received.find("retry-after") != std::string::npos);
+    LONGS_EQUAL(1, server->counters().stop_refused);
+    CHECK(loop.run_until(
+        [&] {
+            idle.received();
+            return idle.closed;
+        },
+        wait_limit));
+    LONGS_EQUAL(0, exchanges.size());
+}
+
 // Guards against a refusal that overtakes the response to an earlier request.
 TEST(http_connections, refusal_waits_for_the_responses_before_it)
 {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -495,13 +495,13 @@
 }
 
 // Guards against dropping requests in progress during a planned stop.
-TEST(http, stop_accepting_lets_requests_finish)
+TEST(http, finish_lets_requests_finish)
 {
     serve_without_response();
     result_recorder recorder;
     client->send(server->address(), get("/"), call_timeout, recorder.callback());
     CHECK(loop.run_until([&] { return exchanges.size() == 1; }, wait_limit));
-    server->stop_accepting();
+    server->finish();
     exchanges[0].respond({200, {}, "done"});
     CHECK(loop.run_until([&] { return recorder.calls == 1; }, wait_limit));
     CHECK(recorder.result->response->body == "done");
--- a/tests/process/crowd_hosts.sh
+++ b/tests/process/crowd_hosts.sh
@@ -33,7 +33,8 @@
     cat >"$work/manifest.json" <<JSON
 {"version":"00000001","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "listeners":[{"host":"h.example","ruleSet":[
-{"name":"write","routeType":"unsafe","targetLatencyMs":1000,"priority":0,"match":{"prefix":"/desk/"},"action":{"service":"desk","timeoutMs":4000,"maxAttempts":2}}]}],
+{"name":"write","routeType":"unsafe","targetLatencyMs":1000,"priority":0,"match":{"prefix":"/desk/"},"action":{"service":"desk","timeoutMs":4000,"maxAttempts":2}},
+{"name":"read","routeType":"safe","targetLatencyMs":4000,"priority":1,"match":{"prefix":"/list/"},"action":{"service":"desk","timeoutMs":12000,"maxAttempts":2}}]}],
 "clusters":[{"name":"ladder","healthPath":"/health","maxConnections":100},{"name":"desk","healthPath":"/health","maxConnections":100}]}
 JSON
     local targets="" service=desk
