Grant keys only to the run of the target that is known

Cause: a grant names no run and went to whatever process listened. The sidecar learned of the new run from its first heartbeat or after two refused connections; the end of its own connections to the target told nothing. A second cause for runs with the same id: member marked the keys as being released, and reconcile_held_ranges took the mark away, because the directory names the target by its id only (traced with the grants of each run).

Change: connections that are open at the same time lead to the same process. net::server_continuity counts such sessions; sidecar::target_identity takes a session for the known run once an answer on it has told its id. After a session that the target broke, a heartbeat of the run has to follow, because a new run may use the id again. Grants are written only on connections of the confirmed session. A health check whose answer names another id makes that run known at once. member keeps the fence of an earlier run, and an order that was certainly not sent does not lengthen the hold.

--- a/src/assignment/member.cpp
+++ b/src/assignment/member.cpp
@@ -262,6 +262,17 @@
                        [&](const released_keys& keys) { return keys.concerns(item); });
 }
 
+// True if an earlier run of the target may have held keys of the segment under its fence. A new run
+// may have the same id, so the directory does not show the difference until the leader assigns the
+// keys anew.
+bool member::had_earlier_run(const segment& item) const
+{
+    return std::any_of(held_ranges_.begin(), held_ranges_.end(), [&](const held_range& piece) {
+        return piece.service == item.service && piece.first <= item.last &&
+               item.first <= piece.last && piece.earlier_run >= item.range_fence;
+    });
+}
+
 // True if all keys of the segment were released under its fence, possibly in several pieces.
 bool member::is_released(const segment& item) const
 {
@@ -292,7 +303,8 @@
         const bool own = assigned && item.target == target_.id && !target_.id.empty();
         // A release that an unknown target cannot confirm ends with the hold.
         const bool release_pending = assigned && item.releasing && target_.id.empty();
-        const bool releasing = item.releasing || (own && is_partly_released(item));
+        const bool releasing =
+            item.releasing || (own && (is_partly_released(item) || had_earlier_run(item)));
         bool covered = false;
         std::uint32_t covered_keys = 0; ///< keys of an own segment that were held before
         for (auto& piece : held_ranges_) {
@@ -324,6 +336,8 @@
                 else {
                     updated.back().granted_until =
                         std::max(updated.back().granted_until, piece.granted_until);
+                    updated.back().earlier_run =
+                        std::max(updated.back().earlier_run, piece.earlier_run);
                     updated.back().inherited = updated.back().inherited || piece.inherited;
                     updated.back().served_until =
                         piece.releasing ? time_point{}
@@ -380,12 +394,19 @@
         // The previous process of the target has ended and holds no keys. The new process may have
         // got a grant that was sent before this node knew of the restart, so keys whose hold has
         // not ended are released.
-        std::erase_if(held_ranges_,
-                      [&](const held_range& item) { return may_hold_until(item) <= now; });
+        // The others were held under their fence by the previous process all the same.
+        std::erase_if(held_ranges_, [&](const held_range& item) {
+            const bool has_ended = may_hold_until(item) <= now;
+            if (has_ended && may_hold_until(item) != time_point{}) {
+                finish_release(item, release_evidence::hold_ended, "");
+            }
+            return has_ended;
+        });
         for (auto& item : held_ranges_) {
             item.releasing = true;
             item.order_id = 0;
             item.served_until = {};
+            item.earlier_run = std::max(item.range_fence, item.granted);
         }
         open_orders_.clear();
     }
@@ -448,7 +469,7 @@
     // While an order to release all keys is in progress, no grant is sent, because the order could
     // also end that grant.
     if (target_.id.empty() || target_.phase == target_phase::absent || !holds_lease(now) ||
-        clear_order_ != 0) {
+        clear_order_ != 0 || !target_confirmed_) {
         return result;
     }
     const milliseconds hold = grant_hold(now);
@@ -464,9 +485,9 @@
             continue;
         }
         item.order_id = next_order_id_++;
+        open_orders_[item.order_id] = {
+            now, hold, item.service, item.first, item.last, item.range_fence, item.granted_until};
         item.granted_until = std::max(item.granted_until, now + latest_hold_end(times_, hold));
-        open_orders_[item.order_id] = {now,        hold,      item.service,
-                                       item.first, item.last, item.range_fence};
         result.push_back({item.order_id, item.service, item.first, item.last, item.range_fence,
                           hold, has_new_fence ? item.handover : std::string{}});
     }
@@ -489,8 +510,8 @@
             continue;
         }
         item.order_id = next_order_id_++;
-        open_orders_[item.order_id] = {now,        milliseconds{0}, item.service,
-                                       item.first, item.last,       item.range_fence};
+        open_orders_[item.order_id] = {now,       milliseconds{0},  item.service,      item.first,
+                                       item.last, item.range_fence, item.granted_until};
         const fence range_fence = std::max(item.range_fence, item.granted);
         result.push_back({item.order_id, item.service, item.first, item.last, range_fence});
     }
@@ -509,6 +530,9 @@
         if (item.order_id == id) {
             item.order_id = 0;
             item.retry_at = outcome == order_outcome::done ? time_point{} : now + order_retry_delay;
+            if (outcome == order_outcome::not_sent) {
+                item.granted_until = order.granted_before;
+            }
             if (outcome == order_outcome::refused && item.range_fence == order.range_fence) {
                 // The target has seen a higher fence, for example of a release that was under way
                 // when a new leader took over, and will refuse this one for good. Once the keys are
@@ -676,7 +700,8 @@
             continue;
         }
         const time_point end = now + std::min(work, times_.longest_lease);
-        if (item.served_until >= end || hold < min_hold || !is_worth_renewal(now, item, hold)) {
+        if (item.served_until >= end || hold < min_hold || !target_confirmed_ ||
+            !is_worth_renewal(now, item, hold)) {
             return true;
         }
         item.needed_until = std::max(item.needed_until, end);
--- a/src/assignment/member.h
+++ b/src/assignment/member.h
@@ -49,8 +49,9 @@
 
 enum class order_outcome : std::uint8_t {
     done,
-    refused, ///< the target has seen a higher fence
-    unknown, ///< no answer; the order may still be carried out
+    not_sent, ///< certainly not sent
+    refused,  ///< the target has seen a higher fence
+    unknown,  ///< no answer; the order may still be carried out
 };
 
 enum class serve_verdict : std::uint8_t {
@@ -96,6 +97,9 @@
     void on_directory(time_point now, const directory_change& content);
     /// Sets the state of the target on this host.
     void on_target(time_point now, const target_status& target);
+    /// While false, no grant is sent: whether orders reach the run of the target that is known here
+    /// is not certain, and another run must not get keys under the same fence. True by default.
+    void set_target_confirmed(bool confirmed) { target_confirmed_ = confirmed; }
     /// Handles the result of an order of `take_grants`.
     void on_grant_result(time_point now, std::uint64_t id, order_outcome outcome);
     /// Handles the result of an order of `take_releases`. Precondition if `outcome` is `done`: the
@@ -175,6 +179,8 @@
         std::uint32_t last = 0;
         fence range_fence;
         fence granted; ///< fence of the last confirmed grant
+        /// Highest fence under which an earlier run of the target may have held the keys.
+        fence earlier_run;
         std::string handover;
         time_point served_until{}; ///< the target is certain to hold the keys until this time
         time_point needed_until{}; ///< longest work that waits for a renewal ends then
@@ -193,6 +199,7 @@
         std::uint32_t first = 0;
         std::uint32_t last = 0;
         fence range_fence;
+        time_point granted_before{}; ///< `held_range::granted_until` without this order
     };
 
     void adopt_leader(time_point now, const leadership_notice& position);
@@ -201,6 +208,7 @@
     void reconcile_held_ranges();
     [[nodiscard]] bool is_released(const segment& item) const;
     [[nodiscard]] bool is_partly_released(const segment& item) const;
+    [[nodiscard]] bool had_earlier_run(const segment& item) const;
     void split_held_range(const std::string& service, std::uint32_t start);
     void finish_release(const held_range& item, release_evidence evidence, std::string handover);
     void consider_clearing(time_point now);
@@ -247,6 +255,7 @@
     bool report_due_ = true;
     bool leaving_ = false;
     bool superseded_ = false;
+    bool target_confirmed_ = true; ///< see `set_target_confirmed`
     /// Term of the last lease. The leader of that term knows the holdings.
     std::uint64_t last_lease_term_ = 0;
     /// The lease that ends at `pending_lease_end_` begins once the directory has this version or a
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -18,6 +18,7 @@
 #include "common/errors.h"
 #include "net/loop.h"
 #include "net/memory_budget.h"
+#include "net/server_continuity.h"
 
 namespace bulrushgw::net {
 
@@ -182,6 +183,13 @@
     http_failure failure = http_failure::connect; ///< meaningful only without a response
 };
 
+/// True if the call ended before the first byte of the request was written. Thread-safe.
+inline bool is_unwritten(const http_result& result)
+{
+    return !result.response &&
+           (result.failure == http_failure::connect || result.failure == http_failure::not_sent);
+}
+
 /// What to do with a response, decided from its status line and headers.
 enum class head_verdict {
     accept,
@@ -202,8 +210,10 @@
     /// arrive.
     enum class connection_reuse { allowed, never };
 
+    /// `continuity`, if set, is told of all connections. The calls must be to one address then.
     http_client(loop& loop, std::size_t max_connections_per_address, std::size_t max_response_bytes,
-                connection_reuse reuse = connection_reuse::allowed);
+                connection_reuse reuse = connection_reuse::allowed,
+                std::shared_ptr<server_continuity> continuity = nullptr);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -108,6 +108,7 @@
         std::shared_ptr<const std::string> written_body;
         bool write_pending = false;
         bool reused = false; ///< an earlier call received its response on this connection
+        bool connected = false;
         time_point idle_since{};
         milliseconds idle_timeout{max_idle_time};
     };
@@ -153,6 +154,7 @@
     std::size_t max_connections;
     std::size_t max_response_bytes;
     connection_reuse reuse;
+    std::shared_ptr<server_continuity> continuity;
     http_parser_settings parser_settings{};
     std::map<endpoint, std::unique_ptr<destination>> destinations;
     std::unordered_map<call_id, std::unique_ptr<call>> calls;
@@ -162,10 +164,11 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     state(net::loop& loop_to_use, std::size_t connections_per_address, std::size_t response_bytes,
-          connection_reuse reuse_of_connections)
+          connection_reuse reuse_of_connections, std::shared_ptr<server_continuity> tracker)
         : event_loop(loop_to_use),
           max_connections(std::max<std::size_t>(connections_per_address, 1)),
-          max_response_bytes(response_bytes), reuse(reuse_of_connections)
+          max_response_bytes(response_bytes), reuse(reuse_of_connections),
+          continuity(std::move(tracker))
     {
         http_parser_settings_init(&parser_settings);
         parser_settings.on_status = on_status;
@@ -186,7 +189,13 @@
     void finish(call& entry, http_result result);
     void fail(call& entry, http_failure failure) { finish(entry, {std::nullopt, failure}); }
     void abort(call& entry, http_failure after_write);
-    void close(connection& conn);
+    /// True if the server may close the idle connection, because it was not used for long.
+    [[nodiscard]] bool is_expired(const connection& conn) const
+    {
+        return event_loop.now() - conn.idle_since >= conn.idle_timeout;
+    }
+    /// `by_server`: the server ended the connection without having announced it.
+    void close(connection& conn, bool by_server = false);
     void read(connection& conn, const char* failure);
     void complete(connection& conn, bool reusable);
 
@@ -246,11 +255,11 @@
         const auto peeked_bytes =
             recv(h2o_socket_get_fd(conn->socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         const bool has_no_input = peeked_bytes < 0 && (errno == EAGAIN || errno == EINTR);
-        if (has_no_input && event_loop.now() - conn->idle_since < conn->idle_timeout) {
+        if (has_no_input && !is_expired(*conn)) {
             dest.idle_connections.pop_back();
             return conn;
         }
-        close(*conn);
+        close(*conn, peeked_bytes <= 0 && !has_no_input && !is_expired(*conn));
     }
     return nullptr;
 }
@@ -296,6 +305,10 @@
         self.fail(entry, http_failure::connect);
         return;
     }
+    conn.connected = true;
+    if (self.continuity) {
+        self.continuity->on_connected(h2o_socket_get_fd(socket));
+    }
     self.write(conn, entry);
 }
 
@@ -343,7 +356,7 @@
     // The connection of an active call is kept after a failed write, because the server may have
     // sent a response before it closed the connection.
     if (failure != nullptr && conn.current_call == nullptr) {
-        conn.client->close(conn);
+        conn.client->close(conn, true);
     }
 }
 
@@ -456,7 +469,7 @@
 void http_client::state::read(connection& conn, const char* failure)
 {
     if (conn.current_call == nullptr) {
-        close(conn);
+        close(conn, failure != nullptr && !is_expired(conn));
         return;
     }
     call& entry = *conn.current_call;
@@ -491,7 +504,7 @@
         complete(conn, reusable);
     }
     else if (failure != nullptr) {
-        close(conn);
+        close(conn, true);
         fail(entry, http_failure::closed);
     }
 }
@@ -513,8 +526,11 @@
     finish(entry, {std::move(entry.response), http_failure::closed});
 }
 
-void http_client::state::close(connection& conn)
+void http_client::state::close(connection& conn, bool by_server)
 {
+    if (continuity && conn.connected) {
+        continuity->on_closed(h2o_socket_get_fd(conn.socket), by_server);
+    }
     if (conn.current_call != nullptr) {
         conn.current_call->conn = nullptr;
     }
@@ -574,8 +590,10 @@
 }
 
 http_client::http_client(loop& loop, std::size_t max_connections_per_address,
-                         std::size_t max_response_bytes, connection_reuse reuse)
-    : state_(std::make_unique<state>(loop, max_connections_per_address, max_response_bytes, reuse))
+                         std::size_t max_response_bytes, connection_reuse reuse,
+                         std::shared_ptr<server_continuity> continuity)
+    : state_(std::make_unique<state>(loop, max_connections_per_address, max_response_bytes, reuse,
+                                     std::move(continuity)))
 {
 }
 
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -149,6 +149,14 @@
     process_outputs();
 }
 
+void coordination::set_target_confirmed(bool confirmed)
+{
+    member_.set_target_confirmed(confirmed);
+    if (confirmed) {
+        process_outputs();
+    }
+}
+
 void coordination::on_grant_result(std::uint64_t id, assignment::order_outcome outcome)
 {
     member_.on_grant_result(hooks_.now(), id, outcome);
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -65,6 +65,8 @@
     void on_lead_request(const assignment::lead_request& request);
     /// Sets the state of the target on this host.
     void on_target(const assignment::target_status& target);
+    /// See `assignment::member::set_target_confirmed`.
+    void set_target_confirmed(bool confirmed);
     /// Report the results of the orders passed to `hooks::grant` and `hooks::release`; each order
     /// needs exactly one.
     void on_grant_result(std::uint64_t id, assignment::order_outcome outcome);
--- a/src/sidecar/gate.cpp
+++ b/src/sidecar/gate.cpp
@@ -38,13 +38,6 @@
 /// between the starts of requests and their arrivals.
 constexpr milliseconds max_write_delay{100};
 
-/// True if the call ended before the first byte of the request was written.
-bool is_unwritten(const net::http_result& result)
-{
-    return !result.response && (result.failure == net::http_failure::connect ||
-                                result.failure == net::http_failure::not_sent);
-}
-
 /// True if the target did not accept a connection. A call that ends as `not_sent` waited for one of
 /// the connections here, or was held back or invalid, which tells nothing about the target.
 bool is_refused(const net::http_result& result)
@@ -57,10 +50,12 @@
 gate::gate(net::loop& loop, net::endpoint target, const platform_protocol& protocol,
            target_watch& watch, hooks callbacks)
     : loop_(loop), target_(std::move(target)), protocol_(protocol), watch_(watch),
-      hooks_(std::move(callbacks)), http_(loop, max_connections, max_answer_bytes),
-      orders_(loop, max_order_connections, max_order_answer_bytes),
+      hooks_(std::move(callbacks)), http_(loop, max_connections, max_answer_bytes,
+                                          net::http_client::connection_reuse::allowed, continuity_),
+      orders_(loop, max_order_connections, max_order_answer_bytes,
+              net::http_client::connection_reuse::allowed, continuity_),
       separate_orders_(loop, max_order_connections, max_order_answer_bytes,
-                       net::http_client::connection_reuse::never),
+                       net::http_client::connection_reuse::never, continuity_),
       limiter_(loop.now())
 {
     queue_.set_limiter(&limiter_);
@@ -274,8 +269,9 @@
         [this, id](const net::http_result& result) { on_result(id, result); },
         [this, id, now] {
             const bool allowed = may_write(now);
-            if (const auto late = active_.find(id); late != active_.end()) {
-                late->second.is_late = !allowed;
+            if (const auto written = active_.find(id); written != active_.end()) {
+                written->second.is_late = !allowed;
+                written->second.session = target_session();
             }
             return allowed;
         },
@@ -350,6 +346,12 @@
     }
     else if (answered) {
         watch_.on_answer(now);
+        // A target that is not the expected one refuses the request.
+        if (found != active_.end() && result.response->status < min_failure_status &&
+            judge_answer(protocol_.names, *result.response).outcome ==
+                wire::forward_outcome::answered) {
+            hooks_.on_identified(found->second.session, found->second.target_id);
+        }
     }
     else if (is_refused(result) && found != active_.end()) {
         // A call that was cancelled before it had a connection proves nothing about the target.
@@ -483,8 +485,23 @@
     }
     limiter_.on_start(now);
     const auto due = std::exchange(check_, std::nullopt);
-    const auto latest_write = limiter_.is_limiting() ? max_write_delay : due->timeout;
-    send_order(orders_, due->request, due->timeout, latest_write, due->done);
+    const auto latest = now + (limiter_.is_limiting() ? max_write_delay : due->timeout);
+    const auto session = std::make_shared<std::uint64_t>(0);
+    send_order(
+        orders_, due->request, due->timeout,
+        [this, latest, session] {
+            *session = target_session();
+            return loop_.now() <= latest;
+        },
+        [this, session, done = due->done](const net::http_result& result) {
+            const auto id = result.response ? net::find_header(result.response->headers,
+                                                               protocol_.names.target_id)
+                                            : std::nullopt;
+            if (id && !id->empty()) {
+                hooks_.on_identified(*session, std::string(*id));
+            }
+            done(result);
+        });
 }
 
 void gate::observe_load(const net::http_response& answer)
@@ -519,17 +536,22 @@
 void gate::order(const net::http_request& request, milliseconds timeout, milliseconds latest_write,
                  std::function<void(const net::http_result&)> done)
 {
-    send_order(orders_, request, timeout, latest_write, std::move(done));
+    send_order(
+        orders_, request, timeout,
+        [this, latest = loop_.now() + latest_write, session = target_session()] {
+            return loop_.now() <= latest && session == target_session();
+        },
+        std::move(done));
 }
 
 void gate::order_on_new_connection(const net::http_request& request, milliseconds timeout,
                                    std::function<void(const net::http_result&)> done)
 {
-    send_order(separate_orders_, request, timeout, timeout, std::move(done));
+    send_order(separate_orders_, request, timeout, {}, std::move(done));
 }
 
 void gate::send_order(net::http_client& client, const net::http_request& request,
-                      milliseconds timeout, milliseconds latest_write,
+                      milliseconds timeout, std::function<bool()> may_write,
                       std::function<void(const net::http_result&)> done)
 {
     const auto on_result = [this, done = std::move(done)](const net::http_result& result) {
@@ -547,8 +569,7 @@
         done(result);
         hooks_.on_target_changed();
     };
-    client.send(target_, request, timeout, on_result,
-                [this, latest = loop_.now() + latest_write] { return loop_.now() <= latest; });
+    client.send(target_, request, timeout, on_result, std::move(may_write));
 }
 
 } // namespace bulrushgw::sidecar
--- a/src/sidecar/gate.h
+++ b/src/sidecar/gate.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -54,6 +55,9 @@
             covers_work;
         /// The state in `target_watch` may have changed.
         std::function<void()> on_target_changed;
+        /// An answer on a connection of `session` came from the target with this id, see
+        /// `target_session`.
+        std::function<void(std::uint64_t session, const std::string& target_id)> on_identified;
         /// A request was refused, or the target gave no answer. For logs.
         std::function<void(const wire::forward&, request::reason, const std::string& cause)>
             on_failure;
@@ -103,16 +107,23 @@
     /// target allows it. Precondition: the check before it has ended.
     void check(const net::http_request& request, milliseconds timeout,
                std::function<void(const net::http_result&)> done);
-    /// Sends an order (a grant or release of keys) to the target without taking a slot. If the call
-    /// cannot be written within `latest_write`, it is not sent, because the hold of a grant counts
-    /// from the arrival of the grant at the target.
+    /// Sends a grant of keys to the target without taking a slot. If the call cannot be written
+    /// within `latest_write`, it is not sent, because the hold of a grant counts from its arrival
+    /// at the target. Nor is it sent on a connection of a later session than the current one: that
+    /// may lead to another process, which must not get keys under the fence of the one before.
     void order(const net::http_request& request, milliseconds timeout, milliseconds latest_write,
                std::function<void(const net::http_result&)> done);
-    /// Sends an order as `order` does, on a connection of its own. Orders bear no request id, so on
-    /// a kept connection a second copy of an earlier answer cannot be told from the answer.
+    /// Sends a release of keys without taking a slot, on a connection of its own. Orders bear no
+    /// request id, so on a kept connection a second copy of an earlier answer cannot be told from
+    /// the answer.
     void order_on_new_connection(const net::http_request& request, milliseconds timeout,
                                  std::function<void(const net::http_result&)> done);
 
+    /// The session of the connections to the target, see `net::server_continuity`.
+    [[nodiscard]] std::uint64_t target_session() const { return continuity_->session(); }
+    /// The latest session of which the target ended a connection.
+    [[nodiscard]] std::uint64_t last_broken_session() const { return continuity_->last_broken(); }
+
     [[nodiscard]] std::chrono::microseconds mean_work() const { return queue_.mean_work(); }
     /// Expected time that the target takes to run the request.
     [[nodiscard]] milliseconds expected_work(const wire::forward& request) const
@@ -148,6 +159,7 @@
         std::optional<time_point> renewal_limit;
         net::http_client::call_id call = 0;
         std::string target_id;
+        std::uint64_t session = 0; ///< of the connection to the target; 0: not written
     };
 
     struct pending_check {
@@ -163,8 +175,9 @@
     /// Returns false if a request that was started at `started` must no longer be written.
     [[nodiscard]] bool may_write(time_point started) const;
     void observe_load(const net::http_response& answer);
+    /// `may_write` is called immediately before the call is written.
     void send_order(net::http_client& client, const net::http_request& request,
-                    milliseconds timeout, milliseconds latest_write,
+                    milliseconds timeout, std::function<bool()> may_write,
                     std::function<void(const net::http_result&)> done);
     void apply(const dispatch::slot_decisions& decisions);
     void run_arrival(request_key key);
@@ -199,8 +212,11 @@
     const platform_protocol& protocol_;
     target_watch& watch_;
     hooks hooks_;
+    /// Of the connections of all three clients.
+    std::shared_ptr<net::server_continuity> continuity_ =
+        std::make_shared<net::server_continuity>();
     net::http_client http_;                   ///< for requests
-    net::http_client orders_;                 ///< for the calls of `order`
+    net::http_client orders_;                 ///< for the calls of `order` and health checks
     net::http_client separate_orders_;        ///< for the calls of `order_on_new_connection`
     std::map<request_key, arrival> arrivals_; ///< wait for the end of the loop iteration
     dispatch::warm_up_limiter limiter_;
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -117,6 +117,7 @@
       entry_(make_entry()), peer_check_(make_peer_check())
 {
     journal_.set_incarnation(self_);
+    coordination_.set_target_confirmed(target_confirmed_);
     return_freed_memory();
     listen();
 }
@@ -147,6 +148,9 @@
         on_target_changed();
         check_target();
     };
+    hooks.on_identified = [this](std::uint64_t session, const std::string& target_id) {
+        on_identified(session, target_id);
+    };
     hooks.on_failure = [this](const wire::forward& request, request::reason why,
                               const std::string& cause) {
         log("target_request_failed", {{"request", request.request_id},
@@ -549,6 +553,9 @@
         }
         else {
             observe_warmth(*beat);
+            if (beat->target.is_same_instance(watch_.status())) {
+                identity_.on_heartbeat(watch_.status());
+            }
         }
     }
     else if (const auto* end = std::get_if<deregistration>(&call)) {
@@ -631,6 +638,11 @@
 
 void process::grant(const assignment::grant_order& order)
 {
+    // The end of a connection may have been read since the coordination was told.
+    if (!is_target_confirmed()) {
+        coordination_.on_grant_result(order.id, assignment::order_outcome::not_sent);
+        return;
+    }
     gate_.order(protocol_.grant(order), grant_timeout, max_grant_write_delay,
                 [this, order](const net::http_result& result) {
                     auto outcome = assignment::order_outcome::unknown;
@@ -641,6 +653,9 @@
                     else if (status == status_conflict) {
                         outcome = assignment::order_outcome::refused;
                     }
+                    else if (is_unwritten(result)) {
+                        outcome = assignment::order_outcome::not_sent;
+                    }
                     if (outcome != assignment::order_outcome::done) {
                         log("grant_failed", {{"first", order.first},
                                              {"last", order.last},
@@ -691,6 +706,13 @@
 void process::on_target_changed()
 {
     update_warmth();
+    notify_target();
+    // Last, so that a confirmation sends grants to the run that the coordination knows.
+    update_identity();
+}
+
+void process::notify_target()
+{
     const bool accepts = watch_.accepts(loop_.now());
     auto status = watch_.status();
     status.warming_up = warm_up_.is_warming_up(loop_.now());
--- a/src/sidecar/process.h
+++ b/src/sidecar/process.h
@@ -26,6 +26,7 @@
 #include "sidecar/settings.h"
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/store_session.h"
+#include "sidecar/target_identity.h"
 #include "sidecar/target_watch.h"
 #include "sidecar/warm_up_state.h"
 
@@ -69,6 +70,13 @@
     void observe_warmth(const heartbeat& beat);
     void update_warmth();
     void on_target_changed();
+    void notify_target();
+    void on_identified(std::uint64_t session, const std::string& target_id);
+    /// Tells the coordination whether grants reach the known run of the target.
+    void update_identity();
+    [[nodiscard]] bool is_target_confirmed() const;
+    /// True if a health check has to tell which run of the target gets the grants.
+    [[nodiscard]] bool is_identity_check_due(const routing::service& service) const;
     void on_evacuations(const routing::evacuations::changes& changes);
     /// The evacuation of this host's zone ended. The target gets requests again and may be cold.
     void on_own_evacuation_ended();
@@ -97,6 +105,7 @@
     journal journal_;
     sidecar_metrics metrics_;
     target_watch watch_;
+    target_identity identity_;
     warm_up_state warm_up_;
     store_session store_;
     std::shared_ptr<net::memory_budget> budget_;
@@ -121,6 +130,9 @@
     time_point next_pull_{}; ///< earliest time for the next `wire::rules_pull`
     bool first_check_sent_ = false;
     bool check_under_way_ = false;
+    std::uint64_t identified_session_ = 0; ///< of the last answer that told the target's id
+    std::string identified_target_;        ///< that id
+    bool target_confirmed_ = false;        ///< as the coordination knows it
     time_point next_check_{}; ///< earliest time for the next health check of the target
     refusal_report refusals_;
     entry_counters logged_counters_;       ///< as of the last "state" log line
--- a/src/sidecar/process_warm_up.cpp
+++ b/src/sidecar/process_warm_up.cpp
@@ -1,4 +1,4 @@
-// Health checks of the target, and what follows from its warm-up.
+// Health checks of the target, and what follows from its identity and its warm-up.
 
 #include <chrono>
 #include <optional>
@@ -32,17 +32,20 @@
 
 } // namespace
 
-// Checks the health of a target that may have been started before this process, or that may be
-// warm. The answer tells the target's id and slots sooner than its next heartbeat, and whether it
-// leaves or warms up.
+// Checks the health of a target that may have been started before this process, that may be another
+// run than the known one, or that may be warm. The answer tells the target's id and slots sooner
+// than its next heartbeat, and whether it leaves or warms up.
 void process::check_target()
 {
     const auto now = loop_.now();
     const auto* service = routes_ ? routes_->find_service(settings_.service) : nullptr;
+    if (service == nullptr || check_under_way_) {
+        return;
+    }
     const bool readiness_due =
-        !first_check_sent_ || (watch_.needs_check(now) && now >= next_check_);
-    const bool is_due = readiness_due || warm_up_.needs_check(now, gate_.is_rate_critical());
-    if (service == nullptr || check_under_way_ || !is_due) {
+        !first_check_sent_ ||
+        ((watch_.needs_check(now) || is_identity_check_due(*service)) && now >= next_check_);
+    if (!readiness_due && !warm_up_.needs_check(now, gate_.is_rate_critical())) {
         return;
     }
     first_check_sent_ = true;
@@ -93,6 +96,43 @@
     on_target_changed();
 }
 
+void process::on_identified(std::uint64_t session, const std::string& target_id)
+{
+    identified_session_ = session;
+    identified_target_ = target_id;
+    if (session == gate_.target_session() && target_id != watch_.status().id) {
+        watch_.on_other_target(loop_.now());
+    }
+}
+
+bool process::is_target_confirmed() const
+{
+    return identity_.is_confirmed(gate_.target_session(), watch_.status());
+}
+
+bool process::is_identity_check_due(const routing::service& service) const
+{
+    return service.sharded && watch_.status().phase != assignment::target_phase::absent &&
+           identity_.needs_answer(gate_.target_session(), watch_.status());
+}
+
+void process::update_identity()
+{
+    identity_.on_answer(identified_session_, identified_target_, watch_.status(),
+                        gate_.last_broken_session());
+    const bool confirmed = is_target_confirmed();
+    if (confirmed == target_confirmed_) {
+        return;
+    }
+    target_confirmed_ = confirmed;
+    log(confirmed ? "target_confirmed" : "target_unconfirmed",
+        {{"target", watch_.status().id},
+         {"born", watch_.status().start_time_ms},
+         {"session", gate_.target_session()},
+         {"broken", gate_.last_broken_session()}});
+    coordination_.set_target_confirmed(confirmed);
+}
+
 // Takes over what the manifest and the settings say about cold targets of this host's service.
 void process::set_start_bound()
 {
--- a/standins/platform_model.cpp
+++ b/standins/platform_model.cpp
@@ -253,14 +253,19 @@
                                  platform_history& history,
                                  std::vector<platform_target*>& running_targets)
     : loop_(loop), settings_(std::move(settings)), history_(history),
-      running_targets_(running_targets), id_("i-" + std::to_string(settings_.address.port)),
-      started_ms_(unix_ms()), started_(loop.now()), client_(loop, 2, max_answer_bytes),
+      running_targets_(running_targets),
+      id_(settings_.id.empty() ? "i-" + std::to_string(settings_.address.port) : settings_.id),
+      run_(++history.target_runs), started_ms_(unix_ms()), started_(loop.now()),
+      client_(loop, 2, max_answer_bytes),
       server_(
           loop, settings_.address, [this](const net::http_exchange& exchange) { handle(exchange); },
           server_limits(settings_.max_body_bytes))
 {
     running_targets_.push_back(this);
-    heartbeat_timer_ = loop_.every(heartbeat_interval, [this] { send_heartbeat(); });
+    heartbeat_timer_ = loop_.after(settings_.first_heartbeat, [this] {
+        send_heartbeat();
+        heartbeat_timer_ = loop_.every(heartbeat_interval, [this] { send_heartbeat(); });
+    });
 }
 
 platform_target::~platform_target()
@@ -460,6 +465,7 @@
         history_.lower_fence_grants +=
             other != this && has_higher_fence(other->granted_, next) ? 1 : 0;
     }
+    record_grant({run_, next.first, next.last, next.fence});
     std::erase_if(granted_, [&](const held_range& item) {
         return item.first >= next.first && item.last <= next.last;
     });
@@ -471,6 +477,20 @@
     exchange.respond(answer(ok));
 }
 
+void platform_target::record_grant(const platform_history::granted_keys& next)
+{
+    auto& grants = history_.grants;
+    const bool is_reused = std::any_of(grants.begin(), grants.end(), [&](const auto& item) {
+        return item.run != next.run && item.first <= next.last && next.first <= item.last &&
+               item.fence >= next.fence;
+    });
+    history_.reused_fence_grants += is_reused ? 1 : 0;
+    std::erase_if(grants, [&](const auto& item) {
+        return next.first <= item.first && item.last <= next.last && item.fence <= next.fence;
+    });
+    grants.push_back(next);
+}
+
 void platform_target::release(const net::http_exchange& exchange)
 {
     const json message = json::parse(exchange.request.body);
--- a/standins/platform_model.h
+++ b/standins/platform_model.h
@@ -89,6 +89,8 @@
     /// Time after that from which on no request may reach the target.
     milliseconds evacuation_bound{5000};
     milliseconds warm_up{0}; ///< time for which the target reports a warm-up after its start
+    std::string id;          ///< empty: derived from the port, so each run has the same
+    milliseconds first_heartbeat{300}; ///< delay of the first heartbeat after the start
 };
 
 /// Requests and protocol violations seen by all targets of a test.
@@ -105,6 +107,17 @@
     /// Highest number of requests and health checks that reached a target in one second while it
     /// was warming up.
     std::size_t highest_cold_arrivals = 0;
+    /// Grants of keys under a fence that is not above those under which another run of a target,
+    /// running or ended, had them.
+    std::uint64_t reused_fence_grants = 0;
+    struct granted_keys {
+        std::uint64_t run = 0;
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        std::uint64_t fence = 0;
+    };
+    std::vector<granted_keys> grants; ///< without those that a later grant covers
+    std::uint64_t target_runs = 0;    ///< started runs of targets
     /// Runs that ended with 500 because they outlasted the hold under which they began.
     std::uint64_t cut_runs = 0;
 };
@@ -144,6 +157,7 @@
     void release(const net::http_exchange& exchange);
     void send_heartbeat();
     [[nodiscard]] std::string next_heartbeat();
+    void record_grant(const platform_history::granted_keys& next);
     void send_control(const std::string& path, const std::string& body);
     [[nodiscard]] bool holds(std::uint32_t first, std::uint32_t last) const;
     /// Answers the request of a run that ends now. `completed` is false if the run outlasted the
@@ -159,6 +173,7 @@
     platform_history& history_;
     std::vector<platform_target*>& running_targets_;
     std::string id_;
+    std::uint64_t run_;
     std::uint64_t started_ms_;
     time_point started_;
     std::deque<time_point> cold_arrivals_; ///< of the last second
--- a/standins/soak_host.cpp
+++ b/standins/soak_host.cpp
@@ -128,6 +128,11 @@
     values.sharded = settings_.sharded;
     values.execution_time = settings_.execution_time;
     values.warm_up = settings_.warm_up;
+    values.first_heartbeat = milliseconds{900};
+    // Every other run has an id of its own.
+    if (++target_runs_ % 2 == 0) {
+        values.id = "i-" + std::to_string(port(5).port) + "-" + std::to_string(target_runs_);
+    }
     target_ = std::make_unique<platform_target>(loop_, values, history_, running_targets_);
 }
 
--- a/standins/soak_host.h
+++ b/standins/soak_host.h
@@ -74,6 +74,7 @@
     loopback_proxy store_proxy_;
     loopback_proxy inner_proxy_;
     std::unique_ptr<platform_target> target_;
+    std::uint64_t target_runs_ = 0;
     pid_t pid_ = 0;
     int exit_code_ = 0;
 };
--- a/standins/soak_main.cpp
+++ b/standins/soak_main.cpp
@@ -557,6 +557,10 @@
                           " grants below a fence that "
                           "another target had");
         }
+        if (target_history_.reused_fence_grants > 0) {
+            add_violation(std::to_string(target_history_.reused_fence_grants) +
+                          " grants under a fence of another run of a target");
+        }
         const auto cold_arrivals = target_history_.highest_cold_arrivals;
         if (cold_arrivals > max_cold_arrivals) {
             add_violation(std::to_string(cold_arrivals) +
--- a/tests/assignment/member_test.cpp
+++ b/tests/assignment/member_test.cpp
@@ -133,6 +133,67 @@
     LONGS_EQUAL(1, test.confirm_grants());
 }
 
+// Guards against renewals that reach another run of the target under the fence of the one before,
+// and against a hold that seems to last for ever because of grants that were never sent.
+TEST(member, no_grant_is_sent_while_the_target_is_not_confirmed)
+{
+    leased_member test;
+    test.report_and_get_lease({keys(0, 99, 2)});
+    test.member_.set_target_confirmed(false);
+    LONGS_EQUAL(0, test.member_.take_grants(test.now_).size());
+    test.member_.set_target_confirmed(true);
+    LONGS_EQUAL(1, test.confirm_grants());
+    const auto served_until = test.member_.hold_of("s", 5)->served_until;
+    while (test.now_ < served_until) {
+        test.report_and_get_lease({keys(0, 99, 2)});
+        for (const auto& order : test.member_.take_grants(test.now_)) {
+            test.member_.on_grant_result(test.now_, order.id, order_outcome::not_sent);
+        }
+    }
+    test.member_.on_target(test.now_, target(target_phase::absent));
+    test.advance(milliseconds{300});
+    CHECK(test.member_.holdings(test.now_).empty());
+}
+
+// Guards against keys that a new run of the target with the id of the run before gets under its
+// fence: the directory shows no difference until the leader knows of the restart.
+TEST(member, a_new_run_with_the_same_id_gets_no_keys_under_the_fence_of_the_one_before)
+{
+    leased_member test;
+    test.report_and_get_lease({keys(0, 99, 2)});
+    LONGS_EQUAL(1, test.confirm_grants());
+    auto restarted = target(target_phase::ready);
+    restarted.start_time_ms = 200;
+    test.member_.on_target(test.now_, restarted);
+    LONGS_EQUAL(0, test.confirm_grants());
+    CHECK(test.member_.may_serve(test.now_, "s", 5) == serve_verdict::not_owner);
+    test.report_and_get_lease({keys(0, 49, 2), keys(50, 99, 2)});
+    LONGS_EQUAL(0, test.confirm_grants());
+    test.report_and_get_lease({keys(0, 99, 5)});
+    LONGS_EQUAL(1, test.confirm_grants());
+}
+
+// Guards against keys that a new run of the target gets under the fence of the run before, whose
+// hold had ended when the node learned of the restart.
+TEST(member, keys_of_a_run_whose_hold_has_ended_are_not_granted_to_the_next_one)
+{
+    leased_member test;
+    test.report_and_get_lease({keys(0, 99, 2)});
+    LONGS_EQUAL(1, test.confirm_grants());
+    test.member_.set_target_confirmed(false);
+    for (int i = 0; i < 10; ++i) {
+        test.report_and_get_lease({keys(0, 99, 2)});
+    }
+    auto restarted = target(target_phase::ready);
+    restarted.start_time_ms = 200;
+    test.member_.on_target(test.now_, restarted);
+    test.member_.set_target_confirmed(true);
+    test.report_and_get_lease({keys(0, 99, 2)});
+    LONGS_EQUAL(0, test.confirm_grants());
+    test.report_and_get_lease({keys(0, 99, 5)});
+    LONGS_EQUAL(1, test.confirm_grants());
+}
+
 // Guards against reassigning a key while its last holder still processes requests for it. The
 // member must wait for the answer to a release, even if the hold runs out before the answer.
 TEST(member, keys_are_not_reported_released_before_the_release_is_answered)
--- a/tests/sidecar/gate_fixture.h
+++ b/tests/sidecar/gate_fixture.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sidecar/gate.h"
@@ -60,22 +61,11 @@
     std::uint64_t beats = 0;
     std::unique_ptr<gate> tested_gate;
     std::vector<wire::forward_reply> replies;
+    std::vector<std::pair<std::uint64_t, std::string>> identified; ///< session and target id
 
     void setup() override
     {
-        target = std::make_unique<net::http_server>(
-            loop, net::endpoint{"127.0.0.1", 0}, [this](const net::http_exchange& exchange) {
-                const std::string id(
-                    net::find_header(exchange.request.headers, "x-id").value_or(""));
-                arrived.push_back(id);
-                if (answer_override) {
-                    answer_override(exchange);
-                    return;
-                }
-                loop.after(work, [exchange, id] {
-                    exchange.respond({200, {{"x-id", id}, {"x-seal", "s"}}, "ok"});
-                });
-            });
+        start_target({"127.0.0.1", 0});
         const auto address = net::to_string(target->address());
         watch = std::make_unique<target_watch>(target_watch_settings{milliseconds{2000}}, service,
                                                address);
@@ -85,6 +75,9 @@
             return hold_covers;
         };
         hooks.on_target_changed = [] {};
+        hooks.on_identified = [this](std::uint64_t session, const std::string& id) {
+            identified.emplace_back(session, id);
+        };
         hooks.on_failure = [](const wire::forward&, request::reason, const std::string&) {};
         tested_gate =
             std::make_unique<gate>(loop, target->address(), protocol, *watch, std::move(hooks));
@@ -92,6 +85,29 @@
         watch->on_health(loop.now(), {"t1", 2, true});
         tested_gate->on_target();
     }
+    void start_target(const net::endpoint& address)
+    {
+        target = std::make_unique<net::http_server>(
+            loop, address, [this](const net::http_exchange& exchange) {
+                const std::string id(
+                    net::find_header(exchange.request.headers, "x-id").value_or(""));
+                arrived.push_back(id);
+                if (answer_override) {
+                    answer_override(exchange);
+                    return;
+                }
+                loop.after(work, [exchange, id] {
+                    exchange.respond({200, {{"x-id", id}, {"x-seal", "s"}}, "ok"});
+                });
+            });
+    }
+    /// The target's process ends, and another one starts at the same address.
+    void restart_target()
+    {
+        const auto address = target->address();
+        target.reset();
+        start_target(address);
+    }
     void beat_with_slots(std::uint32_t slots)
     {
         heartbeat beat;
--- a/tests/sidecar/gate_test.cpp
+++ b/tests/sidecar/gate_test.cpp
@@ -151,6 +151,12 @@
         ++answers;
     };
     const net::http_request order{"POST", "/order", {}, "{}"};
+    // A grant is sent only on a connection to a process that has answered.
+    bool checked = false;
+    tested_gate->check({"GET", "/health", {}, ""}, wait_limit,
+                       [&](const net::http_result&) { checked = true; });
+    CHECK(loop.run_until([&] { return checked; }, wait_limit));
+    arrived.clear();
     tested_gate->order(order, wait_limit, wait_limit, count);
     CHECK(loop.run_until([&] { return answers == 1; }, wait_limit));
     LONGS_EQUAL(1, target->connections());
@@ -163,6 +169,45 @@
     }
 }
 
+// Guards against keys that a new process of the target gets under the fence of the one before: a
+// grant that was ordered while connections led to the old process went to whatever process
+// listened when it was written.
+TEST(gate, grant_is_not_sent_to_a_process_that_started_meanwhile)
+{
+    answer_override = [&](const net::http_exchange& exchange) {
+        exchange.respond({200, {{"x-target-id", "t1"}}, ""});
+    };
+    std::vector<net::http_result> results;
+    const auto record = [&](const net::http_result& result) { results.push_back(result); };
+    const net::http_request order{"POST", "/order", {}, "{}"};
+    const auto send_order = [&](std::size_t results_after) {
+        tested_gate->order(order, wait_limit, wait_limit, record);
+        CHECK(loop.run_until([&] { return results.size() == results_after; }, wait_limit));
+    };
+    const auto send_check = [&](std::size_t results_after) {
+        tested_gate->check({"GET", "/health", {}, ""}, wait_limit, record);
+        CHECK(loop.run_until([&] { return results.size() == results_after; }, wait_limit));
+    };
+    send_order(1); // no process has answered yet
+    CHECK(net::is_unwritten(results[0]));
+    send_check(2);
+    const auto first_session = tested_gate->target_session();
+    CHECK(identified.back() == std::pair(first_session, std::string("t1")));
+    send_order(3);
+    CHECK(results[2].response.has_value());
+    arrived.clear();
+    // Another process takes the address. The end of the connection is not read yet.
+    restart_target();
+    send_order(4);
+    CHECK_FALSE(results[3].response.has_value());
+    CHECK(arrived.empty());
+    send_check(5);
+    CHECK(tested_gate->target_session() > first_session);
+    CHECK(tested_gate->last_broken_session() >= first_session);
+    send_order(6);
+    CHECK(results[5].response.has_value());
+}
+
 // Guards against a node that keeps a target for the known one after another answered in its place.
 TEST(gate, refusal_of_another_target_makes_the_known_one_absent)
 {
