Refuse answers with a status or fields that HTTP does not have

What callers saw: a target's answer with the status 600 to 999 came as it was, 000 to 199 as 500 and 0200 as 200, with the target's seal; one with a blank in a field name came without that line.

Cause: http_parser takes any number up to 999, with any digits, and blanks in names; statuses below 200 passed without the check of the request id. Trailers counted as fields of the head.

Change: http_response_parser, taken out of http_client, reads all answers. It refuses other forms of the status line, statuses outside 100 to 599 and 101, invalid names and values, and folded lines, and leaves trailers out. The call fails as malformed and its connection is closed. Entries check the status in replies of other nodes. The head of a request and the keep-alive time moved to http_text.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -64,6 +64,9 @@
     std::string body;
 };
 
+/// True for the status of a final response that HTTP has, 200 to 599. Thread-safe.
+bool is_final_status(int status);
+
 /// A request and the functions that end it. `respond` sends the response and may be called on the
 /// loop after the handler has returned. A second call is ignored, and so is a call after the client
 /// disconnected. Response headers that belong to the connection or break the HTTP grammar are left
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,18 +1,15 @@
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <deque>
 #include <map>
-#include <set>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include <http_parser.h>
-
 #include "net/h2o_library.h"
 #include "net/http.h"
+#include "net/http_response_parser.h"
 #include "net/http_text.h"
 #include "net/sockets.h"
 
@@ -28,69 +25,20 @@
 /// When the client has this many destinations, it removes those without calls and closes their
 /// connections.
 constexpr std::size_t destination_cleanup_threshold = 64;
-/// Upper bound on the bytes of the header names and values that one call reads, including those of
-/// interim and skipped responses.
-constexpr std::size_t max_head_bytes = std::size_t{64} * 1024;
-/// Upper bound on the framing bytes for each body byte. A chunk with one body byte has five framing
-/// bytes. A call fails when its input exceeds this bound, for example by endless interim responses
-/// or chunk extensions.
-constexpr std::size_t max_framing_bytes_per_body_byte = 8;
-/// Upper bound on the responses to earlier requests that one call skips.
-constexpr unsigned max_skipped_responses = 2;
 /// Upper bound on the calls that wait for a connection to one address; further calls fail.
 constexpr std::size_t max_waiting_calls_per_address = 10000;
-constexpr int first_interim_status = 100;
-constexpr int status_switching_protocols = 101;
-constexpr int first_final_status = 200;
-
-bool is_valid_request(const http_request& request)
-{
-    return detail::is_token(request.method) && detail::is_request_target(request.path) &&
-           std::all_of(request.headers.begin(), request.headers.end(), detail::is_valid_header);
-}
-
-/// The request without its body.
-std::string serialize_head(const endpoint& address, const http_request& request,
-                           std::size_t body_bytes)
-{
-    std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
-    if (!find_header(request.headers, "host")) {
-        head += "host: " + to_string(address) + "\r\n";
-    }
-    for (const auto& entry : request.headers) {
-        if (!detail::is_connection_header(entry.name)) {
-            head += entry.name + ": " + entry.value + "\r\n";
-        }
-    }
-    return head + "content-length: " + std::to_string(body_bytes) + "\r\n\r\n";
-}
 
-std::string lower_case(std::string text)
+/// How long the connection may be kept idle after a response with these headers.
+milliseconds max_idle_time_after(const header_list& headers)
 {
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char letter) { return std::tolower(letter); });
-    return text;
-}
-
-/// Returns how long the connection may be kept idle: the `timeout` parameter of the response's
-/// keep-alive header minus `idle_time_margin`, but at most `max_idle_time`.
-milliseconds server_idle_time(const header_list& headers)
-{
-    constexpr std::string_view name = "timeout=";
-    const std::string keep_alive(find_header(headers, "keep-alive").value_or(""));
-    const auto at = keep_alive.find(name);
-    unsigned seconds = 0;
-    if (at == std::string::npos || std::from_chars(keep_alive.data() + at + name.size(),
-                                                   keep_alive.data() + keep_alive.size(), seconds)
-                                           .ec != std::errc{}) {
-        return max_idle_time;
-    }
-    return std::min(max_idle_time, milliseconds{std::chrono::seconds{seconds}} - idle_time_margin);
+    const auto announced = detail::keep_alive_timeout(headers);
+    return announced ? std::min(max_idle_time, milliseconds{*announced} - idle_time_margin)
+                     : max_idle_time;
 }
 
 } // namespace
 
-/// Built on h2o's sockets and on http_parser. h2o's own client is not used: it ends the
+/// Built on h2o's sockets and on `http_response_parser`. h2o's own client is not used: it ends the
 /// process on some malformed responses, treats a reset as the end of a response without a
 /// length, and reuses connections that received more than the response.
 struct http_client::state {
@@ -101,7 +49,6 @@
         state* client = nullptr;
         destination* dest = nullptr;
         h2o_socket_t* socket = nullptr;
-        http_parser parser{};
         call* current_call = nullptr; ///< null while idle
         std::string written_head;     ///< h2o keeps a pointer to its bytes until the write ends
         /// h2o keeps a pointer to its bytes until the write ends.
@@ -134,17 +81,8 @@
         phase current_phase = phase::waiting;
         bool in_before_write = false;
         std::uint64_t timer = 0;
-        http_response response;
-        std::size_t head_bytes = 0;
-        bool value_started = false;     ///< part of the last header's value was parsed
-        std::size_t received_bytes = 0; ///< on the connection since the request was written
-        /// Part of `received_bytes` that belongs to bodies, including those of skipped responses.
-        std::size_t body_bytes = 0;
-        bool complete = false;
-        bool is_rejected = false;       ///< above a limit, or refused by `accept_head`
-        bool skipping_response = false; ///< the response being read belongs to an earlier request
-        bool is_last = false;           ///< the connection is closed after the response
-        unsigned skipped_responses = 0;
+        /// Of the response; set when the request is written.
+        std::optional<detail::http_response_parser> parser;
         callback on_result;
         std::function<bool()> before_write;
         std::function<head_verdict(const http_response&, bool)> accept_head;
@@ -155,7 +93,6 @@
     std::size_t max_response_bytes;
     connection_reuse reuse;
     std::shared_ptr<server_continuity> continuity;
-    http_parser_settings parser_settings{};
     std::map<endpoint, std::unique_ptr<destination>> destinations;
     std::unordered_map<call_id, std::unique_ptr<call>> calls;
     std::map<connection*, std::unique_ptr<connection>> connections;
@@ -170,13 +107,6 @@
           max_response_bytes(response_bytes), reuse(reuse_of_connections),
           continuity(std::move(tracker))
     {
-        http_parser_settings_init(&parser_settings);
-        parser_settings.on_status = on_status;
-        parser_settings.on_header_field = on_header_field;
-        parser_settings.on_header_value = on_header_value;
-        parser_settings.on_headers_complete = on_headers_complete;
-        parser_settings.on_body = on_body;
-        parser_settings.on_message_complete = on_message_complete;
     }
 
     destination& find_or_add_destination(const endpoint& address);
@@ -199,16 +129,9 @@
     void read(connection& conn, const char* failure);
     void complete(connection& conn, bool reusable);
 
-    static call& call_of(http_parser* parser);
     static void on_connected(h2o_socket_t* socket, const char* failure);
     static void on_written(h2o_socket_t* socket, const char* failure);
     static void on_readable(h2o_socket_t* socket, const char* failure);
-    static int on_status(http_parser* parser, const char* text, std::size_t size);
-    static int on_header_field(http_parser* parser, const char* text, std::size_t size);
-    static int on_header_value(http_parser* parser, const char* text, std::size_t size);
-    static int on_headers_complete(http_parser* parser);
-    static int on_body(http_parser* parser, const char* text, std::size_t size);
-    static int on_message_complete(http_parser* parser);
 };
 
 http_client::state::destination&
@@ -334,8 +257,15 @@
         }
     }
     entry.current_phase = phase::written;
-    http_parser_init(&conn.parser, HTTP_RESPONSE);
-    conn.parser.data = &conn;
+    detail::response_options options;
+    options.head_only = entry.head_only;
+    options.max_body_bytes = max_response_bytes;
+    if (entry.accept_head) {
+        options.accept_head = [&entry, is_new = !conn.reused](const http_response& head) {
+            return entry.accept_head(head, is_new);
+        };
+    }
+    entry.parser.emplace(std::move(options));
     conn.written_head = std::move(entry.request_head);
     conn.written_body = std::move(entry.request_body);
     conn.write_pending = true;
@@ -366,106 +296,6 @@
     conn.client->read(conn, failure);
 }
 
-http_client::state::call& http_client::state::call_of(http_parser* parser)
-{
-    return *static_cast<connection*>(parser->data)->current_call;
-}
-
-int http_client::state::on_status(http_parser* parser, const char*, std::size_t)
-{
-    call_of(parser).response.status = static_cast<int>(parser->status_code);
-    return 0;
-}
-
-int http_client::state::on_header_field(http_parser* parser, const char* text, std::size_t size)
-{
-    call& entry = call_of(parser);
-    entry.head_bytes += size;
-    if (entry.response.headers.empty() || entry.value_started) {
-        entry.response.headers.emplace_back();
-        entry.value_started = false;
-    }
-    entry.response.headers.back().name.append(text, size);
-    return entry.head_bytes > max_head_bytes ? 1 : 0;
-}
-
-int http_client::state::on_header_value(http_parser* parser, const char* text, std::size_t size)
-{
-    call& entry = call_of(parser);
-    entry.head_bytes += size;
-    entry.value_started = true;
-    entry.response.headers.back().value.append(text, size);
-    return entry.head_bytes > max_head_bytes ? 1 : 0;
-}
-
-int http_client::state::on_headers_complete(http_parser* parser)
-{
-    call& entry = call_of(parser);
-    constexpr int skip_body = 1;
-    constexpr int stop = -1;
-    const int status = static_cast<int>(parser->status_code);
-    entry.response.status = status;
-    for (auto& item : entry.response.headers) {
-        item.name = lower_case(std::move(item.name));
-    }
-    if (status < first_final_status || status == status_switching_protocols) {
-        return 0;
-    }
-    if (entry.accept_head) {
-        auto verdict = head_verdict::refuse;
-        try {
-            verdict = entry.accept_head(entry.response, !entry.conn->reused);
-        }
-        catch (const std::exception&) {
-            // An exception must not propagate through the parser's C stack frames.
-            verdict = head_verdict::refuse;
-        }
-        // A response that ends only when the connection is closed is not skipped, because no other
-        // response can follow it.
-        const bool may_skip = verdict == head_verdict::skip &&
-                              entry.skipped_responses < max_skipped_responses &&
-                              http_should_keep_alive(parser) != 0;
-        entry.is_last = verdict == head_verdict::accept_last;
-        if (verdict != head_verdict::accept && !entry.is_last && !may_skip) {
-            entry.is_rejected = true;
-            return stop;
-        }
-        entry.skipping_response = may_skip;
-    }
-    return entry.head_only ? skip_body : 0;
-}
-
-int http_client::state::on_body(http_parser* parser, const char* text, std::size_t size)
-{
-    call& entry = call_of(parser);
-    if (entry.response.body.size() + size > entry.client->max_response_bytes) {
-        entry.is_rejected = true;
-        return 1;
-    }
-    entry.body_bytes += size;
-    entry.response.body.append(text, size);
-    return 0;
-}
-
-int http_client::state::on_message_complete(http_parser* parser)
-{
-    call& entry = call_of(parser);
-    const int status = static_cast<int>(parser->status_code);
-    const bool is_interim = status >= first_interim_status && status < first_final_status &&
-                            status != status_switching_protocols;
-    if (is_interim || entry.skipping_response) {
-        // The final response to this call follows.
-        entry.skipped_responses += std::exchange(entry.skipping_response, false) ? 1 : 0;
-        entry.response = {};
-        entry.value_started = false;
-        return 0;
-    }
-    entry.complete = true;
-    // Stops before the bytes that follow the response, because they belong to no call.
-    http_parser_pause(parser, 1);
-    return 0;
-}
-
 void http_client::state::read(connection& conn, const char* failure)
 {
     if (conn.current_call == nullptr) {
@@ -473,39 +303,31 @@
         return;
     }
     call& entry = *conn.current_call;
+    auto& parser = *entry.parser;
     auto& input = conn.socket->input;
     const std::size_t size = input->size;
-    std::size_t parsed_bytes = 0;
-    if (size > 0) {
-        entry.received_bytes += size;
-        parsed_bytes = http_parser_execute(&conn.parser, &parser_settings, input->bytes, size);
-        h2o_buffer_consume(&input, size);
-    }
-    const auto parsed = HTTP_PARSER_ERRNO(&conn.parser);
-    const bool is_above_byte_limit =
-        entry.received_bytes > (max_skipped_responses + 1) * max_head_bytes +
-                                   (1 + max_framing_bytes_per_body_byte) * entry.body_bytes;
-    entry.is_rejected = entry.is_rejected || (is_above_byte_limit && !entry.complete);
-    if (!entry.complete && (entry.is_rejected || (parsed != HPE_OK && parsed != HPE_PAUSED))) {
-        close(conn);
-        fail(entry, http_failure::malformed);
-        return;
-    }
+    const std::size_t parsed_bytes = parser.parse({input->bytes, size});
+    h2o_buffer_consume(&input, size);
     // A response without a length is complete when the server closes the connection, but not when
     // the connection is reset.
-    if (!entry.complete && failure == h2o_socket_error_closed) {
-        http_parser_execute(&conn.parser, &parser_settings, nullptr, 0);
+    if (failure == h2o_socket_error_closed) {
+        parser.on_orderly_end();
     }
-    if (entry.complete) {
-        const bool reusable = failure == nullptr && parsed_bytes == size && !conn.write_pending &&
-                              entry.skipped_responses == 0 && !entry.is_last &&
-                              reuse == connection_reuse::allowed &&
-                              http_should_keep_alive(&conn.parser) != 0;
-        complete(conn, reusable);
-    }
-    else if (failure != nullptr) {
-        close(conn, true);
-        fail(entry, http_failure::closed);
+    switch (parser.current_state()) {
+    case detail::http_response_parser::state::rejected:
+        close(conn);
+        fail(entry, http_failure::malformed);
+        return;
+    case detail::http_response_parser::state::complete:
+        complete(conn, failure == nullptr && parsed_bytes == size && !conn.write_pending &&
+                           reuse == connection_reuse::allowed && parser.may_reuse_connection());
+        return;
+    case detail::http_response_parser::state::reading:
+        if (failure != nullptr) {
+            close(conn, true);
+            fail(entry, http_failure::closed);
+        }
+        return;
     }
 }
 
@@ -514,7 +336,8 @@
     call& entry = *conn.current_call;
     conn.current_call = nullptr;
     entry.conn = nullptr;
-    conn.idle_timeout = server_idle_time(entry.response.headers);
+    auto response = entry.parser->take();
+    conn.idle_timeout = max_idle_time_after(response.headers);
     conn.reused = true;
     if (reusable && conn.idle_timeout.count() > 0) {
         conn.idle_since = event_loop.now();
@@ -523,7 +346,7 @@
     else {
         close(conn);
     }
-    finish(entry, {std::move(entry.response), http_failure::closed});
+    finish(entry, {std::move(response), http_failure::closed});
 }
 
 void http_client::state::close(connection& conn, bool by_server)
@@ -627,13 +450,14 @@
     entry.accept_head = std::move(accept_head);
     const auto id = entry.id;
     self.calls.emplace(id, std::move(created));
-    if (!is_valid_request(request) || dest.waiting_calls.size() >= max_waiting_calls_per_address) {
+    if (!detail::is_valid_request(request) ||
+        dest.waiting_calls.size() >= max_waiting_calls_per_address) {
         self.fail(entry, http_failure::not_sent);
         return id;
     }
     entry.request_body = shared_body ? std::move(shared_body)
                                      : std::make_shared<const std::string>(std::move(request.body));
-    entry.request_head = serialize_head(address, request, entry.request_body->size());
+    entry.request_head = detail::request_head(address, request, entry.request_body->size());
     entry.timer = self.event_loop.after(timeout, [&self, id] {
         const auto found = self.calls.find(id);
         if (found != self.calls.end()) {
--- a/src/net/http_text.cpp
+++ b/src/net/http_text.cpp
@@ -3,12 +3,22 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <cstddef>
 #include <utility>
 
 #include "net/sockets.h"
 
-namespace bulrushgw::net::detail {
+namespace bulrushgw::net {
+
+bool is_final_status(int status)
+{
+    constexpr int lowest = 200;
+    constexpr int highest = 599;
+    return status >= lowest && status <= highest;
+}
+
+namespace detail {
 
 namespace {
 
@@ -78,6 +88,41 @@
            std::all_of(entry.value.begin(), entry.value.end(), is_value_character);
 }
 
+bool is_valid_request(const http_request& request)
+{
+    return is_token(request.method) && is_request_target(request.path) &&
+           std::all_of(request.headers.begin(), request.headers.end(), is_valid_header);
+}
+
+std::string request_head(const endpoint& address, const http_request& request,
+                         std::size_t body_bytes)
+{
+    std::string head = request.method + " " + request.path + " HTTP/1.1\r\n";
+    if (!find_header(request.headers, "host")) {
+        head += "host: " + to_string(address) + "\r\n";
+    }
+    for (const auto& entry : request.headers) {
+        if (!is_connection_header(entry.name)) {
+            head += entry.name + ": " + entry.value + "\r\n";
+        }
+    }
+    return head + "content-length: " + std::to_string(body_bytes) + "\r\n\r\n";
+}
+
+std::optional<std::chrono::seconds> keep_alive_timeout(const header_list& headers)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto keep_alive = find_header(headers, "keep-alive").value_or("");
+    const auto at = keep_alive.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = keep_alive.substr(at + name.size());
+    unsigned seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return parsed.ec == std::errc{} ? std::optional{std::chrono::seconds{seconds}} : std::nullopt;
+}
+
 bool is_connection_header(std::string_view name)
 {
     return std::any_of(connection_headers.begin(), connection_headers.end(),
@@ -100,11 +145,8 @@
 
 std::string response_head(const http_response& response, bool closes)
 {
-    constexpr int lowest_status = 200;
-    constexpr int highest_status = 999;
     constexpr int internal_error = 500;
-    const bool is_valid = response.status >= lowest_status && response.status <= highest_status;
-    const int status = is_valid ? response.status : internal_error;
+    const int status = is_final_status(response.status) ? response.status : internal_error;
     std::string head;
     head.reserve(usual_head_bytes);
     head += "HTTP/1.1 ";
@@ -130,4 +172,6 @@
     return head;
 }
 
-} // namespace bulrushgw::net::detail
+} // namespace detail
+
+} // namespace bulrushgw::net
--- a/src/net/http_text.h
+++ b/src/net/http_text.h
@@ -2,6 +2,9 @@
 
 /// Rules of the HTTP/1.1 grammar that the server and the client share.
 
+#include <chrono>
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +19,14 @@
 /// True when name and value follow the HTTP grammar, so that writing them cannot add or split
 /// headers.
 bool is_valid_header(const header& entry);
+/// True when the method, the target and all headers follow the HTTP grammar.
+bool is_valid_request(const http_request& request);
+/// The request without its body. Headers that belong to the connection are left out; the address is
+/// the host unless the request names one.
+std::string request_head(const endpoint& address, const http_request& request,
+                         std::size_t body_bytes);
+/// The `timeout` parameter of the keep-alive header; none if there is none that can be read.
+std::optional<std::chrono::seconds> keep_alive_timeout(const header_list& headers);
 /// True for headers that belong to one connection or to the framing of the body. They are not
 /// relayed: the server and the client write their own.
 bool is_connection_header(std::string_view name);
--- a/src/node/client_entry.cpp
+++ b/src/node/client_entry.cpp
@@ -341,8 +341,10 @@
         metrics_.summary(metric::forward_seconds)
             .observe(std::chrono::duration<double>(loop_.now() - found->second.sent).count());
     }
-    const reason why = reason_of(reply);
-    if (reply.outcome != wire::forward_outcome::answered) {
+    const bool is_invalid =
+        reply.outcome == wire::forward_outcome::answered && !net::is_final_status(reply.status);
+    const reason why = is_invalid ? reason::malformed_answer : reason_of(reply);
+    if (is_invalid || reply.outcome != wire::forward_outcome::answered) {
         respond(id, refusal_response(why, "see Bulrush-Reason"), why);
         return;
     }
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -443,6 +443,14 @@
 
 void entry::on_reply(incarnation_id from, const wire::forward_reply& reply)
 {
+    if (reply.outcome == wire::forward_outcome::answered && !net::is_final_status(reply.status)) {
+        wire::forward_reply invalid;
+        invalid.number = reply.number;
+        invalid.request_id = reply.request_id;
+        invalid.reason = request::to_text(reason::malformed_answer);
+        on_reply(from, invalid);
+        return;
+    }
     successive_timeouts_.erase(from);
     if (pending_request* cancelled = find_cancelled(from, reply)) {
         on_reply_after_cancellation(*cancelled, reply);
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -1,9 +1,15 @@
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
+#include <memory>
 #include <random>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
+#include "net/http_response_parser.h"
+#include "net/http_text.h"
 #include "platform/protocol.h"
 #include "sidecar/record_text.h"
 #include "sidecar/settings.h"
@@ -173,3 +179,48 @@
              sidecar::parse_leader_record(text);
          }));
 }
+
+// Guards also against a response whose meaning depends on how its bytes are split, and against one
+// that is passed on although its status or its fields are invalid.
+TEST(decoder_fuzz, responses)
+{
+    using net::detail::http_response_parser;
+    constexpr std::size_t max_body_bytes = 64;
+    const auto parse = [](const std::string& text, std::size_t piece) {
+        net::detail::response_options options;
+        options.max_body_bytes = max_body_bytes;
+        options.accept_head = [](const net::http_response& head) {
+            return net::find_header(head.headers, "id") == "late" ? net::head_verdict::skip
+                                                                  : net::head_verdict::accept;
+        };
+        auto parser = std::make_unique<http_response_parser>(std::move(options));
+        for (std::size_t at = 0; at < text.size(); at += piece) {
+            parser->parse(std::string_view(text).substr(at, piece));
+        }
+        parser->on_orderly_end();
+        return parser;
+    };
+    fuzz({"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nresponse-seal: s\r\n\r\nbody",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nserver-load: 1,0,6\r\n\r\nto the end",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nx: y\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nid: late\r\ncontent-length: 2\r\n\r\nnoHTTP/1.1 503 Busy\r\n"
+          "not-executed: 1\r\ncontent-length: 0\r\n\r\n"},
+         [&](const std::string& text) {
+             const auto whole = parse(text, std::max<std::size_t>(text.size(), 1));
+             const auto pieces = parse(text, 3);
+             CHECK(whole->current_state() == pieces->current_state());
+             if (whole->current_state() != http_response_parser::state::complete) {
+                 return;
+             }
+             CHECK_EQUAL(whole->may_reuse_connection(), pieces->may_reuse_connection());
+             const auto response = whole->take();
+             const auto same = pieces->take();
+             CHECK(net::is_final_status(response.status));
+             CHECK(response.body.size() <= max_body_bytes);
+             CHECK(std::all_of(response.headers.begin(), response.headers.end(),
+                               net::detail::is_valid_header));
+             LONGS_EQUAL(response.status, same.status);
+             CHECK(response.body == same.body);
+             LONGS_EQUAL(response.headers.size(), same.headers.size());
+         });
+}
--- a/tests/net/http_answers_test.cpp
+++ b/tests/net/http_answers_test.cpp
@@ -128,6 +128,22 @@
     CHECK(result.failure == http_failure::closed);
 }
 
+// Guards against answers with a status that HTTP does not have, or with invalid field names, that
+// callers got as answers. The connection is not used again.
+TEST(http_answers, invalid_status_or_field_is_no_answer)
+{
+    int calls = 0;
+    for (const char* head :
+         {"000 OK", "099 OK", "101 Switching Protocols", "600 X", "999 X", "0200 OK",
+          "200 OK\r\nx y: z", "200 OK\r\ncontent-length : 4", "200 OK\r\nx\x01: z"}) {
+        answer = "HTTP/1.1 " + std::string(head) + "\r\ncontent-length: 0\r\n\r\n";
+        const auto result = call();
+        CHECK_FALSE(result.response.has_value());
+        CHECK(result.failure == http_failure::malformed);
+        LONGS_EQUAL(++calls, connections);
+    }
+}
+
 // Guards against a malformed response that ends the process.
 TEST(http_answers, malformed_heads_fail_only_the_call)
 {
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -244,6 +244,26 @@
     }
 };
 
+// Guards against an answer with a status that HTTP does not have, from a node with another version,
+// which a client got under another status.
+TEST(entry, reply_with_an_invalid_status_is_no_answer)
+{
+    for (const int status : {0, 100, 199, 600, 999}) {
+        const auto id = "r-" + std::to_string(status);
+        const auto result = call("/keyed-write/a", milliseconds{1000}, id);
+        wire::forward_reply reply;
+        reply.number = last_forward().number;
+        reply.request_id = id;
+        reply.outcome = wire::forward_outcome::answered;
+        reply.status = status;
+        reply.headers = {{"x-seal", "s"}};
+        tested_entry->on_reply(peer, reply);
+        CHECK(result->answer.has_value());
+        LONGS_EQUAL(502, result->answer->status);
+        CHECK_FALSE(net::find_header(result->answer->headers, "x-seal").has_value());
+    }
+}
+
 // Guards against failing a request when only the connection to the target's node is reset. The
 // request runs at a healthy target, and its answer still arrives over the peer's connection.
 TEST(entry, running_request_survives_a_reset_of_its_connection)
