Take no part of a response for the whole after a failed write

Cause: the rest of the upload is written before the answer is read. The failed write takes the error of the connection with it, and the read that follows reports an end of the input, which completes a response without a length. Ruled out: the read itself, which the test of a reset without an upload covers.

Change: the client keeps the failure of a write, and asks the kernel at the end of the input whether the connection was reset. Only an orderly end on a connection without an error completes a response without a length; otherwise the call fails as closed.

A response that ends in order before its upload stays whole.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -36,6 +37,14 @@
                      : max_idle_time;
 }
 
+/// True if the kernel knows of a reset or another error of the connection. Its end is then not
+/// orderly, although reading reports an end of the input once a write has reported the error.
+bool is_broken(h2o_socket_t* socket)
+{
+    pollfd state{h2o_socket_get_fd(socket), POLLIN, 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 } // namespace
 
 /// Built on h2o's sockets and on `http_response_parser`. h2o's own client is not used: it ends the
@@ -54,6 +63,7 @@
         /// h2o keeps a pointer to its bytes until the write ends.
         std::shared_ptr<const std::string> written_body;
         bool write_pending = false;
+        bool write_failed = false;
         bool reused = false; ///< an earlier call received its response on this connection
         bool connected = false;
         time_point idle_since{};
@@ -281,6 +291,7 @@
 {
     auto& conn = *static_cast<connection*>(socket->data);
     conn.write_pending = false;
+    conn.write_failed = failure != nullptr;
     // A body is not kept while the server works on the request, or while the connection is idle.
     conn.written_body.reset();
     // The connection of an active call is kept after a failed write, because the server may have
@@ -308,9 +319,9 @@
     const std::size_t size = input->size;
     const std::size_t parsed_bytes = parser.parse({input->bytes, size});
     h2o_buffer_consume(&input, size);
-    // A response without a length is complete when the server closes the connection, but not when
-    // the connection is reset.
-    if (failure == h2o_socket_error_closed) {
+    // A response without a length is complete when the server closes the connection, but not after
+    // a reset, nor after an error that a write has reported.
+    if (failure == h2o_socket_error_closed && !conn.write_failed && !is_broken(conn.socket)) {
         parser.on_orderly_end();
     }
     switch (parser.current_state()) {
--- a/tests/net/http_answers_test.cpp
+++ b/tests/net/http_answers_test.cpp
@@ -25,6 +25,8 @@
     std::string answer;
     bool close_after = false;
     bool reset_after = false;
+    bool shut_down_after = false; ///< the server ends its direction and does not read on
+    h2o_socket_t* shut_down_socket = nullptr;
     int connections = 0;
     std::size_t first_part_bytes = 0; ///< sent 1 ms before the rest of `answer`, unless 0
     std::string repeated_bytes;       ///< sent after `answer` until the client closes
@@ -46,6 +48,9 @@
     {
         client.reset();
         server.reset();
+        if (shut_down_socket != nullptr) {
+            h2o_socket_close(shut_down_socket);
+        }
     }
 
     static void on_readable(h2o_socket_t * socket, const char* failure)
@@ -80,6 +85,11 @@
             const linger reset_on_close{1, 0};
             setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof(reset_on_close));
         }
+        if (self.shut_down_after) {
+            shutdown(fd, SHUT_WR);
+            h2o_socket_read_stop(socket);
+            self.shut_down_socket = socket;
+        }
         if (self.close_after || self.reset_after) {
             h2o_socket_close(socket);
         }
@@ -128,6 +138,39 @@
     CHECK(result.failure == http_failure::closed);
 }
 
+// Guards against delivering a part of a response as complete: the server answered without a length
+// while the request was still being written, and reset the connection. The failed write takes the
+// error, so that the read after it reports an end of the input.
+TEST(http_answers, response_cut_by_a_reset_during_the_upload_is_not_complete)
+{
+    answer = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf";
+    reset_after = true;
+    const auto body = std::make_shared<const std::string>(std::size_t{6} * 1024 * 1024, 'b');
+    for (int i = 0; i < 50; ++i) {
+        std::optional<http_result> result;
+        client->send(
+            server->address(), {"POST", "/", {}, ""}, milliseconds{1000},
+            [&](http_result received) { result = std::move(received); }, {}, {}, body);
+        CHECK(loop.run_until([&] { return result.has_value(); }, milliseconds{3000}));
+        CHECK_FALSE(result->response.has_value());
+        CHECK(result->failure == http_failure::closed);
+    }
+}
+
+// Guards against discarding a whole response that the server sent before it had read the request.
+TEST(http_answers, response_before_the_end_of_the_upload_is_complete_at_an_orderly_close)
+{
+    answer = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole";
+    shut_down_after = true;
+    std::optional<http_result> result;
+    client->send(server->address(),
+                 {"POST", "/", {}, std::string(std::size_t{6} * 1024 * 1024, 'b')},
+                 milliseconds{1000}, [&](http_result received) { result = std::move(received); });
+    CHECK(loop.run_until([&] { return result.has_value(); }, milliseconds{3000}));
+    CHECK(result->response.has_value());
+    STRCMP_EQUAL("whole", result->response->body.c_str());
+}
+
 // Guards against answers with a status that HTTP does not have, or with invalid field names, that
 // callers got as answers. The connection is not used again.
 TEST(http_answers, invalid_status_or_field_is_no_answer)
