Refuse requests in a planned stop that another host would answer too late

What callers saw: a stopping host took a request 2.8 s after SIGTERM, sent it to the target of another host and answered 502 at its exit, while it ran.

Cause: the gate refuses what it expects to end after the exit. The entry had no such limit, and the gate of the other host does not know of the stop. Ruled out for the target beside the stopping host: its gate has the limit.

Change: the entry keeps the mean answer time of each route, and refuses a request at once as not run if twice that time ends after the exit, also one that waits for an owner or is about to be sent again.

--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -33,6 +33,10 @@
 /// A request is not retried if less time than this is left, because the retry would not be answered
 /// before the deadline.
 constexpr milliseconds min_retry_time{20};
+/// A stopping node takes a request if this multiple of the mean answer time of its route ends
+/// before the exit. A higher one would refuse requests that are served in time: the clients of a
+/// host have no other node until the platform moves them.
+constexpr double max_answer_to_mean_ratio = 2;
 constexpr int min_failure_status = 500; ///< lowest HTTP status code that counts as a failure
 /// The connection to a node is probed after this many successive timeouts of requests to the node.
 /// Any reply from the node resets the count.
@@ -244,9 +248,22 @@
     return result;
 }
 
+// Only what another attempt would add counts: a request that may have reached a target ends with
+// an unknown outcome either way.
+bool entry::ends_too_late(const pending_request& request) const
+{
+    const std::chrono::duration<double, std::milli> expected{
+        max_answer_to_mean_ratio * answer_times_.expected_ms(request.route.name)};
+    return exit_time_ && loop_.now() + std::chrono::ceil<milliseconds>(expected) > *exit_time_;
+}
+
 void entry::dispatch(pending_request& request)
 {
     request.waits_for_owner = false;
+    if (ends_too_late(request)) {
+        refuse(request, reason::shut_down, default_retry_after, "the node stops");
+        return;
+    }
     if (request.sharded) {
         dispatch_keyed(request);
     }
@@ -472,6 +489,7 @@
             picker_.on_failure(now, sent);
         }
         else {
+            answer_times_.record(now, request->route.name, now - request->sent);
             picker_.on_answer(
                 now, sent, std::chrono::duration_cast<milliseconds>(now - request->sent),
                 static_cast<int>(reply.load),
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -16,6 +16,7 @@
 #include "dispatch/retry_allowance.h"
 #include "dispatch/target_picker.h"
 #include "dispatch/time_spent.h"
+#include "dispatch/work_estimates.h"
 #include "net/http.h"
 #include "net/loop.h"
 #include "request/outcomes.h"
@@ -98,6 +99,8 @@
     void set_retry_limits(const dispatch::allowance_settings& retries);
     /// Refuses all requests that arrive later.
     void close() { closed_ = true; }
+    /// The process exits at `end`. A request is refused if its answer is not expected before `end`.
+    void stop_at(time_point end) { exit_time_ = end; }
     /// Answers all pending requests: refuses those that certainly did not run, and reports an
     /// unknown outcome for the others.
     void answer_all_pending();
@@ -241,6 +244,8 @@
     /// Why regions or evacuations exclude all targets of the service; none: they do not.
     [[nodiscard]] std::optional<request::reason>
     unservable_reason(const routing::route& route, const std::string& service) const;
+    /// True if the answer may arrive only after the exit of the process.
+    [[nodiscard]] bool ends_too_late(const pending_request& request) const;
     void on_not_run(pending_request& request, const wire::forward_reply& reply);
     void count_warm_up_refusal(pending_request& request, const wire::forward_reply& reply);
     void on_unknown_outcome(pending_request& request, request::reason why);
@@ -299,6 +304,8 @@
     std::uint64_t next_id_ = 1;
     std::uint64_t next_number_ = 1;
     entry_counters counters_;
+    dispatch::work_estimates answer_times_; ///< by route
+    std::optional<time_point> exit_time_;   ///< see `stop_at`; none: not stopping
     bool closed_ = false;
 };
 
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -762,6 +762,7 @@
     const bool is_repeated = stop_.is_stopping();
     stop_.on_signal(loop_.now(), settings_.bounds.grace);
     gate_.stop_at(stop_.exit_limit());
+    entry_.stop_at(stop_.exit_limit());
     log(is_repeated ? "stop_repeated" : "stopping",
         {{"pending", entry_.pending()}, {"running", gate_.active()}});
     if (!is_repeated) {
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -244,6 +244,39 @@
     }
 };
 
+// Guards against requests that are taken late in a planned stop, run at another host, and are cut
+// off without an answer when this process exits.
+TEST(entry, stopping_node_refuses_what_would_be_answered_after_its_exit)
+{
+    const auto answer_last = [this](incarnation_id from) {
+        wire::forward_reply reply;
+        reply.number = last_forward().number;
+        reply.request_id = last_forward().request_id;
+        reply.outcome = wire::forward_outcome::answered;
+        reply.status = 200;
+        tested_entry->on_reply(from, reply);
+    };
+    const auto timed = call("/pool-write/a", milliseconds{5000}, "r-1");
+    loop.run_until([] { return false; }, milliseconds{100});
+    answer_last(other);
+    LONGS_EQUAL(200, timed->answer->status);
+    call("/keyed-write/a", milliseconds{5000}, "r-fast");
+    answer_last(peer);
+    LONGS_EQUAL(2, forwards());
+    tested_entry->stop_at(loop.now() + milliseconds{150});
+    const auto late = call("/pool-write/a", milliseconds{5000}, "r-2");
+    CHECK(late->answer.has_value());
+    LONGS_EQUAL(503, late->answer->status);
+    CHECK(net::find_header(late->answer->headers, "retry-after").has_value());
+    LONGS_EQUAL(2, forwards());
+    // A route that is answered faster, or a later end of the process.
+    call("/keyed-write/a", milliseconds{5000}, "r-3");
+    LONGS_EQUAL(3, forwards());
+    tested_entry->stop_at(loop.now() + milliseconds{3000});
+    call("/pool-write/a", milliseconds{5000}, "r-4");
+    LONGS_EQUAL(4, forwards());
+}
+
 // Guards against an answer with a status that HTTP does not have, from a node with another version,
 // which a client got under another status.
 TEST(entry, reply_with_an_invalid_status_is_no_answer)
