Log the identity of targets only where keys are granted

Cause: connections to a target of a service without keys end whenever there is no traffic, and each time two lines told of it, although nothing is granted. Change: the lines are written for sharded services only. The parser's member for the end of a head has the name of what it tells, and the platform stand-in passes the linter.

--- a/src/net/http_response_parser.cpp
+++ b/src/net/http_response_parser.cpp
@@ -111,7 +111,7 @@
 // A head is parsed line by line, the rest as it comes.
 std::string_view http_response_parser::next_piece(std::string_view bytes) const
 {
-    const auto line_end = in_trailers_ ? std::string_view::npos : bytes.find('\n');
+    const auto line_end = head_complete_ ? std::string_view::npos : bytes.find('\n');
     return bytes.substr(0, line_end == std::string_view::npos ? line_end : line_end + 1);
 }
 
@@ -120,7 +120,7 @@
 bool http_response_parser::check_line_start(std::string_view piece)
 {
     const bool is_folded =
-        !in_trailers_ && at_line_start_ && (piece.front() == ' ' || piece.front() == '\t');
+        !head_complete_ && at_line_start_ && (piece.front() == ' ' || piece.front() == '\t');
     at_line_start_ = piece.back() == '\n';
     return !is_folded;
 }
@@ -158,7 +158,7 @@
     if (!count_head_bytes(text.size())) {
         return 1;
     }
-    if (in_trailers_) {
+    if (head_complete_) {
         return 0;
     }
     if (response_.headers.empty() || value_started_) {
@@ -174,7 +174,7 @@
     if (!count_head_bytes(text.size())) {
         return 1;
     }
-    if (!in_trailers_) {
+    if (!head_complete_) {
         value_started_ = true;
         response_.headers.back().value.append(text);
     }
@@ -185,7 +185,7 @@
 {
     constexpr int skip_body = 1;
     constexpr int stop = -1;
-    in_trailers_ = true;
+    head_complete_ = true;
     response_.status = static_cast<int>(parser_.status_code);
     for (auto& item : response_.headers) {
         make_lower_case(item.name);
@@ -241,7 +241,7 @@
     response_ = {};
     status_line_.clear();
     value_started_ = false;
-    in_trailers_ = false;
+    head_complete_ = false;
     at_line_start_ = false;
 }
 
--- a/src/net/http_response_parser.h
+++ b/src/net/http_response_parser.h
@@ -24,7 +24,7 @@
 /// Turns the bytes of a server into the response to one call. Skips interim responses, and those
 /// that `response_options::accept_head` skips. `http_parser` parses the grammar; this class adds
 /// the limits, and rejects what another reader may take for a different response: a status line of
-/// another form than "HTTP/1.1 200", a status outside 100 to 599, a switch to another protocol, and
+/// another form than "HTTP/1.1 200", a status outside 100 to 599, a switch to another protocol,
 /// names or values of fields with invalid bytes, and folded lines. Trailers are read and left out.
 /// Pure; not thread-safe.
 class http_response_parser {
@@ -76,7 +76,7 @@
     http_response response_;
     std::string status_line_;      ///< begin of the status line of the current message
     bool value_started_ = false;   ///< part of the last field's value was parsed
-    bool in_trailers_ = false;     ///< the head is over: fields that follow are behind the body
+    bool head_complete_ = false;   ///< fields that follow are trailers
     bool at_line_start_ = false;   ///< a line of the head has ended
     bool skipping_ = false;        ///< the current response belongs to an earlier request
     bool is_last_ = false;         ///< the verdict was `accept_last`
--- a/src/sidecar/process_warm_up.cpp
+++ b/src/sidecar/process_warm_up.cpp
@@ -125,11 +125,14 @@
         return;
     }
     target_confirmed_ = confirmed;
-    log(confirmed ? "target_confirmed" : "target_unconfirmed",
-        {{"target", watch_.status().id},
-         {"born", watch_.status().start_time_ms},
-         {"session", gate_.target_session()},
-         {"broken", gate_.last_broken_session()}});
+    const auto* service = routes_ ? routes_->find_service(settings_.service) : nullptr;
+    if (service != nullptr && service->sharded) {
+        log(confirmed ? "target_confirmed" : "target_unconfirmed",
+            {{"target", watch_.status().id},
+             {"born", watch_.status().start_time_ms},
+             {"session", gate_.target_session()},
+             {"broken", gate_.last_broken_session()}});
+    }
     coordination_.set_target_confirmed(confirmed);
 }
 
--- a/standins/standin_platform_main.cpp
+++ b/standins/standin_platform_main.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -85,10 +87,8 @@
                                                           running_targets);
     };
     const auto target_texts = split(FLAGS_targets, ',');
-    targets.reserve(target_texts.size());
-    for (const auto& text : target_texts) {
-        targets.push_back(start_target(text));
-    }
+    std::transform(target_texts.begin(), target_texts.end(), std::back_inserter(targets),
+                   [&](const std::string& text) { return start_target(text); });
     const auto restart = [&] {
         targets.front().reset();
         loop.after(milliseconds{FLAGS_down_ms}, [&] {
