Bound the durations in messages at their sender

Cause: the decoder refuses durations above 24 hours, and the encoder wrote them, so each receiver closed the connection between the machines. Requests in flight on it ended with an unknown outcome.

Change: the bound is part of the messages, and the encoder writes longer durations as the bound, also ages of evacuations. The entry bounds a client's time budget, so that times computed from it do not overflow.

Result: messages long_durations_are_encoded_as_the_bound fails without the bound in the encoder and passes with it.

--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -237,8 +237,9 @@
                                     milliseconds already_spent)
 {
     time_limits result;
-    result.client_deadline =
-        client_time ? std::max(*client_time, milliseconds{0}) : default_timeout;
+    result.client_deadline = client_time
+                                 ? std::clamp(*client_time, milliseconds{0}, wire::max_duration)
+                                 : default_timeout;
     result.deadline = route.timeout.count() > 0 ? std::min(result.client_deadline, route.timeout)
                                                 : result.client_deadline;
     const auto aim =
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Upper bound on each duration in a frame: deadlines, latency goals and retry delays.
-constexpr std::uint64_t max_duration_ms = 24ULL * 3600 * 1000;
 constexpr std::uint64_t max_status = 999;
 
 /// One msgpack value. The token of an array is followed by the tokens of its elements.
@@ -155,7 +153,10 @@
     /// An HTTP status, the only signed member of a message.
     void value(int& into) { into = static_cast<int>(number(max_status)); }
 
-    void value(milliseconds& into) { into = milliseconds{number(max_duration_ms)}; }
+    void value(milliseconds& into)
+    {
+        into = milliseconds{number(static_cast<std::uint64_t>(max_duration.count()))};
+    }
 
     void value(std::string& into)
     {
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -44,7 +44,8 @@
 
     void value(milliseconds from)
     {
-        value(static_cast<std::uint64_t>(std::max<milliseconds::rep>(from.count(), 0)));
+        const auto bounded = std::clamp(from, milliseconds{0}, max_duration);
+        value(static_cast<std::uint64_t>(bounded.count()));
     }
 
     void value(const ownership::gossip_item& from)
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -43,6 +43,9 @@
 /// Upper bound on the msgpack values of one frame. It limits the memory for decoding a malicious
 /// frame of one-byte values.
 inline constexpr std::size_t max_frame_values = std::size_t{256} * 1024;
+/// Upper bound on each duration in a frame: deadlines, latency goals, retry delays and ages. Longer
+/// ones are encoded as this, since a receiver refuses them.
+inline constexpr milliseconds max_duration = std::chrono::hours{24};
 /// Upper bound on the nesting of arrays; the most deeply nested message needs 7 levels.
 inline constexpr std::size_t max_frame_depth = 10;
 
--- a/tests/sidecar/entry_test.cpp
+++ b/tests/sidecar/entry_test.cpp
@@ -277,6 +277,17 @@
     LONGS_EQUAL(4, forwards());
 }
 
+// Guards against a time budget that overflows, or that other nodes refuse in a message.
+TEST(entry, very_long_time_budgets_are_bounded)
+{
+    for (const auto left : {milliseconds{100'000'000}, milliseconds::max()}) {
+        const auto result = call("/keyed-write/a", left, "r-" + std::to_string(left.count()));
+        CHECK_FALSE(result->answer.has_value());
+        CHECK(last_forward().deadline <= wire::max_duration);
+        CHECK(last_forward().deadline > std::chrono::hours{23});
+    }
+}
+
 // Guards against an answer with a status that HTTP does not have, from a node with another version,
 // which a client got under another status.
 TEST(entry, reply_with_an_invalid_status_is_no_answer)
--- a/tests/wire/messages_test.cpp
+++ b/tests/wire/messages_test.cpp
@@ -47,6 +47,28 @@
 
 TEST_GROUP(messages){};
 
+// Guards against a frame that its receiver refuses, so that it closes the connection between two
+// nodes and breaks off the requests of all clients: one client's time budget was above the bound.
+TEST(messages, long_durations_are_encoded_as_the_bound)
+{
+    for (const auto time : {max_duration, max_duration + milliseconds{1}, milliseconds::max()}) {
+        forward request;
+        request.deadline = time;
+        request.aim = time;
+        forward_reply reply;
+        reply.retry_after = time;
+        const auto decoded = decode_body(encode({{}, {}, "a:1", request}));
+        CHECK(std::get<forward>(decoded.content).deadline == max_duration);
+        CHECK(std::get<forward>(decoded.content).aim == max_duration);
+        const auto decoded_reply = decode_body(encode({{}, {}, "a:1", reply}));
+        CHECK(std::get<forward_reply>(decoded_reply.content).retry_after == max_duration);
+    }
+    forward late;
+    late.deadline = milliseconds{-5};
+    const auto decoded = decode_body(encode({{}, {}, "a:1", late}));
+    LONGS_EQUAL(0, std::get<forward>(decoded.content).deadline.count());
+}
+
 // Guards against a member that is not encoded or is decoded into another member. A frame is
 // compared by its encoding, which depends only on the values of its members.
 TEST(messages, every_message_is_unchanged_by_encoding_and_decoding)
