--- /dev/null
+++ b/review/standins-3/target.h
@@ -0,0 +1,111 @@
+#pragma once
+
+/// Targets that hold keys under grants, and the check that no key has two holders.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "deployment.h"
+#include "net/http.h"
+#include "net/loop.h"
+
+namespace bulrushgw::review {
+
+class target;
+
+/// Checks the rule on holders of keys for all targets of a deployment, on a sample of the keys. Not
+/// thread-safe: runs on one loop.
+class holder_check {
+public:
+    /// Every key of the sample is a multiple of this.
+    static constexpr std::uint32_t key_step = 1024;
+    static constexpr std::uint32_t key_count = 65536;
+    /// Two targets may hold the same key for this time.
+    static constexpr milliseconds max_overlap{500};
+
+    explicit holder_check(record& log) : log_(log) {}
+
+    void add(const target& which) { targets_.push_back(&which); }
+    /// A target accepted a grant of these keys.
+    void on_grant(const target& by, std::uint32_t first, std::uint32_t last, std::uint64_t fence);
+    /// A target began a request on the key.
+    void on_run(const target& by, std::uint32_t key);
+    /// Looks at the present holders.
+    void on_tick(time_point now);
+    /// Number of violations by kind.
+    [[nodiscard]] const std::map<std::string, int>& violations() const { return violations_; }
+
+private:
+    struct overlap {
+        time_point since;
+        std::set<const target*> began_requests;
+        bool is_reported = false;
+    };
+
+    void violate(const std::string& kind, const std::string& text);
+
+    record& log_;
+    std::vector<const target*> targets_;
+    std::map<std::uint32_t, overlap> overlaps_; ///< by key, while several targets hold it
+    /// The highest fence under which each target had a key.
+    std::map<std::uint32_t, std::map<const target*, std::uint64_t>> fences_;
+    std::map<std::string, int> violations_;
+};
+
+/// A target of a service, with the id that its process has from its start to its end. Not
+/// thread-safe: runs on one loop.
+class target {
+public:
+    target(net::loop& loop, const machine& at, bool sharded, milliseconds work, record& log,
+           holder_check& check);
+    ~target();
+    target(const target&) = delete;
+    target& operator=(const target&) = delete;
+    target(target&&) = delete;
+    target& operator=(target&&) = delete;
+
+    [[nodiscard]] bool holds(std::uint32_t key, time_point now) const;
+    [[nodiscard]] const std::string& id() const { return id_; }
+    [[nodiscard]] int runs_of(const std::string& request_id) const;
+
+private:
+    struct held_range {
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        std::uint64_t fence = 0;
+        time_point until;
+    };
+
+    void handle(const net::http_exchange& exchange);
+    void grant(const net::http_exchange& exchange);
+    void release(const net::http_exchange& exchange);
+    void run(const net::http_exchange& exchange);
+    void send_heartbeat();
+    void drop_keys(std::uint32_t first, std::uint32_t last);
+    [[nodiscard]] net::header_list identity() const;
+
+    net::loop& loop_;
+    machine at_;
+    bool sharded_;
+    milliseconds work_;
+    record& log_;
+    holder_check& check_;
+    std::string id_;
+    std::uint64_t born_ms_;
+    std::uint64_t sequence_ = 0;
+    std::vector<held_range> held_;
+    /// The highest fence seen, for each key of a range. Later entries go before earlier ones.
+    std::vector<held_range> seen_;
+    std::map<std::string, int> runs_;
+    std::uint32_t running_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    net::loop::timer_id heartbeat_timer_ = 0;
+    net::http_client client_;
+    net::http_server server_;
+};
+
+} // namespace bulrushgw::review
