--- a/review/standins-3/client.cpp
+++ b/review/standins-3/client.cpp
@@ -21,14 +21,20 @@
       http_(loop, max_connections, max_answer_bytes)
 {
     check_readiness();
-    loop_.every(readiness_interval, [this] { check_readiness(); });
-    loop_.every(interval, [this] {
+    readiness_timer_ = loop_.every(readiness_interval, [this] { check_readiness(); });
+    request_timer_ = loop_.every(interval, [this] {
         if (!stopped_ && is_in()) {
             send_request();
         }
     });
 }
 
+clients::~clients()
+{
+    loop_.cancel(readiness_timer_);
+    loop_.cancel(request_timer_);
+}
+
 void clients::check_readiness()
 {
     http_.send(at_.ready, {"GET", "/v1/ready", {}, ""}, readiness_timeout,
@@ -67,4 +73,19 @@
                                           [&](const auto& item) { return item.second == status; }));
 }
 
+heartbeat_network::heartbeat_network(net::loop& loop)
+    : loop_(loop), http_(loop, max_connections, max_answer_bytes)
+{
+}
+
+void heartbeat_network::deliver(const machine& to, const std::string& path, const std::string& body,
+                                milliseconds after)
+{
+    constexpr milliseconds timeout{1000};
+    loop_.after(after, [this, to, path, body] {
+        http_.send(to.control, {"POST", path, {{"Content-Type", "application/json"}}, body},
+                   timeout, [](const net::http_result&) {});
+    });
+}
+
 } // namespace bulrushgw::review
--- a/review/standins-3/client.h
+++ b/review/standins-3/client.h
@@ -28,6 +28,11 @@
     /// `next_key` gives the key of the next request.
     clients(net::loop& loop, const machine& at, request_kind kind, milliseconds interval,
             std::function<std::uint32_t()> next_key, record& log);
+    ~clients();
+    clients(const clients&) = delete;
+    clients& operator=(const clients&) = delete;
+    clients(clients&&) = delete;
+    clients& operator=(clients&&) = delete;
 
     /// After this call no further requests are sent.
     void stop() { stopped_ = true; }
@@ -51,6 +56,22 @@
     std::uint64_t next_id_ = 1;
     int misses_ = max_misses;
     bool stopped_ = false;
+    net::loop::timer_id readiness_timer_ = 0;
+    net::loop::timer_id request_timer_ = 0;
+    net::http_client http_;
+};
+
+/// Delivers heartbeats of targets to the sidecars, after a time. Not thread-safe: runs on one loop.
+class heartbeat_network {
+public:
+    explicit heartbeat_network(net::loop& loop);
+
+    /// A heartbeat on its way arrives whether its sender lives or not.
+    void deliver(const machine& to, const std::string& path, const std::string& body,
+                 milliseconds after);
+
+private:
+    net::loop& loop_;
     net::http_client http_;
 };
 
--- a/review/standins-3/store_drill_main.cpp
+++ b/review/standins-3/store_drill_main.cpp
@@ -43,7 +43,6 @@
 constexpr milliseconds away_time{500};
 constexpr milliseconds observed_time{36000};
 constexpr milliseconds request_interval{50};
-constexpr milliseconds work{30};
 
 const std::string manifest = R"({"version":"00000001",
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -85,6 +84,7 @@
 {
     net::loop loop;
     holder_check check(log);
+    heartbeat_network network(loop);
     const auto store_address = free_address();
     store platform_store(loop, store_address, manifest, log);
     std::vector<std::unique_ptr<target>> targets;
@@ -97,7 +97,11 @@
     };
     for (const std::string zone : {"nbo-a", "nbo-b", "nbo-c"}) {
         const auto at = make_machine("sidecar-" + zone + "-1", zone, "ladder-front");
-        targets.push_back(std::make_unique<target>(loop, at, true, work, log, check));
+        target_settings settings;
+        settings.send_heartbeat = [&network, at](const auto& path, const auto& body) {
+            network.deliver(at, path, body, milliseconds{0});
+        };
+        targets.push_back(std::make_unique<target>(loop, at, std::move(settings), log, check));
         sidecars.push_back(std::make_unique<sidecar_process>(at, store_address, program, folder));
         sidecars.back()->start();
         callers.push_back(std::make_unique<clients>(
@@ -105,7 +109,7 @@
             request_interval, next_key, log));
     }
     constexpr milliseconds check_interval{10};
-    loop.every(check_interval, [&] { check.on_tick(loop.now()); });
+    const auto timer = loop.every(check_interval, [&] { check.on_tick(loop.now()); });
 
     constexpr int served_at_start = 40;
     const bool serves = loop.run_until(
@@ -160,6 +164,7 @@
         log.write("clients: " + std::to_string(item->answers().size()) + " sent, " +
                   std::to_string(item->answered_with(200)) + " answered with 200");
     }
+    loop.cancel(timer);
     for (const auto& [kind, count] : check.violations()) {
         log.write("OWNER broken: " + kind + ": " + std::to_string(count) + " times");
     }
--- a/review/standins-3/target.cpp
+++ b/review/standins-3/target.cpp
@@ -18,9 +18,7 @@
 constexpr int status_misdirected = 421;
 constexpr int status_unavailable = 503;
 constexpr std::uint32_t slots = 6;
-constexpr milliseconds first_heartbeat{100};
 constexpr milliseconds heartbeat_interval{870};
-constexpr std::size_t max_answer_bytes = 4096;
 
 std::uint64_t unix_ms()
 {
@@ -49,16 +47,16 @@
     for (std::uint32_t key = (first + key_step - 1) / key_step * key_step; key <= last;
          key += key_step) {
         auto& known = fences_[key];
-        const bool is_new = fence > known[&by];
+        const bool is_new = fence > known[by.name()];
         for (const auto& [other, highest] : known) {
-            if (is_new && other != &by && highest >= fence) {
+            if (is_new && other != by.name() && highest >= fence) {
                 violate("fence not above that of another target",
-                        "key " + std::to_string(key) + ", " + by.id() + " fence " +
-                            std::to_string(fence) + ", " + other->id() + " had it with " +
+                        "key " + std::to_string(key) + ", " + by.name() + " fence " +
+                            std::to_string(fence) + ", " + other + " had it with " +
                             std::to_string(highest));
             }
         }
-        known[&by] = std::max(known[&by], fence);
+        known[by.name()] = std::max(known[by.name()], fence);
     }
 }
 
@@ -69,10 +67,9 @@
         return;
     }
     auto& began = found->second.began_requests;
-    if (began.insert(&by).second && began.size() == 2) {
-        violate("two holders began requests", "key " + std::to_string(key) + ", " +
-                                                  (*began.begin())->id() + " and " +
-                                                  (*began.rbegin())->id());
+    if (began.insert(by.name()).second && began.size() == 2) {
+        violate("two holders began requests",
+                "key " + std::to_string(key) + ", " + *began.begin() + " and " + *began.rbegin());
     }
 }
 
@@ -84,7 +81,7 @@
         for (const auto* item : targets_) {
             if (item->holds(key, now)) {
                 ++count;
-                holders += " " + item->id();
+                holders += " " + item->name();
             }
         }
         if (count < 2) {
@@ -99,14 +96,14 @@
     }
 }
 
-target::target(net::loop& loop, const machine& at, bool sharded, milliseconds work, record& log,
+target::target(net::loop& loop, const machine& at, target_settings settings, record& log,
                holder_check& check)
-    : loop_(loop), at_(at), sharded_(sharded), work_(work), log_(log), check_(check),
-      id_("i-" + at.host), born_ms_(unix_ms()), client_(loop, 2, max_answer_bytes),
+    : loop_(loop), at_(at), settings_(std::move(settings)), log_(log), check_(check),
+      id_("i-" + at.host), name_(id_ + "/" + std::to_string(settings_.life)), born_ms_(unix_ms()),
       server_(loop, at.target, [this](const net::http_exchange& exchange) { handle(exchange); })
 {
     check_.add(*this);
-    heartbeat_timer_ = loop_.after(first_heartbeat, [this] {
+    heartbeat_timer_ = loop_.after(settings_.first_heartbeat, [this] {
         send_heartbeat();
         heartbeat_timer_ = loop_.every(heartbeat_interval, [this] { send_heartbeat(); });
     });
@@ -115,6 +112,7 @@
 target::~target()
 {
     *alive_ = false;
+    check_.remove(*this);
     loop_.cancel(heartbeat_timer_);
 }
 
@@ -125,13 +123,8 @@
                     {"slots", slots},         {"state", "ready"},
                     {"warmupLeftMs", 0},      {"born", born_ms_},
                     {"sequence", ++sequence_}};
-    constexpr milliseconds timeout{1000};
-    client_.send(at_.control,
-                 {"POST",
-                  "/v1/Instances.Heartbeat/" + id_,
-                  {{"Content-Type", "application/json"}},
-                  body.dump()},
-                 timeout, [](const net::http_result&) {});
+    log_.write(name_ + ": sends heartbeat " + std::to_string(sequence_));
+    settings_.send_heartbeat("/v1/Instances.Heartbeat/" + id_, body.dump());
 }
 
 bool target::holds(std::uint32_t key, time_point now) const
@@ -207,7 +200,7 @@
         return item.first <= next.first && next.last <= item.last && item.fence == next.fence;
     });
     if (!is_renewal || higher_seen) {
-        log_.write(id_ + ": grant " + text_of(next.first, next.last, next.fence) +
+        log_.write(name_ + ": grant " + text_of(next.first, next.last, next.fence) +
                    (higher_seen ? " refused" : ""));
     }
     if (higher_seen) {
@@ -229,10 +222,10 @@
     const json message = json::parse(exchange.request.body);
     const std::uint32_t first = message.at("from");
     const std::uint32_t last = message.at("target");
-    log_.write(id_ + ": release " + text_of(first, last, message.at("fence")));
+    log_.write(name_ + ": release " + text_of(first, last, message.at("fence")));
     drop_keys(first, last);
-    // Work that was running on the keys has ended after `work_`.
-    loop_.after(work_, [exchange, alive = alive_] {
+    // Work that was running on the keys has ended after the work time.
+    loop_.after(settings_.work, [exchange, alive = alive_] {
         if (*alive) {
             exchange.respond({status_ok, {{"Handover", "5c0e7a21d94b36f8"}}, "{}"});
         }
@@ -248,7 +241,7 @@
     auto answer_headers = identity();
     answer_headers.push_back({"Request-Id", request_id});
     const bool is_other = net::find_header(headers, "Expect-Instance").value_or(id_) != id_;
-    const bool is_misdirected = is_other || (sharded_ && !holds(key, loop_.now()));
+    const bool is_misdirected = is_other || (settings_.sharded && !holds(key, loop_.now()));
     if (is_misdirected || running_ >= slots) {
         answer_headers.push_back({"Not-Executed", "1"});
         exchange.respond(
@@ -257,12 +250,12 @@
     }
     ++running_;
     ++runs_[request_id];
-    log_.write(id_ + ": runs " + request_id + " key " + key_text);
-    if (sharded_) {
+    log_.write(name_ + ": runs " + request_id + " key " + key_text);
+    if (settings_.sharded) {
         check_.on_run(*this, key);
     }
     answer_headers.push_back({"Response-Seal", "seal-" + request_id});
-    loop_.after(work_, [this, exchange, answer_headers, request_id, alive = alive_] {
+    loop_.after(settings_.work, [this, exchange, answer_headers, request_id, alive = alive_] {
         if (*alive) {
             --running_;
             exchange.respond({status_ok, answer_headers, "done " + request_id});
--- a/review/standins-3/target.h
+++ b/review/standins-3/target.h
@@ -3,6 +3,7 @@
 /// Targets that hold keys under grants, and the check that no key has two holders.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -30,6 +31,7 @@
     explicit holder_check(record& log) : log_(log) {}
 
     void add(const target& which) { targets_.push_back(&which); }
+    void remove(const target& which) { std::erase(targets_, &which); }
     /// A target accepted a grant of these keys.
     void on_grant(const target& by, std::uint32_t first, std::uint32_t last, std::uint64_t fence);
     /// A target began a request on the key.
@@ -42,7 +44,7 @@
 private:
     struct overlap {
         time_point since;
-        std::set<const target*> began_requests;
+        std::set<std::string> began_requests; ///< names of lives
         bool is_reported = false;
     };
 
@@ -51,16 +53,26 @@
     record& log_;
     std::vector<const target*> targets_;
     std::map<std::uint32_t, overlap> overlaps_; ///< by key, while several targets hold it
-    /// The highest fence under which each target had a key.
-    std::map<std::uint32_t, std::map<const target*, std::uint64_t>> fences_;
+    /// The highest fence under which each life of a target had a key.
+    std::map<std::uint32_t, std::map<std::string, std::uint64_t>> fences_;
     std::map<std::string, int> violations_;
 };
 
-/// A target of a service, with the id that its process has from its start to its end. Not
-/// thread-safe: runs on one loop.
+struct target_settings {
+    bool sharded = true;
+    milliseconds work{30};
+    /// From the start of the target to its first heartbeat.
+    milliseconds first_heartbeat{100};
+    /// Tells a life of the target from others that have the same id.
+    int life = 1;
+    /// Delivers a heartbeat, given as path and body, to the control address of the machine.
+    std::function<void(const std::string& path, const std::string& body)> send_heartbeat;
+};
+
+/// One life of a target of a service. Not thread-safe: runs on one loop.
 class target {
 public:
-    target(net::loop& loop, const machine& at, bool sharded, milliseconds work, record& log,
+    target(net::loop& loop, const machine& at, target_settings settings, record& log,
            holder_check& check);
     ~target();
     target(const target&) = delete;
@@ -69,7 +81,8 @@
     target& operator=(target&&) = delete;
 
     [[nodiscard]] bool holds(std::uint32_t key, time_point now) const;
-    [[nodiscard]] const std::string& id() const { return id_; }
+    /// Names this life of the target.
+    [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] int runs_of(const std::string& request_id) const;
 
 private:
@@ -90,11 +103,11 @@
 
     net::loop& loop_;
     machine at_;
-    bool sharded_;
-    milliseconds work_;
+    target_settings settings_;
     record& log_;
     holder_check& check_;
     std::string id_;
+    std::string name_;
     std::uint64_t born_ms_;
     std::uint64_t sequence_ = 0;
     std::vector<held_range> held_;
@@ -104,7 +117,6 @@
     std::uint32_t running_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     net::loop::timer_id heartbeat_timer_ = 0;
-    net::http_client client_;
     net::http_server server_;
 };
 
