review: add case 12, a confirmed release that is forgotten

Cause: after the loss of a node beside a busy endpoint and of the leader's node, the restarted node reports the endpoint's keys after its first report of the new term. The first directory of the term does not list them, so the node releases them; member::take_report forgets the confirmed release after one report. The next directory assigns the keys to the node under the old generation number, and the node grants them again, while the leader gives them to other endpoints.

The stand-ins of the third review get targets whose health checks and releases wait for work, an announced address, and a check for keys that are given while another target works on them.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S review/standins-3 -B target/review-3 -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-cmake --build target/review-3 -j6 --target store_drill late_heartbeat
+cmake --build target/review-3 -j6 --target store_drill late_heartbeat forgotten_release
--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -33,11 +33,14 @@
 
 json settings_of(const machine& at, const net::endpoint& store)
 {
-    const json addresses{{"requests", net::to_string(at.requests)},
-                         {"ready", net::to_string(at.ready)},
-                         {"control", net::to_string(at.control)},
-                         {"inner", net::to_string(at.inner)},
-                         {"metrics", net::to_string(at.metrics)}};
+    json addresses{{"requests", net::to_string(at.requests)},
+                   {"ready", net::to_string(at.ready)},
+                   {"control", net::to_string(at.control)},
+                   {"inner", net::to_string(at.inner)},
+                   {"metrics", net::to_string(at.metrics)}};
+    if (at.announced) {
+        addresses["announced"] = net::to_string(*at.announced);
+    }
     return {{"host", at.host},
             {"zone", at.zone},
             {"region", "nairobi"},
@@ -48,7 +51,7 @@
             {"descriptors", 4100},
             {"processor_share", 0.2},
             {"memory_mb", 260},
-            {"link_mbps", 1000},
+            {"link_mbps", at.link_mbps},
             {"addresses", addresses},
             {"bounds", bounds()}};
 }
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <fstream>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -37,6 +38,9 @@
     net::endpoint inner;
     net::endpoint metrics;
     net::endpoint target;
+    /// Where the other machines reach `inner`, for example through a proxy.
+    std::optional<net::endpoint> announced = std::nullopt;
+    int link_mbps = 1000;
 };
 
 /// A loopback address with a port that is free now.
--- a/review/standins-3/target.cpp
+++ b/review/standins-3/target.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <string_view>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -19,6 +20,7 @@
 constexpr int status_unavailable = 503;
 constexpr std::uint32_t slots = 6;
 constexpr milliseconds heartbeat_interval{870};
+constexpr std::string_view long_path = "/reports/";
 
 std::uint64_t unix_ms()
 {
@@ -57,6 +59,13 @@
             }
         }
         known[by.name()] = std::max(known[by.name()], fence);
+        for (const auto* other : targets_) {
+            if (is_new && other != &by && other->works_on(key, boot_clock::now())) {
+                violate("a key was given while another target worked on it",
+                        "key " + std::to_string(key) + " to " + by.name() + " with fence " +
+                            std::to_string(fence) + ", " + other->name() + " works on it");
+            }
+        }
     }
 }
 
@@ -134,6 +143,17 @@
     });
 }
 
+time_point target::hold_end_of(std::uint32_t key) const
+{
+    time_point result{};
+    for (const auto& item : held_) {
+        if (item.first <= key && key <= item.last) {
+            result = std::max(result, item.until);
+        }
+    }
+    return result;
+}
+
 int target::runs_of(const std::string& request_id) const
 {
     const auto found = runs_.find(request_id);
@@ -156,13 +176,49 @@
         release(exchange);
     }
     else if (path == "/health") {
-        exchange.respond({status_ok, identity(), ""});
+        waiting_checks_.push_back(exchange);
+        answer_waiting();
     }
     else {
         run(exchange);
     }
 }
 
+bool target::works_on(std::uint32_t key, time_point now) const
+{
+    return std::any_of(work_.begin(), work_.end(), [&](const auto& item) {
+        return item.second.key == key && now < item.second.hold_end;
+    });
+}
+
+bool target::is_working(std::uint32_t first, std::uint32_t last) const
+{
+    return std::any_of(work_.begin(), work_.end(), [&](const auto& item) {
+        return first <= item.second.key && item.second.key <= last;
+    });
+}
+
+// Answers the health checks and the releases that have nothing to wait for any more.
+void target::answer_waiting()
+{
+    if (!settings_.waits_for_work || running_ < slots) {
+        for (const auto& exchange : std::exchange(waiting_checks_, {})) {
+            log_.write(name_ + ": answers a health check");
+            exchange.respond({status_ok, identity(), ""});
+        }
+    }
+    for (auto item = waiting_releases_.begin(); item != waiting_releases_.end();) {
+        if (is_working(item->first, item->last)) {
+            ++item;
+            continue;
+        }
+        log_.write(name_ + ": confirms the release of " + std::to_string(item->first) + ".." +
+                   std::to_string(item->last));
+        item->exchange.respond({status_ok, {{"Handover", "5c0e7a21d94b36f8"}}, "{}"});
+        item = waiting_releases_.erase(item);
+    }
+}
+
 // Removes the keys from what the target holds. Ranges of which only a part is concerned are split.
 void target::drop_keys(std::uint32_t first, std::uint32_t last)
 {
@@ -224,6 +280,11 @@
     const std::uint32_t last = message.at("target");
     log_.write(name_ + ": release " + text_of(first, last, message.at("fence")));
     drop_keys(first, last);
+    if (settings_.waits_for_work) {
+        waiting_releases_.push_back({first, last, exchange});
+        answer_waiting();
+        return;
+    }
     // Work that was running on the keys has ended after the work time.
     loop_.after(settings_.work, [exchange, alive = alive_] {
         if (*alive) {
@@ -249,16 +310,24 @@
         return;
     }
     ++running_;
+    const auto number = next_work_++;
+    if (settings_.waits_for_work) {
+        work_[number] = {key, hold_end_of(key)};
+    }
     ++runs_[request_id];
     log_.write(name_ + ": runs " + request_id + " key " + key_text);
     if (settings_.sharded) {
         check_.on_run(*this, key);
     }
     answer_headers.push_back({"Response-Seal", "seal-" + request_id});
-    loop_.after(settings_.work, [this, exchange, answer_headers, request_id, alive = alive_] {
+    const auto work =
+        exchange.request.path.starts_with(long_path) ? settings_.long_work : settings_.work;
+    loop_.after(work, [this, exchange, answer_headers, request_id, number, alive = alive_] {
         if (*alive) {
             --running_;
+            work_.erase(number);
             exchange.respond({status_ok, answer_headers, "done " + request_id});
+            answer_waiting();
         }
     });
 }
--- a/review/standins-3/target.h
+++ b/review/standins-3/target.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Targets that hold keys under grants, and the check that no key has two holders.
+/// Targets that hold keys under grants, and the check that no key has two holders and that none is
+/// given to a target while another works on it.
 
 #include <cstdint>
 #include <functional>
@@ -61,6 +62,12 @@
 struct target_settings {
     bool sharded = true;
     milliseconds work{30};
+    /// Work of requests whose path begins with "/reports/".
+    milliseconds long_work{30};
+    /// A health check waits for a free slot, and a release is answered when the requests that run
+    /// on its keys have ended. Otherwise a health check is answered at once, and a release after
+    /// `work`.
+    bool waits_for_work = false;
     /// From the start of the target to its first heartbeat.
     milliseconds first_heartbeat{100};
     /// Tells a life of the target from others that have the same id.
@@ -81,6 +88,11 @@
     target& operator=(target&&) = delete;
 
     [[nodiscard]] bool holds(std::uint32_t key, time_point now) const;
+    /// True if a request runs on the key whose hold, as it was at the begin of the request, has not
+    /// run out.
+    [[nodiscard]] bool works_on(std::uint32_t key, time_point now) const;
+    /// Number of requests that run.
+    [[nodiscard]] std::uint32_t running() const { return running_; }
     /// Names this life of the target.
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] int runs_of(const std::string& request_id) const;
@@ -93,7 +105,22 @@
         time_point until;
     };
 
+    /// A request that runs.
+    struct work_item {
+        std::uint32_t key = 0;
+        time_point hold_end;
+    };
+    /// A release that waits for the requests on its keys.
+    struct waiting_release {
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        net::http_exchange exchange;
+    };
+
     void handle(const net::http_exchange& exchange);
+    void answer_waiting();
+    [[nodiscard]] time_point hold_end_of(std::uint32_t key) const;
+    [[nodiscard]] bool is_working(std::uint32_t first, std::uint32_t last) const;
     void grant(const net::http_exchange& exchange);
     void release(const net::http_exchange& exchange);
     void run(const net::http_exchange& exchange);
@@ -115,6 +142,10 @@
     std::vector<held_range> seen_;
     std::map<std::string, int> runs_;
     std::uint32_t running_ = 0;
+    std::map<std::uint64_t, work_item> work_;
+    std::uint64_t next_work_ = 1;
+    std::vector<net::http_exchange> waiting_checks_;
+    std::vector<waiting_release> waiting_releases_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     net::loop::timer_id heartbeat_timer_ = 0;
     net::http_server server_;
