review: keep the scripts' ports apart from outgoing connections

Cause: a script that ran beside eight others could not run once, since a connection had taken the port of a sidecar before its start.

Change: the ports are below those of outgoing connections, and begin elsewhere in each script. Case 12 ends its sidecars before it destroys the links, as a play with other faults crashed there at its end.

--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -6,7 +6,6 @@
 #include <fcntl.h>
 #include <iomanip>
 #include <netinet/in.h>
-#include <set>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -75,27 +74,31 @@
     file_ << std::setw(6) << age().count() << " " << line << std::endl;
 }
 
+// The ports are below those that the system gives to outgoing connections, so that no connection
+// takes one before its listener is started. Scripts that run at the same time begin at different
+// ports.
 net::endpoint free_address()
 {
-    static std::set<std::uint16_t> given;
-    for (;;) {
+    constexpr int first_port = 12000;
+    constexpr int blocks = 300;
+    constexpr int ports_per_block = 64;
+    static int next = first_port + getpid() % blocks * ports_per_block;
+    for (int tries = 0; tries < blocks * ports_per_block; ++tries) {
+        const auto port = static_cast<std::uint16_t>(next);
+        next = next + 1 < first_port + blocks * ports_per_block ? next + 1 : first_port;
         const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
+        address.sin_port = htons(port);
         inet_pton(AF_INET, loopback.c_str(), &address.sin_addr);
-        socklen_t size = sizeof(address);
-        const bool bound =
-            bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
-            getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0;
+        const bool is_free =
+            bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
         close(descriptor);
-        if (!bound) {
-            throw std::runtime_error("no free port");
-        }
-        const auto port = ntohs(address.sin_port);
-        if (given.insert(port).second) {
+        if (is_free) {
             return {loopback, port};
         }
     }
+    throw std::runtime_error("no free port");
 }
 
 machine make_machine(const std::string& host, const std::string& zone, const std::string& service)
--- a/review/standins-3/forgotten_release_main.cpp
+++ b/review/standins-3/forgotten_release_main.cpp
@@ -37,6 +37,7 @@
 /// Time without a disruption before each round.
 constexpr milliseconds calm_time{3000};
 constexpr milliseconds observed_time{5000};
+constexpr milliseconds close_time{500};
 /// From the end of a process to its new start.
 constexpr milliseconds restart_delay{100};
 /// From the restart of the first node to the loss of the leader's node, by turns.
@@ -269,6 +270,11 @@
     all.loop.cancel(timer);
     const bool held = all.check.violations().empty();
     log.write(held ? "result: the rule held" : "result: the rule was broken");
+    // The links and the clients see the end of all connections before they are destroyed.
+    for (const auto& item : all.places) {
+        item->sidecar.reset();
+    }
+    all.pass(close_time);
     return held ? rule_held : rule_broken;
 }
 
