Compare versions of evacuations within their era of the store

Cause: of two states of the orders, the one with the higher version of the store was in force. When the store comes back from an older copy, it gives versions out again, so an order written soon after under a lower version was dropped, by the watch, by a read and by the report of a host that knew a higher version of the earlier era. An order that the copy lacks ended with the next read, though nobody had revoked it.

Change: versions of orders are store_version, which contains the era. Lines of evacuations name the era.

Measured: on the code before, an order of version 30 after a read of version 40 is not in force, and an order missing in the next read ends (a program with these calls). The three new tests of evacuations pass, and so do the tests of routing, platform, wire, fuzz and sidecar.

--- a/src/assignment/types.h
+++ b/src/assignment/types.h
@@ -226,7 +226,7 @@
     std::uint32_t cpu_millicores = 0;
     /// Version of the member's knowledge of evacuations, and the knowledge itself if it is newer
     /// than the last that the leader is known to have: one element, otherwise empty.
-    std::uint64_t evacuations_version = 0;
+    store_version evacuations_version;
     std::vector<routing::evacuation_snapshot> evacuations;
     /// Time from the start of the member's process to the sending of this report. Until the holds
     /// that earlier processes of the host granted have ended, the target may hold keys that are not
@@ -294,7 +294,7 @@
     std::vector<directory_change> content;
     /// Version of the leader's knowledge of evacuations, and the knowledge itself if it is newer
     /// than the member's: one element, otherwise empty.
-    std::uint64_t evacuations_version = 0;
+    store_version evacuations_version;
     std::vector<routing::evacuation_snapshot> evacuations;
     milliseconds lease = timing{}.lease; ///< length of the lease, if `leased`
     /// Upper bound on the lengths of all leases that any leader gave and that may still run.
--- a/src/routing/evacuations.cpp
+++ b/src/routing/evacuations.cpp
@@ -43,13 +43,34 @@
     return result;
 }
 
+void evacuations::note_version(time_point now, store_version version)
+{
+    if (version.era() > version_.era()) {
+        era_began_ = now;
+    }
+    version_ = std::max(version_, version);
+}
+
+// Adds the orders that the store may have lost when it came back from an older copy.
+void evacuations::keep_lost_orders(time_point now, orders& next) const
+{
+    if (now - era_began_ >= rewrite_time) {
+        return;
+    }
+    for (const auto& [zone, item] : zones_) {
+        if (item.version.era() < version_.era()) {
+            next.emplace(zone, item);
+        }
+    }
+}
+
 // Rows of one answer belong together: the version of a removed row may be known only as an upper
 // bound, so it must not hide another row of the same answer.
 evacuations::changes evacuations::apply_changes(time_point now, const evacuation_rows& rows,
                                                 time_point given)
 {
     orders next = zones_;
-    std::uint64_t latest = version_;
+    store_version latest = version_;
     for (const auto& change : rows.changes) {
         if (change.version <= version_) {
             continue;
@@ -62,7 +83,11 @@
             next[change.zone] = {change.version, given};
         }
     }
-    version_ = latest;
+    note_version(now, latest);
+    if (now - era_began_ >= rewrite_time) {
+        std::erase_if(next,
+                      [&](const auto& item) { return item.second.version.era() < version_.era(); });
+    }
     confirmed_at_ = now;
     return replace(std::move(next));
 }
@@ -87,7 +112,8 @@
             next[change.zone] = {change.version, earliest_order(now)};
         }
     }
-    version_ = rows.version;
+    note_version(now, rows.version);
+    keep_lost_orders(now, next);
     confirmed_at_ = now;
     return replace(std::move(next));
 }
@@ -102,7 +128,8 @@
         next[zone.name] = {zone.version,
                            heard_since - std::clamp(zone.age, milliseconds{0}, unknown_age)};
     }
-    version_ = news.version;
+    note_version(heard_since, news.version);
+    keep_lost_orders(heard_since, next);
     return replace(std::move(next));
 }
 
--- a/src/sidecar/coordination.cpp
+++ b/src/sidecar/coordination.cpp
@@ -261,7 +261,10 @@
 {
     for (const auto& change : changes) {
         hooks_.log(change.evacuated ? "evacuation_begun" : "evacuation_ended",
-                   {{"zone", change.zone}, {"version", change.version}, {"source", source}});
+                   {{"zone", change.zone},
+                    {"era", change.version.era()},
+                    {"version", change.version.number()},
+                    {"source", source}});
     }
     if (changes.empty()) {
         return;
@@ -509,7 +512,7 @@
         const bool is_leader_behind =
             informed_leader_ != due->leader || evacuations_.version() > leader_evacuations_version_;
         due->body.evacuations_version = evacuations_.version();
-        if (evacuations_.version() != 0 && is_leader_behind) {
+        if (evacuations_.version() != store_version{} && is_leader_behind) {
             due->body.evacuations = {evacuations_.snapshot(now)};
         }
         hooks_.send(due->address, due->leader, due->body);
--- a/src/sidecar/coordination.h
+++ b/src/sidecar/coordination.h
@@ -172,7 +172,7 @@
     /// Leader that last answered a report of this node, and the version of the evacuations that it
     /// knew then.
     incarnation_id informed_leader_;
-    std::uint64_t leader_evacuations_version_ = 0;
+    store_version leader_evacuations_version_;
     key_move_counts key_moves_{};
     bool evacuating_keys_ = false; ///< as last logged by this leader
     time_point last_tick_{};
--- a/src/sidecar/entry_explain.cpp
+++ b/src/sidecar/entry_explain.cpp
@@ -239,7 +239,7 @@
     if (member.leader_heard() != time_point{}) {
         report.view_age = age_of(member.leader_heard());
     }
-    report.evacuations_version = hooks_.evacuations().version();
+    report.evacuations_version = hooks_.evacuations().version().number();
     if (const auto confirmed = hooks_.evacuations().confirmed_at()) {
         report.evacuations_age = age_of(*confirmed);
     }
--- a/src/sidecar/process.cpp
+++ b/src/sidecar/process.cpp
@@ -578,7 +578,7 @@
 {
     // The manifest may have come from a peer before the orders of evacuation are known.
     const bool ready = routes_ && !stop_.is_stopping() && coordination_.member().view().term != 0 &&
-                       coordination_.evacuations().version() != 0 &&
+                       coordination_.evacuations().version() != store_version{} &&
                        exchange.request.path == protocol_.ready_path;
     exchange.respond(json_response(ready ? status_ok : status_unavailable, "{}"));
 }
--- a/src/sidecar/protocol.h
+++ b/src/sidecar/protocol.h
@@ -152,8 +152,9 @@
     /// Returns the changes from the body of a 200 answer to a watch. Throws `store_format_error`.
     std::function<feed_page(const std::string& body)> parse_feed;
     /// Returns the orders of evacuation from the body of a 200 answer to `read_manifest` or
-    /// `watch_manifest`. An unreadable row is left out. Throws `store_format_error`.
-    std::function<routing::evacuation_rows(const std::string& body)> parse_evacuations;
+    /// `watch_manifest` in this era. An unreadable row is left out. Throws `store_format_error`.
+    std::function<routing::evacuation_rows(const std::string& body, std::uint64_t era)>
+        parse_evacuations;
     /// HTTP status codes of the store's answers, apart from 200.
     int conflict_status = 0; ///< the row has another version; nothing was written
     /// The store no longer has all changes since the version `after` of a watch; read the row
--- a/src/sidecar/store_session.cpp
+++ b/src/sidecar/store_session.cpp
@@ -173,7 +173,7 @@
              const auto& body = answer.response->body;
              try {
                  // First the orders, so that an unreadable manifest does not hide them.
-                 hooks_.on_evacuations(protocol_.parse_evacuations(body), true);
+                 hooks_.on_evacuations(protocol_.parse_evacuations(body, answer.era), true);
                  const stored_row row = protocol_.parse_manifest_row(body);
                  watched_version_ = protocol_.parse_version(body);
                  failures_ = 0;
@@ -211,7 +211,7 @@
              }
              const auto& body = answer.response->body;
              try {
-                 hooks_.on_evacuations(protocol_.parse_evacuations(body), false);
+                 hooks_.on_evacuations(protocol_.parse_evacuations(body, answer.era), false);
                  const feed_page page = protocol_.parse_feed(body);
                  watched_version_ = std::max(watched_version_, page.next);
                  failures_ = 0;
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -157,7 +157,7 @@
 TEST(decoder_fuzz, rows_of_the_store)
 {
     const auto decode = [](const std::string& text) {
-        platform::detail::parse_evacuations(text, "evacuate/");
+        platform::detail::parse_evacuations(text, "evacuate/", 1);
         platform::detail::parse_feed(text, "config");
         platform::detail::parse_row(text, "config");
         platform::detail::parse_version(text);
--- a/tests/platform/protocol_test.cpp
+++ b/tests/platform/protocol_test.cpp
@@ -301,18 +301,20 @@
         R"({"rows":[{"key":"config","value":7,"ver":"x"},{"key":"evacuate/a","value":"e30=","ver":7},)"
         R"({"key":"evacuate/b","value":5,"ver":8},{"key":"evacuate/","ver":8},{"key":"evacuated","ver":8},)"
         R"({"key":"evacuate/c","removed":true},{"key":"evacuate/d","removed":true,"ver":6},7],)"
-        R"("morePages":false,"ver":9})");
-    LONGS_EQUAL(9, rows.version);
+        R"("morePages":false,"ver":9})",
+        0);
+    CHECK(rows.version == version_in_era(0, 9));
     CHECK(rows.complete);
     CHECK(rows.changes == std::vector<routing::evacuation_change>(
                               {{"a", 7, true}, {"b", 8, true}, {"c", 9, false}, {"d", 6, false}}));
     const auto damaged = protocol.parse_evacuations(
-        R"({"rows":[{"key":"evacuate/a","ver":-1},{"key":"evacuate/b","ver":8}],"ver":9})");
+        R"({"rows":[{"key":"evacuate/a","ver":-1},{"key":"evacuate/b","ver":8}],"ver":9})", 3);
+    CHECK(damaged.version == version_in_era(3, 9));
     CHECK_FALSE(damaged.complete);
     LONGS_EQUAL(1, damaged.changes.size());
-    CHECK_FALSE(protocol.parse_evacuations(R"({"rows":[],"morePages":true,"ver":9})").complete);
+    CHECK_FALSE(protocol.parse_evacuations(R"({"rows":[],"morePages":true,"ver":9})", 0).complete);
     for (const char* body : {"", "[]", R"({"rows":[]})", R"({"rows":7,"ver":1})"}) {
-        CHECK_THROWS(sidecar::store_format_error, protocol.parse_evacuations(body));
+        CHECK_THROWS(sidecar::store_format_error, protocol.parse_evacuations(body, 0));
     }
 }
 
--- a/tests/routing/evacuations_test.cpp
+++ b/tests/routing/evacuations_test.cpp
@@ -14,7 +14,17 @@
 
 evacuation_rows rows_of(std::uint64_t version, std::vector<evacuation_change> changes)
 {
-    return {version, std::move(changes), true};
+    return {{version}, std::move(changes), true};
+}
+
+// Rows of an answer in a later era, whose versions all are of that era.
+evacuation_rows rows_of_era(std::uint64_t era, std::uint64_t version,
+                            std::vector<evacuation_change> changes)
+{
+    for (auto& change : changes) {
+        change.version = version_in_era(era, change.version.number());
+    }
+    return {version_in_era(era, version), std::move(changes), true};
 }
 
 } // namespace
@@ -60,7 +70,7 @@
     known.on_feed(at(1), at(1), rows_of(20, {{"a", 20, false}, {"b", 15, true}}));
     CHECK_FALSE(known.is_evacuated("a"));
     CHECK(known.is_evacuated("b"));
-    LONGS_EQUAL(20, known.version());
+    CHECK(known.version() == version_in_era(0, 20));
 }
 
 // Guards against a host that grants an order that may be old the time of a new one, and against an
@@ -101,3 +111,46 @@
     CHECK(known.is_evacuated("a"));
     CHECK(known.is_evacuated("b"));
 }
+
+// Guards against an order that is dropped because the store came back from an older copy and gave a
+// lower version to it, and against one that a peer's report of the earlier era then ends.
+TEST(evacuations, order_under_a_lower_version_of_a_later_era_is_in_force)
+{
+    known.on_read(at(0), rows_of(40, {}));
+    known.on_feed(at(1), at(1), rows_of_era(1, 30, {{"a", 30, true}}));
+    CHECK(known.is_evacuated("a"));
+    CHECK(known.on_peer(at(2), {{40}, {}}).empty());
+    CHECK(known.on_read(at(2), rows_of(41, {})).empty());
+    CHECK(known.is_evacuated("a"));
+    CHECK(known.on_feed(at(3), at(3), rows_of_era(1, 31, {{"a", 31, false}})).size() == 1);
+    CHECK(known.empty());
+}
+
+// Guards against an order that ends because the older copy does not contain it. The operator writes
+// it again within some seconds, and its time does not begin anew.
+TEST(evacuations, order_that_the_store_has_lost_stays_until_it_is_written_again)
+{
+    known.on_read(at(0), rows_of(40, {{"a", 35, true}, {"b", 36, true}}));
+    const auto ordered = *known.ordered_at("a");
+    CHECK(known.on_read(at(1000), rows_of_era(1, 30, {})).empty());
+    CHECK(known.on_peer(at(2000), {version_in_era(1, 31), {}}).empty());
+    CHECK(known.is_evacuated("a"));
+    CHECK(known.on_feed(at(3000), at(3000), rows_of_era(1, 32, {{"a", 32, true}})).empty());
+    CHECK(*known.ordered_at("a") == ordered);
+    // The order for the other zone had been revoked: nobody writes it again.
+    const auto late = at(1000) + evacuations::rewrite_time;
+    CHECK(known.on_feed(late, late, rows_of_era(1, 33, {})).size() == 1);
+    CHECK(known.is_evacuated("a"));
+    CHECK_FALSE(known.is_evacuated("b"));
+}
+
+// Guards against a host that keeps an order because it reads the store again after the time within
+// which lost orders are written again.
+TEST(evacuations, lost_order_ends_with_a_read_after_the_rewrite_time)
+{
+    known.on_read(at(0), rows_of(40, {{"a", 35, true}}));
+    known.on_read(at(1000), rows_of_era(1, 30, {}));
+    CHECK(known.is_evacuated("a"));
+    known.on_read(at(1000) + evacuations::rewrite_time, rows_of_era(1, 30, {}));
+    CHECK(known.empty());
+}
--- a/tests/sidecar/simulated_cluster.h
+++ b/tests/sidecar/simulated_cluster.h
@@ -242,7 +242,7 @@
     bool store_up_ = true;
     bool store_away_ = false; ///< until it comes back from an older copy
     /// Row version and time of each order of evacuation in force, by zone.
-    std::map<std::string, std::pair<std::uint64_t, std::int64_t>> evacuated_zones_;
+    std::map<std::string, std::pair<store_version, std::int64_t>> evacuated_zones_;
     std::set<std::size_t> store_writers_;
     double lost_writes_ = 0;
     double message_faults_ = 0;
--- a/tests/sidecar/simulated_evacuation.cpp
+++ b/tests/sidecar/simulated_evacuation.cpp
@@ -25,7 +25,7 @@
 void simulated_cluster::set_evacuated(const std::string& zone, bool evacuated)
 {
     change_store([](store_content& content) { ++content.version; });
-    const auto version = store_.version;
+    const auto version = version_in_era(store_era_, store_.version);
     if (!evacuated) {
         evacuated_zones_.erase(zone);
     }
@@ -55,7 +55,7 @@
 
 void simulated_cluster::read_evacuations(std::size_t host_index)
 {
-    routing::evacuation_rows rows{store_.version, {}, true};
+    routing::evacuation_rows rows{version_in_era(store_era_, store_.version), {}, true};
     for (const auto& [zone, order] : evacuated_zones_) {
         rows.changes.push_back({zone, order.first, true});
     }
--- a/tests/sidecar/simulated_store.cpp
+++ b/tests/sidecar/simulated_store.cpp
@@ -49,7 +49,7 @@
                         " ms store: back from a copy of version " + std::to_string(copy.version));
     }
     for (auto& [zone, order] : evacuated_zones_) {
-        order.first = ++store_.version;
+        order.first = version_in_era(store_era_, ++store_.version);
     }
 }
 
--- a/tests/wire/samples.cpp
+++ b/tests/wire/samples.cpp
@@ -91,7 +91,7 @@
     body.leaving = true;
     body.cleared_term = 3;
     body.cpu_millicores = 500;
-    body.evacuations_version = 41;
+    body.evacuations_version = version_in_era(0, 41);
     body.evacuations = {sample_evacuations()};
     body.process_age = milliseconds{1300};
     return body;
