Fuzz the decoding of the leader's rows

The rows of the leader's record are decoded by new code, which the fuzz test of the store's answers did not reach. No fault found: the test passes.

--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -160,6 +160,7 @@
         platform::detail::parse_evacuations(text, "evacuate/", 1);
         platform::detail::parse_feed(text, "config");
         platform::detail::parse_row(text, "config");
+        platform::detail::parse_leader_rows(text, 2);
         platform::detail::parse_version(text);
     };
     fuzz({rows}, catching<sidecar::store_format_error>(decode));
